--- a/src/hemlockhill/main.cpp
+++ b/src/hemlockhill/main.cpp
@@ -5,6 +5,7 @@
 #include "hemlockhill/log.h"
 #include "hemlockhill/node.h"
 #include "hemlockhill/settings.h"
+#include "platform_node.h"
 
 #include <boost/program_options.hpp>
 
@@ -20,6 +21,7 @@
 
 constexpr const char *UsageText = R"(Usage:
   hemlockhill serve --settings FILE                       run one node
+  hemlockhill gateway [--settings FILE]                   run one node on the platform's machines
   hemlockhill ctl --at HOST:PORT ['STATEMENT'...]         send commands and queries; without a statement,
                                                           --script FILE or standard input, one a line
       --at HOST:PORT        again for each other node to try
@@ -62,6 +64,16 @@
     return ExitCode::Success;
 }
 
+int gateway(const std::vector<std::string> &arguments)
+{
+    std::string file;
+    options::options_description description;
+    description.add_options()("settings", options::value(&file));
+    parse(arguments, description);
+    Platform::runPlatformNode(file.empty() ? Platform::settingsFileFromEnvironment() : std::filesystem::path(file));
+    return ExitCode::Success;
+}
+
 int ctl(const std::vector<std::string> &arguments)
 {
     CtlOptions ctlOptions;
@@ -104,6 +116,9 @@
     if (subcommand == "serve") {
         return serve(rest);
     }
+    if (subcommand == "gateway") {
+        return gateway(rest);
+    }
     if (subcommand == "ctl") {
         return ctl(rest);
     }
--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -59,6 +59,11 @@
     // Answers once the command's outcome is known; an accepted command of operators only once it is in force everywhere.
     void submit(const std::string &payload, SubmitAnswer answer, TimePoint now);
 
+    // Another controller may be called from now on. Only the controllers of the settings can begin a group.
+    void addPeer(const PeerSettings &peer);
+    // What followers receive beside the declared state: the leader's view of what the runners hold.
+    void publishFleet(std::string fleet, TimePoint now);
+
     // To be called every heartbeat or more often.
     void tick(TimePoint now);
     // Hands leadership over. True once this controller does not lead.
@@ -109,6 +114,9 @@
     FollowReply followReply(const FollowRequest &request, TimePoint now) const;
     void maintainMembership(TimePoint now);
     void changeMembership(MembershipChangeKind kind, const VoterId &voter, TimePoint now);
+    std::optional<VoterId> silentVoter(const VoterMembership &membership, TimePoint now) const;
+    bool asksIdentity(TimePoint now) const;
+    std::vector<VmId> controllers() const;
     void compactIfLong();
     void reportGauges(TimePoint now);
 
@@ -127,6 +135,11 @@
 
     // The latest word of each other controller.
     std::map<VmId, IdentityReply> m_identities;
+    std::map<VmId, TimePoint> m_identityHeardAt;
+    // The controllers that the settings name; they begin the group together.
+    std::vector<PeerSettings> m_founders;
+    bool m_mayBegin = true;
+    TimePoint m_leadsSince;
     TimePoint m_identitiesAskedAt;
 
     ReplicatedState m_state;
@@ -134,6 +147,8 @@
     // The record of suspected requests as nodes receive it.
     std::string m_quarantine;
     StateDigest m_quarantineDigest;
+    std::string m_fleet;
+    StateDigest m_fleetDigest;
     LogIndex m_applied;
     LogIndex m_compacted;
     std::optional<LeaseRegister> m_leases;
--- /dev/null
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -0,0 +1,97 @@
+// Which live endpoint runs a routed request, as seen from one node. A pure core: time and the seed are passed in.
+//
+// Answers the load pattern of many nodes in front of the same endpoints: each node knows its own requests exactly, and those of the
+// others by the leader's directory, which lags.
+#pragma once
+
+#include "hemlockhill/endpoint_directory.h"
+
+#include <boost/random/mersenne_twister.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace Hemlockhill
+{
+
+struct EndpointNeed {
+    ServiceId service;
+    // Without a model any endpoint of the service will do.
+    RoutingTarget target;
+    // Endpoints that this request has already been sent to.
+    std::set<EndpointId> avoided;
+};
+
+enum class NoChoice {
+    // The service has no endpoint that takes work.
+    NoEndpoint,
+    // Endpoints hold neither the model nor are loading it.
+    ModelAbsent,
+    // The model is there or being loaded, and the adapter is not.
+    NotLoadedYet,
+    // Every endpoint that could run it has failed lately or was already tried.
+    NoneLeft,
+    // Every endpoint that could run it has as many requests as it can batch.
+    Full
+};
+
+std::string_view toText(NoChoice reason);
+
+struct EndpointChoice {
+    std::optional<EndpointId> endpoint;
+    NoChoice reason = NoChoice::NoEndpoint;
+};
+
+struct EndpointChooserLimits {
+    // Requests that this node gives one endpoint beyond its slots, waiting there.
+    double queueShare = 0.5;
+    // An endpoint that failed is left alone for this long, twice as long after each further failure, up to the limit.
+    Duration pauseAfterFailure = std::chrono::milliseconds(500);
+    Duration longestPause = std::chrono::seconds(4);
+    // Requests of its own that an endpoint may fail among its latest before it counts as failing.
+    double failingShare = 0.3;
+};
+
+class EndpointChooser
+{
+public:
+    EndpointChooser(DataCentreId dataCentre, EndpointChooserLimits limits, std::uint64_t seed);
+
+    EndpointChoice choose(const EndpointsById &endpoints, const EndpointNeed &need, TimePoint now);
+
+    void onDispatched(const EndpointId &endpoint);
+    // An exchange ended, well or not.
+    void onEnded(const EndpointId &endpoint);
+    // The endpoint answered as it should.
+    void onSucceeded(const EndpointId &endpoint);
+    // The endpoint could not be reached, broke off, or answered with a failure of its own.
+    void onFailed(const EndpointId &endpoint, TimePoint now);
+    // Keeps what is known of the endpoints that are still there; the load that others have put on them is the directory's.
+    void onDirectory(const EndpointsById &endpoints);
+
+    std::uint32_t inFlight(const EndpointId &endpoint) const;
+
+private:
+    struct Record {
+        std::uint32_t inFlight = 0;
+        // Own requests in flight when the directory's load was taken.
+        std::uint32_t inFlightAtReport = 0;
+        std::uint32_t reportedLoad = 0;
+        std::uint32_t failuresInARow = 0;
+        // A moving share of requests that failed.
+        double failureShare = 0;
+        TimePoint pausedUntil;
+    };
+
+    bool isPaused(const EndpointId &endpoint, TimePoint now) const;
+    double estimatedLoad(const LiveEndpoint &endpoint) const;
+
+    DataCentreId m_dataCentre;
+    EndpointChooserLimits m_limits;
+    boost::random::mt19937_64 m_random;
+    std::map<EndpointId, Record> m_records;
+};
+
+} // namespace Hemlockhill
--- /dev/null
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -0,0 +1,167 @@
+// What the runners of a deployment hold: which models and adapters are loaded and unloaded where. A pure core of the leader.
+//
+// Answers the load pattern of demand that moves to other models every few seconds while loads from the weight store are few: no model
+// loses its last copy, a copy more goes where the least is asked, and adapters follow the requests that wait for them.
+#pragma once
+
+#include "hemlockhill/deployment.h"
+#include "hemlockhill/endpoint_directory.h"
+#include "hemlockhill/gateway.h"
+#include "hemlockhill/world.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace Hemlockhill
+{
+
+// Counts the orders that a runner has accepted in its present life.
+using OrderSequence = Quantity<struct OrderSequenceTag>;
+
+// What a runner says of itself; it was so some hundred milliseconds ago.
+struct RunnerReport {
+    Incarnation incarnation;
+    OrderSequence sequence;
+    // Whether a model is being loaded or unloaded.
+    bool busy = false;
+    bool leaving = false;
+    std::set<RoutingTarget> held;
+    // Adapters on their way from the store; they take places already.
+    std::set<RoutingTarget> pending;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    // Weights that load without the store.
+    std::set<ModelId> inMemory;
+    std::set<ModelId> onDisk;
+};
+
+enum class RunnerOperation { Load, Unload };
+
+std::string_view toText(RunnerOperation operation);
+
+// An order that the runner carries out only in the state that it was meant for.
+struct RunnerOrder {
+    EndpointId endpoint;
+    Incarnation incarnation;
+    Address address;
+    RunnerOperation operation = RunnerOperation::Load;
+    RoutingTarget target;
+    OrderSequence expected;
+
+    bool operator==(const RunnerOrder &) const = default;
+};
+
+enum class OrderOutcome {
+    // It is being carried out.
+    Accepted,
+    // The runner was already as ordered.
+    AlreadyDone,
+    // Another order came first.
+    Conflict,
+    // A leader with a higher fencing number has given orders.
+    Fenced,
+    // The runner does not take this order, or is another one.
+    Rejected,
+    // No answer: it may have been accepted, or may be later.
+    Unknown
+};
+
+std::string_view toText(OrderOutcome outcome);
+
+struct FleetLimits {
+    // Requests a second for one copy of a model, from which on another copy is worth a load.
+    double busyRate = 14;
+    // A copy that serves fewer may make room for one of a busy model.
+    double idleRate = 6;
+    // Requests a second for one adapter on one runner, from which on it is loaded on another one too.
+    double busyAdapterRate = 6;
+    // Models being loaded at one time.
+    std::uint32_t concurrentLoads = 4;
+    // The store's loads are counted over this time.
+    Duration storeWindow = std::chrono::seconds(5);
+    // The time after which demand counts a third.
+    Duration demandMemory = std::chrono::milliseconds(1500);
+    Duration reportPeriod = std::chrono::milliseconds(500);
+    // After an order without an answer the runner gets no other one for this long, unless a report shows that it was carried out.
+    Duration unknownPause = std::chrono::milliseconds(600);
+};
+
+class FleetPlacement
+{
+public:
+    // Begins a term of office: what a former leader has ordered shows only in the reports.
+    FleetPlacement(FleetLimits limits, TimePoint now);
+
+    void setDeployment(std::shared_ptr<const Deployment> deployment);
+    // Everything that the platform lists.
+    void onListing(const EndpointsById &listing, TimePoint now);
+    void onReport(const EndpointId &endpoint, const RunnerReport &report, TimePoint now);
+    void onFigures(const VmId &node, const FiguresByTarget &figures, TimePoint now);
+    void onAnswered(const RunnerOrder &order, OrderOutcome outcome, TimePoint now);
+
+    // Runners whose report should be asked for now.
+    std::vector<EndpointId> reportsDue(TimePoint now);
+    // Orders to send now, at most one for each runner.
+    std::vector<RunnerOrder> decide(TimePoint now);
+    // The endpoints as callers' nodes should see them.
+    EndpointsById directory(TimePoint now) const;
+
+private:
+    struct Runner {
+        LiveEndpoint live;
+        std::optional<RunnerReport> report;
+        TimePoint reportAskedAt;
+        std::set<RoutingTarget> held;
+        OrderSequence sequence;
+        bool orderUnderWay = false;
+        TimePoint pausedUntil;
+        // The model that is being loaded, and when it should be there.
+        ModelId loading;
+        TimePoint loadedAt;
+        // Adapters that were ordered and are not in a report yet.
+        std::map<RoutingTarget, TimePoint> appearing;
+    };
+
+    struct Demand {
+        double rate = 0;
+        TimePoint at;
+    };
+
+    const EngineProfile *profileOf(const Runner &runner) const;
+    double rateOf(const RoutingTarget &target, TimePoint now) const;
+    double modelRate(const ModelId &model, TimePoint now) const;
+    std::uint32_t waitingFor(const RoutingTarget &target) const;
+    std::uint32_t waitingForModel(const ModelId &model) const;
+    std::uint32_t copies(const ModelId &model) const;
+    double runnerRate(const Runner &runner, TimePoint now) const;
+    double usedWeights(const Runner &runner, const EngineProfile &profile) const;
+    std::uint32_t usedAdapterSlots(const Runner &runner) const;
+    bool takesOrders(const Runner &runner, TimePoint now) const;
+    bool isBusyWithModel(const Runner &runner) const;
+    std::uint32_t loadsUnderWay() const;
+    bool storeAllows(const EngineProfile &profile, TimePoint now);
+    bool loadsWithoutStore(const Runner &runner, const ModelId &model) const;
+
+    void placeAdapters(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
+    void placeModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
+    bool placeModel(
+        const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders);
+    std::optional<RoutingTarget> evictableAdapter(const Runner &runner, TimePoint now) const;
+    std::optional<ModelId> evictableModel(const Runner &runner, const ModelId &inFavourOf, TimePoint now) const;
+    RunnerOrder order(Runner &runner, RunnerOperation operation, const RoutingTarget &target);
+
+    FleetLimits m_limits;
+    std::shared_ptr<const Deployment> m_deployment;
+    std::map<EndpointId, Runner> m_runners;
+    std::map<RoutingTarget, Demand> m_demand;
+    std::map<VmId, std::map<RoutingTarget, std::uint32_t>> m_waiting;
+    std::deque<TimePoint> m_storeLoads;
+};
+
+} // namespace Hemlockhill
--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -28,6 +28,9 @@
     Duration betweenBytes = std::chrono::seconds(2);
     // When present, the exchange fails without having sent anything if its first byte could not leave before this.
     std::optional<TimePoint> sendBefore = std::nullopt;
+    // Whether an answer without a length may end with an orderly close of its connection. It cannot be told from one that was cut off by
+    // a process that closes in order, so it is taken only from endpoints that are known to do this.
+    bool closeEndsAnswer = false;
 };
 
 // How an exchange ended without a whole answer.
--- a/src/include/hemlockhill/http_server.h
+++ b/src/include/hemlockhill/http_server.h
@@ -63,6 +63,8 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    // Still takes connections and requests, and closes each connection after its next answer, which says so. Call on the loop.
+    void closeAfterAnswers();
     // Takes no new connection and closes idle ones; requests in progress go on. Call on the loop.
     void stopAccepting();
     std::size_t connections() const;
--- a/src/include/hemlockhill/log.h
+++ b/src/include/hemlockhill/log.h
@@ -1,4 +1,7 @@
-// Structured logs: one JSON object a line on standard error, written through glog.
+// Structured logs: one JSON object a line on standard output, written through glog.
+//
+// Informational lines are bounded to a rate, and nothing ever waits for whoever reads them: lines that could not be written are counted,
+// and the next line says how many they were as "dropped_lines".
 #pragma once
 
 #include <boost/json/object.hpp>
--- a/src/include/hemlockhill/peer_messages.h
+++ b/src/include/hemlockhill/peer_messages.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "hemlockhill/consensus.h"
+#include "hemlockhill/deployment.h"
 #include "hemlockhill/failure.h"
 #include "hemlockhill/http.h"
 #include "hemlockhill/serving_lease.h"
+#include "hemlockhill/settings.h"
 #include "hemlockhill/world.h"
 
 #include <cstdint>
@@ -43,6 +45,10 @@
     std::string figures;
     // Of the record of suspected requests that the node holds.
     StateDigest quarantineDigest;
+    // The deployment that the node has in force.
+    DeploymentVersion deployment;
+    // Of the leader's view of the runners that the node holds.
+    StateDigest fleetDigest;
 };
 
 struct FollowReply {
@@ -59,6 +65,13 @@
     // Of the leader's record of suspected requests, and the record itself when the node's differs.
     StateDigest quarantineDigest;
     std::string quarantine;
+    // The deployment's document when it is newer than the node's.
+    DeploymentDocument deployment;
+    // Of the leader's view of what the runners hold, and the view itself when the node's differs.
+    StateDigest fleetDigest;
+    std::string fleet;
+    // Every controller that the leader knows of.
+    std::vector<VmId> controllers;
 };
 
 struct AttestRequest {
@@ -115,7 +128,12 @@
     PeerReply reply;
 };
 
-using PeerDutyMessage = std::variant<StartCall, AnswerCall>;
+// To the peers' duty: calls may go to this VM from now on.
+struct AddPeer {
+    PeerSettings peer;
+};
+
+using PeerDutyMessage = std::variant<StartCall, AnswerCall, AddPeer>;
 
 // From the peers' duty: another node calls. A ConsensusBatch is not to be answered.
 struct IncomingCall {
--- a/src/include/hemlockhill/replicated_state.h
+++ b/src/include/hemlockhill/replicated_state.h
@@ -1,6 +1,7 @@
 // Everything that the controllers replicate: several state machines behind one log.
 #pragma once
 
+#include "hemlockhill/deployment.h"
 #include "hemlockhill/once_register.h"
 #include "hemlockhill/order_book.h"
 #include "hemlockhill/quarantine.h"
@@ -13,7 +14,7 @@
 {
 
 // Names the machine that a log entry is for.
-enum class ReplicatedMachine : char { Region = 'R', Once = 'O', Orders = 'P', Quarantine = 'Q' };
+enum class ReplicatedMachine : char { Region = 'R', Once = 'O', Orders = 'P', Quarantine = 'Q', Deployment = 'D' };
 
 // The payload of a log entry: a machine and the command as that machine encodes it.
 std::string encodePayload(ReplicatedMachine machine, std::string_view command);
@@ -49,6 +50,7 @@
     const OnceRegister &once() const { return m_once; }
     const OrderBook &orders() const { return m_orders; }
     const QuarantineRegister &quarantine() const { return m_quarantine; }
+    const DeploymentRegister &deployment() const { return m_deployment; }
 
     std::string snapshot() const;
     // Throws DecodeError.
@@ -59,6 +61,7 @@
     OnceRegister m_once;
     OrderBook m_orders;
     QuarantineRegister m_quarantine;
+    DeploymentRegister m_deployment;
 };
 
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/settings.h
+++ b/src/include/hemlockhill/settings.h
@@ -47,6 +47,8 @@
 struct PeersSettings {
     Address listen;
     std::vector<PeerSettings> others;
+    // True when VMs that are not listed may join. The listed controllers are then the seeds by which a node finds the group.
+    bool open = false;
 };
 
 struct EndpointSettings {
@@ -62,6 +64,8 @@
     Duration electionTimeout = std::chrono::milliseconds(600);
     // How long a node may serve without having heard from the leader.
     Duration lease = std::chrono::milliseconds(1000);
+    // False on a VM that must join a group that exists, since it may have belonged to one before.
+    bool mayBeginGroup = true;
     // How long the answer and claim of an idempotency key are kept.
     Duration keyRetention = std::chrono::hours(24);
     // Weights of the placement objective.
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -16,6 +16,12 @@
 
 // How often other controllers are asked who they are.
 constexpr Duration IdentityPeriod = std::chrono::milliseconds(300);
+// The same while this controller belongs to a group whose members it does not all know.
+constexpr Duration DiscoveryPeriod = std::chrono::seconds(1);
+// A voter that has been silent for this long is removed from an open group that has voters enough without it.
+constexpr Duration SilentVoterTimeout = std::chrono::seconds(6);
+// Voters that answer, below which none is removed for its silence.
+constexpr std::size_t FewestVoters = 3;
 // How long an operator's accepted command may take to be in force everywhere before its sender is told to ask again.
 constexpr Duration InForcePatience = std::chrono::seconds(10);
 // Applied entries after which the log is replaced by a snapshot.
@@ -62,7 +68,11 @@
 {
     for (const PeerSettings &peer : settings.peers.others) {
         m_nodes.insert(peer.vm);
+        if (peer.controller) {
+            m_founders.push_back(peer);
+        }
     }
+    m_mayBegin = settings.control.mayBeginGroup;
 }
 
 Controller::~Controller() = default;
@@ -101,7 +111,9 @@
         }
         return;
     }
-    // A voter without its folder takes no part: what it promises next could contradict what it has forgotten.
+    // A voter without its folder takes no part: what it promises next could contradict what it has forgotten. Nor may it ever begin a
+    // group, since the one that it belonged to may go on without it.
+    m_mayBegin = false;
     m_consensus.reset();
     if (m_leases) {
         m_leases.reset();
@@ -129,6 +141,7 @@
 void Controller::onIdentity(const VmId &from, const IdentityReply &reply, TimePoint now)
 {
     m_identities[from] = reply;
+    m_identityHeardAt[from] = now;
     if (m_open && !m_initialMembership) {
         considerBeginning(now);
     }
@@ -141,22 +154,21 @@
     VoterMembership everyone{{m_self}, {}};
     bool allBlank = true;
     std::optional<VoterMembership> found;
-    for (const PeerSettings &peer : m_settings.peers.others) {
-        if (!peer.controller) {
-            continue;
+    for (const auto &[vm, identity] : m_identities) {
+        if (!identity.voter.empty() && !identity.blank) {
+            found = identity.initialMembership;
         }
+    }
+    for (const PeerSettings &peer : m_founders) {
         const auto known = m_identities.find(peer.vm);
         const bool answered = known != m_identities.end() && !known->second.voter.empty();
-        if (answered && !known->second.blank) {
-            found = known->second.initialMembership;
-        }
         allBlank = allBlank && answered && known->second.blank;
         if (answered) {
             everyone.voters.insert(known->second.voter);
         }
     }
-    const bool isFounder = vmOf(*everyone.voters.begin()) == m_settings.vm;
-    if (!found && allBlank && isFounder) {
+    const bool isFirst = vmOf(*everyone.voters.begin()) == m_settings.vm;
+    if (!found && allBlank && isFirst && m_mayBegin) {
         found = everyone;
         logEvent(Severity::Info, "group of controllers begun", {{"voters", encodeMembership(everyone)}});
     }
@@ -250,6 +262,9 @@
             refreshQuarantine();
             answerHeldFollows(now, true);
         }
+        if (command.machine == ReplicatedMachine::Deployment) {
+            answerHeldFollows(now, true);
+        }
         m_hooks.applied(command);
     } catch (const DecodeError &error) {
         // Every replica meets the same entry, and passes over it in the same way.
@@ -292,6 +307,7 @@
     const bool leads = m_consensus->role() == VoterRole::Leader;
     if (leads && !m_leases) {
         m_leases.emplace(m_times, m_nodes, now);
+        m_leadsSince = now;
         m_hooks.leadershipChanged(m_consensus->term());
         m_metrics.countEvent("leadership_taken");
         logEvent(Severity::Info, "leadership taken", {{"term", m_consensus->term().value}});
@@ -354,6 +370,15 @@
     if (request.quarantineDigest != m_quarantineDigest) {
         reply.quarantine = m_quarantine;
     }
+    reply.deployment.version = m_state.deployment().current().version;
+    if (request.deployment < reply.deployment.version) {
+        reply.deployment = m_state.deployment().current();
+    }
+    reply.fleetDigest = m_fleetDigest;
+    if (request.fleetDigest != m_fleetDigest) {
+        reply.fleet = m_fleet;
+    }
+    reply.controllers = controllers();
     return reply;
 }
 
@@ -366,7 +391,8 @@
     m_leases->reported(node, request.confirmed, now);
     // A node that is up to date but has not confirmed it yet is answered at once too, so that it can confirm.
     const bool isCurrent = request.known == m_history.revision() && request.confirmed == m_history.revision()
-                           && request.quarantineDigest == m_quarantineDigest;
+                           && request.quarantineDigest == m_quarantineDigest && request.fleetDigest == m_fleetDigest
+                           && request.deployment >= m_state.deployment().current().version;
     if (isCurrent) {
         m_heldFollows.push_back({node, request, std::move(answer), now + m_times.lease / HoldPartOfLease});
     } else {
@@ -407,11 +433,11 @@
 
 void Controller::tick(TimePoint now)
 {
-    if (now - m_identitiesAskedAt >= IdentityPeriod) {
+    const bool isMember = m_initialMembership.has_value();
+    if (now - m_identitiesAskedAt >= (isMember && m_settings.peers.open ? DiscoveryPeriod : IdentityPeriod)) {
         m_identitiesAskedAt = now;
-        const bool needed = m_open && (!m_initialMembership || leads(now));
         for (const PeerSettings &peer : m_settings.peers.others) {
-            if (needed && peer.controller) {
+            if (asksIdentity(now) && peer.controller) {
                 m_hooks.askIdentity(peer.vm);
             }
         }
@@ -428,6 +454,52 @@
     reportGauges(now);
 }
 
+void Controller::addPeer(const PeerSettings &peer)
+{
+    m_settings.peers.others.push_back(peer);
+}
+
+void Controller::publishFleet(std::string fleet, TimePoint now)
+{
+    m_fleet = std::move(fleet);
+    m_fleetDigest = StateDigest{m_fleet.empty() ? 0 : XXH3_64bits(m_fleet.data(), m_fleet.size())};
+    answerHeldFollows(now, true);
+}
+
+// In an open group each controller makes itself known, so that the leader learns of those that are not in its settings.
+bool Controller::asksIdentity(TimePoint now) const
+{
+    return m_open && (!m_initialMembership || leads(now) || m_settings.peers.open);
+}
+
+std::vector<VmId> Controller::controllers() const
+{
+    std::vector<VmId> vms;
+    if (m_consensus) {
+        for (const VoterId &voter : m_consensus->membership().voters) {
+            vms.push_back(vmOf(voter));
+        }
+    }
+    return vms;
+}
+
+// A voter whose VM is gone for good would weaken the quorum for ever.
+std::optional<VoterId> Controller::silentVoter(const VoterMembership &membership, TimePoint now) const
+{
+    std::optional<VoterId> silent;
+    std::size_t heard = 0;
+    for (const VoterId &voter : membership.voters) {
+        const auto heardAt = m_identityHeardAt.find(vmOf(voter));
+        const TimePoint since = std::max(m_leadsSince, heardAt == m_identityHeardAt.end() ? TimePoint{} : heardAt->second);
+        if (voter != m_self && now - since >= SilentVoterTimeout) {
+            silent = voter;
+        } else {
+            ++heard;
+        }
+    }
+    return m_settings.peers.open && heard >= FewestVoters ? silent : std::nullopt;
+}
+
 void Controller::reportGauges(TimePoint now)
 {
     if (!m_consensus) {
@@ -451,7 +523,9 @@
     std::map<VmId, IdentityReply> identities = m_identities;
     identities[m_settings.vm] = identity();
     for (const auto &[vm, identity] : identities) {
-        if (identity.voter.empty() || identity.blank) {
+        const auto heardAt = m_identityHeardAt.find(vm);
+        const bool isStale = heardAt != m_identityHeardAt.end() && now - heardAt->second >= SilentVoterTimeout;
+        if (identity.voter.empty() || identity.blank || isStale) {
             continue;
         }
         const auto isForgotten = [&vm = vm, &identity = identity](const VoterId &id) { return vmOf(id) == vm && id != identity.voter; };
@@ -476,6 +550,9 @@
             return;
         }
     }
+    if (const auto silent = silentVoter(membership, now)) {
+        changeMembership(MembershipChangeKind::Remove, *silent, now);
+    }
 }
 
 void Controller::changeMembership(MembershipChangeKind kind, const VoterId &voter, TimePoint now)
--- a/src/libhemlockhill/control/replicated_state.cpp
+++ b/src/libhemlockhill/control/replicated_state.cpp
@@ -96,6 +96,7 @@
     case ReplicatedMachine::Once:
     case ReplicatedMachine::Orders:
     case ReplicatedMachine::Quarantine:
+    case ReplicatedMachine::Deployment:
         return {machine, payload.substr(1)};
     }
     throw DecodeError("a log entry for an unknown machine");
@@ -140,6 +141,9 @@
     case ReplicatedMachine::Orders:
         m_orders.apply(decodeOrderCommand(decoded.command));
         return "applied";
+    case ReplicatedMachine::Deployment:
+        m_deployment.apply(decodeDeploymentDocument(decoded.command));
+        return std::to_string(m_deployment.current().version.value);
     case ReplicatedMachine::Quarantine:
         break;
     }
@@ -151,7 +155,8 @@
     return json::serialize(json::object{{"region", m_region.snapshot()},
                                         {"once", m_once.snapshot()},
                                         {"orders", m_orders.snapshot()},
-                                        {"quarantine", m_quarantine.snapshot()}});
+                                        {"quarantine", m_quarantine.snapshot()},
+                                        {"deployment", encode(m_deployment.current())}});
 }
 
 ReplicatedState ReplicatedState::restore(std::string_view snapshot)
@@ -163,6 +168,10 @@
     state.m_once = OnceRegister::restore(textMember(object, "once"));
     state.m_orders = OrderBook::restore(textMember(object, "orders"));
     state.m_quarantine = QuarantineRegister::restore(textMember(object, "quarantine"));
+    // Snapshots of earlier versions of the program hold no deployment.
+    if (object.contains("deployment")) {
+        state.m_deployment.apply(decodeDeploymentDocument(textMember(object, "deployment")));
+    }
     return state;
 }
 
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -2,6 +2,7 @@
 #include "hemlockhill/http_exchange.h"
 
 #include "hemlockhill/timer_service.h"
+#include "net/socket_options.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -9,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <charconv>
 #include <deque>
 #include <optional>
 #include <utility>
@@ -26,6 +28,10 @@
 
 constexpr std::size_t ReadBytes = 16'384;
 constexpr std::uint32_t AnswerHeaderLimit = 32'000;
+// How long an idle connection is trusted when the endpoint does not say how long it keeps one open.
+constexpr Duration UnstatedIdleTime = std::chrono::seconds(1);
+// The part of a stated idle time after which a connection is no longer used: the endpoint may be closing it.
+constexpr double TrustedIdlePart = 0.7;
 
 // One TCP connection. The buffer belongs to it, since it may hold bytes past the end of an answer.
 struct Connection {
@@ -37,8 +43,25 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool used = false;
+    // When the endpoint may close the connection for having been idle; what is sent then is lost.
+    TimePoint idleUntil;
+    Duration idleTime = UnstatedIdleTime;
 };
 
+// The idle time in a header such as "Keep-Alive: timeout=5, max=100". Empty when it states none.
+std::optional<Duration> statedIdleTime(std::string_view keepAlive)
+{
+    constexpr std::string_view Parameter = "timeout=";
+    const std::size_t position = keepAlive.find(Parameter);
+    if (position == std::string_view::npos) {
+        return std::nullopt;
+    }
+    unsigned seconds = 0;
+    const char *begin = keepAlive.data() + position + Parameter.size();
+    const auto [end, error] = std::from_chars(begin, keepAlive.data() + keepAlive.size(), seconds);
+    return error == std::errc() ? std::optional<Duration>(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
 // An idle connection is unusable when the other side has closed it or has sent something nobody asked for.
 bool isQuiet(Connection &connection)
 {
@@ -68,7 +91,7 @@
         while (!waiting.empty()) {
             auto connection = std::move(waiting.back());
             waiting.pop_back();
-            if (isQuiet(*connection)) {
+            if (currentTime() < connection->idleUntil && isQuiet(*connection)) {
                 return connection;
             }
         }
@@ -79,6 +102,7 @@
     {
         auto &waiting = connections[address];
         connection->used = true;
+        connection->idleUntil = currentTime() + std::chrono::duration_cast<Duration>(connection->idleTime * TrustedIdlePart);
         waiting.push_back(std::move(connection));
         if (waiting.size() > limit) {
             waiting.pop_front();
@@ -171,6 +195,7 @@
         }
         error_code ignored;
         self->m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+        watchForSilence(self->m_connection->stream.socket());
         self->send();
     });
 }
@@ -222,6 +247,9 @@
         fail(error);
         return;
     }
+    if (const auto idleTime = statedIdleTime(m_parser->get()[http::field::keep_alive])) {
+        m_connection->idleTime = *idleTime;
+    }
     std::vector<HttpHeader> headers;
     for (const auto &field : m_parser->get()) {
         headers.push_back({std::string(field.name_string()), std::string(field.value())});
@@ -301,13 +329,14 @@
 void ConnectionPool::Exchange::finish()
 {
     // An answer that only the close of its connection ends cannot be told from one that was cut off.
-    if (m_parser->need_eof()) {
+    const bool endsWithClose = m_parser->need_eof();
+    if (endsWithClose && !m_timeouts.closeEndsAnswer) {
         failWith(Reason::IncompleteAnswer);
         return;
     }
     m_ended = true;
     m_connection->stream.expires_never();
-    if (m_parser->get().keep_alive()) {
+    if (m_parser->get().keep_alive() && !endsWithClose) {
         m_idle->give(m_address, m_connection);
     } else {
         m_connection->stream.close();
--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -2,6 +2,7 @@
 #include "hemlockhill/http_server.h"
 
 #include "hemlockhill/refusal_answer.h"
+#include "net/socket_options.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -81,6 +82,9 @@
     const HttpServerLimits &limits() const { return m_limits; }
     void setLimits(const HttpServerLimits &limits) { m_limits = limits; }
     bool stopping() const { return m_stopping; }
+    // Whether connections are closed after the answer that is next on them.
+    bool closing() const { return m_stopping || m_closing; }
+    void closeAfterAnswers() { m_closing = true; }
     std::size_t sessions() const { return m_sessions.size(); }
     void handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) { m_handler(std::move(request), std::move(responder)); }
     void refused(Reason reason) { m_refused(reason); }
@@ -99,6 +103,7 @@
     std::set<Session *> m_sessions;
     std::uint64_t m_lastConnection = 0;
     bool m_stopping = false;
+    bool m_closing = false;
 };
 
 // One connection: reads a request, lets the handler answer it, and reads the next.
@@ -342,7 +347,7 @@
     m_phase = Phase::Finished;
     m_whole.emplace(static_cast<http::status>(response.status), 11);
     setHeaders(*m_whole, response);
-    m_keepAlive = m_keepAlive && !m_listener->stopping();
+    m_keepAlive = m_keepAlive && !m_listener->closing();
     m_whole->keep_alive(m_keepAlive);
     m_whole->body() = std::move(response.body);
     m_whole->prepare_payload();
@@ -370,7 +375,7 @@
     http::response<http::empty_body> response(static_cast<http::status>(head.status), 11);
     setHeaders(response, head);
     response.set(http::field::cache_control, "no-store");
-    m_keepAlive = m_keepAlive && !m_listener->stopping();
+    m_keepAlive = m_keepAlive && !m_listener->closing();
     response.keep_alive(m_keepAlive);
     response.chunked(true);
     std::ostringstream text;
@@ -540,6 +545,7 @@
     if (!error) {
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        watchForSilence(socket);
         const auto session = std::make_shared<Session>(std::move(socket), shared_from_this());
         m_sessions.insert(session.get());
         if (m_sessions.size() > m_limits.connections) {
@@ -580,6 +586,11 @@
     m_listener->stop();
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    m_listener->closeAfterAnswers();
+}
+
 void HttpServer::setLimits(const HttpServerLimits &limits)
 {
     m_listener->setLimits(limits);
--- /dev/null
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -0,0 +1,213 @@
+// Taking callers' requests, and serving those that wait.
+#include "hemlockhill/gateway.h"
+
+#include "gateway_request.h"
+#include "hemlockhill/log.h"
+#include "hemlockhill/refusal_answer.h"
+#include "runtime/json_text.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Hemlockhill
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+// How often requests that wait are looked at although nothing has changed.
+constexpr Duration WaitingPeriod = std::chrono::milliseconds(25);
+// From a request's first byte to its last, beyond the time that its header may take.
+constexpr Duration BodyTimeout = std::chrono::seconds(7);
+
+HttpServerLimits serverLimits(const CallerLimits &limits, std::uint32_t connections)
+{
+    HttpServerLimits server;
+    server.header = limits.header;
+    server.body = limits.body;
+    server.request = limits.headerTimeout + BodyTimeout;
+    server.idle = limits.idleTimeout;
+    server.connections = connections;
+    return server;
+}
+
+std::uint64_t seedOf(const Address &listen)
+{
+    const std::string text = listen.text();
+    return XXH3_64bits(text.data(), text.size()) ^ static_cast<std::uint64_t>(currentTime().time_since_epoch().count());
+}
+
+} // namespace
+
+std::string encodeTargetFigures(const FiguresByTarget &figures)
+{
+    json::array list;
+    for (const auto &[target, figure] : figures) {
+        list.push_back(json::array{target.model.value, target.adapter.value, figure.arrivals, figure.waiting});
+    }
+    return json::serialize(list);
+}
+
+FiguresByTarget decodeTargetFigures(std::string_view text)
+{
+    FiguresByTarget figures;
+    try {
+        const json::value list = json::parse(text);
+        for (const json::value &entry : list.as_array()) {
+            const RoutingTarget target{ModelId{std::string(entry.at(0).as_string())}, AdapterId{std::string(entry.at(1).as_string())}};
+            figures[target] = {entry.at(2).to_number<std::uint32_t>(), entry.at(3).to_number<std::uint32_t>()};
+        }
+    } catch (const std::exception &error) {
+        throw DecodeError(std::string("figures that cannot be read: ") + error.what());
+    }
+    return figures;
+}
+
+Gateway::Gateway(boost::asio::io_context &loop, GatewaySettings settings, TimerService &timers, Metrics &metrics, RequestDialect dialect)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_timers(timers)
+    , m_metrics(metrics)
+    , m_dialect(std::move(dialect))
+    , m_pool(loop, m_settings.idleConnections)
+    , m_chooser(m_settings.dataCentre, {}, seedOf(m_settings.listen))
+    , m_random(seedOf(m_settings.listen))
+{
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::start()
+{
+    m_server = std::make_unique<HttpServer>(
+        m_loop,
+        m_settings.listen,
+        serverLimits({}, m_settings.connectionLimit),
+        [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) { onRequest(std::move(request), responder); },
+        [this](Reason reason) {
+            m_metrics.countRefusal(reason);
+            logEvent(Severity::Info, "request refused unread", {{"reason", toText(reason)}});
+        });
+    m_timers.every(WaitingPeriod, m_loop, [this] { serveWaiting(); });
+}
+
+void Gateway::setDeployment(std::shared_ptr<const Deployment> deployment)
+{
+    m_deployment = std::move(deployment);
+    m_server->setLimits(serverLimits(m_deployment->limits, m_settings.connectionLimit));
+}
+
+void Gateway::setDirectory(EndpointsById endpoints)
+{
+    m_endpoints = std::move(endpoints);
+    m_directoryAt = currentTime();
+    m_chooser.onDirectory(m_endpoints);
+    serveWaiting();
+}
+
+FiguresByTarget Gateway::takeFigures()
+{
+    FiguresByTarget figures = std::exchange(m_figures, {});
+    for (const auto &[number, request] : m_requests) {
+        if (request->isWaiting() && !request->target().model.empty()) {
+            ++figures[request->target()].waiting;
+        }
+    }
+    return figures;
+}
+
+void Gateway::beginLeaving()
+{
+    m_server->closeAfterAnswers();
+}
+
+void Gateway::stopAccepting()
+{
+    m_server->stopAccepting();
+}
+
+void Gateway::onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder)
+{
+    RoutedRequestHead head;
+    if (!m_deployment) {
+        refuse(*responder, Reason::LeaseExpired, head, "no deployment is known yet");
+        return;
+    }
+    try {
+        head = m_dialect.readRequest(request);
+    } catch (const DecodeError &error) {
+        refuse(*responder, Reason::MalformedRequest, head, error.what());
+        return;
+    }
+    const Route *route = m_deployment->match(request.header("Host"), request.path());
+    if (route == nullptr) {
+        refuse(*responder, Reason::UnknownPath, head, "no route");
+        return;
+    }
+    m_metrics.countRequest(toText(route->kind));
+    double total = 0;
+    for (const RouteShare &share : route->shares) {
+        total += share.weight;
+    }
+    double drawn = draw() * total;
+    const auto chosen = std::find_if(
+        route->shares.begin(), route->shares.end(), [&drawn](const RouteShare &share) { return (drawn -= share.weight) < 0; });
+    const ServiceId service = chosen == route->shares.end() ? route->shares.back().service : chosen->service;
+    const std::uint64_t number = ++m_lastRequest;
+    const auto started = std::make_shared<Request>(
+        *this, number, std::move(request), std::move(head), m_deployment, *route, service, responder);
+    m_requests.emplace(number, started);
+    started->start();
+}
+
+void Gateway::refuse(HttpResponder &responder, Reason reason, const RoutedRequestHead &head, std::string detail)
+{
+    Refusal refusal;
+    refusal.reason = reason;
+    refusal.detail = std::move(detail);
+    if (traitsOf(reason).worthRetrying) {
+        refusal.retryAfter = std::chrono::seconds(1);
+    }
+    m_metrics.countRefusal(reason);
+    logEvent(Severity::Info,
+             "request refused",
+             {{"request", head.id.value},
+              {"reason", toText(reason)},
+              {"detail", refusal.detail},
+              {"deployment", m_deployment ? m_deployment->version.value : 0}});
+    responder.answer(refusalAnswer(refusal, head.id));
+}
+
+void Gateway::serveWaiting()
+{
+    std::vector<std::shared_ptr<Request>> waiting;
+    for (const auto &[number, request] : m_requests) {
+        if (request->isWaiting()) {
+            waiting.push_back(request);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) { return left->rank() < right->rank(); });
+    for (const auto &request : waiting) {
+        request->tryDispatch();
+    }
+}
+
+RetryBudget &Gateway::budgetOf(const ServiceId &service)
+{
+    return m_budgets.try_emplace(service, m_settings.retries).first->second;
+}
+
+double Gateway::draw()
+{
+    return boost::random::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+} // namespace Hemlockhill
--- /dev/null
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -0,0 +1,518 @@
+// The life of a routed request: waiting for an endpoint, exchanges, and the one final answer.
+#include "gateway_request.h"
+
+#include "hemlockhill/log.h"
+#include "hemlockhill/refusal_answer.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace Hemlockhill
+{
+
+namespace
+{
+
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
+// A stream that is silent for longer is given up: its caller would not wait longer either.
+constexpr Duration StreamSilence = std::chrono::milliseconds(2400);
+// How long a request waits for an endpoint to come back or to have been replaced.
+constexpr Duration EndpointPatience = std::chrono::milliseconds(400);
+// After this an endpoint that turned the request away may be asked again.
+constexpr Duration AskAgainAfter = std::chrono::milliseconds(40);
+// The part of the caller's time that a request waits for its model to be loaded.
+constexpr double LoadPatiencePart = 0.2;
+// A request waits for room at most this many times its latency target.
+constexpr double RoomPatience = 1.0;
+// Bounds of what a refused caller is told to wait.
+constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration LongestRetryAfter = std::chrono::milliseconds(1500);
+// Bytes that the caller has not taken yet, from which on the endpoint is read no further.
+constexpr std::size_t PendingLimit = 65'536;
+// A larger answer is passed on in pieces.
+constexpr std::size_t WholeAnswerLimit = 262'144;
+constexpr unsigned FirstServerError = 500;
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+// Seconds with a fraction, as Retry-After of this gateway's callers may have one.
+std::string fractionalSeconds(Duration duration)
+{
+    std::array<char, 32> text{};
+    const int length = std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(duration).count());
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+Reason refusalReason(NoChoice reason)
+{
+    return reason == NoChoice::Full ? Reason::QueueFull : Reason::NoEndpoint;
+}
+
+} // namespace
+
+Gateway::Request::Request(Gateway &gateway,
+                          std::uint64_t number,
+                          HttpRequest request,
+                          RoutedRequestHead head,
+                          std::shared_ptr<const Deployment> deployment,
+                          const Route &route,
+                          ServiceId service,
+                          std::shared_ptr<HttpResponder> responder)
+    : m_gateway(gateway)
+    , m_number(number)
+    , m_request(std::move(request))
+    , m_head(std::move(head))
+    , m_deployment(std::move(deployment))
+    , m_route(route)
+    , m_responder(std::move(responder))
+    , m_arrivedAt(currentTime())
+    , m_deadline(m_arrivedAt + std::min(route.timeout, m_head.callerDeadline.value_or(route.timeout)))
+{
+    m_need.service = std::move(service);
+    m_need.target = m_head.target;
+}
+
+void Gateway::Request::start()
+{
+    const auto weak = weak_from_this();
+    m_responder->onGone = [weak] {
+        if (const auto self = weak.lock()) {
+            self->onCallerGone();
+        }
+    };
+    m_deadlineTimer = m_gateway.m_timers.after(timeLeft(), m_gateway.m_loop, [weak] {
+        if (const auto self = weak.lock()) {
+            self->onDeadline();
+        }
+    });
+    m_gateway.budgetOf(m_need.service).onRequest();
+    if (!m_head.target.model.empty()) {
+        ++m_gateway.m_figures[m_head.target].arrivals;
+    }
+    tryDispatch();
+}
+
+void Gateway::Request::tryDispatch()
+{
+    if (m_done || m_exchange) {
+        return;
+    }
+    const TimePoint now = currentTime();
+    const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_endpoints, m_need, now);
+    if (choice.endpoint) {
+        if (m_waitingSince) {
+            m_waited += now - *m_waitingSince;
+            m_waitingSince.reset();
+        }
+        send(*choice.endpoint);
+        return;
+    }
+    wait(choice.reason);
+}
+
+void Gateway::Request::wait(NoChoice reason)
+{
+    const TimePoint now = currentTime();
+    const bool isNew = !m_waitingSince;
+    if (isNew) {
+        m_waitingSince = now;
+    }
+    m_waitingFor = reason;
+    // An endpoint that turned the request away unrun, for instance while it loaded what the request needs, may take it a little later.
+    if (reason == NoChoice::NoneLeft && m_history.possibleRuns == 0 && now - *m_waitingSince >= AskAgainAfter) {
+        m_need.avoided.clear();
+    }
+    if (now - *m_waitingSince >= waitLimit(reason)) {
+        if (m_history.possibleRuns > 0) {
+            fail(m_lastFailure.value_or(Reason::NoEndpoint));
+        } else {
+            refuse(refusalReason(reason), std::string(toText(reason)));
+        }
+        return;
+    }
+    const bool lacksTarget = reason == NoChoice::NotLoadedYet || reason == NoChoice::ModelAbsent;
+    if (isNew && lacksTarget && m_gateway.onTargetMissing) {
+        m_gateway.onTargetMissing();
+    }
+}
+
+// How long this request waits for what it lacks. What comes later is of no use to the caller, who is better told to come back.
+Duration Gateway::Request::waitLimit(NoChoice reason) const
+{
+    const Duration all = m_deadline - m_arrivedAt;
+    switch (reason) {
+    case NoChoice::ModelAbsent:
+    case NoChoice::NotLoadedYet:
+        return std::chrono::duration_cast<Duration>(all * LoadPatiencePart);
+    case NoChoice::Full:
+        return std::min(std::chrono::duration_cast<Duration>(m_route.latencyTarget * RoomPatience), all);
+    case NoChoice::NoEndpoint:
+    case NoChoice::NoneLeft:
+        break;
+    }
+    return EndpointPatience;
+}
+
+void Gateway::Request::send(const EndpointId &endpoint)
+{
+    const LiveEndpoint &live = m_gateway.m_endpoints.at(endpoint);
+    m_endpoint = endpoint;
+    m_need.avoided.insert(endpoint);
+    ++m_history.exchanges;
+    ++m_current;
+    m_status = 0;
+    m_headers.clear();
+    m_body.clear();
+    m_resume.dropPartial();
+    m_gateway.m_chooser.onDispatched(endpoint);
+    ForwardOptions options;
+    options.endpoint = endpoint;
+    options.timeLeft = timeLeft();
+    options.resumeAfter = m_resume.lastEventId().empty() ? m_head.lastEventId : m_resume.lastEventId();
+    m_exchange = m_gateway.m_pool.start(
+        live.address, m_gateway.m_dialect.forward(m_request, options), exchangeTimeouts(), ConnectionChoice::PreferIdle, exchangeHooks());
+}
+
+ExchangeTimeouts Gateway::Request::exchangeTimeouts() const
+{
+    ExchangeTimeouts timeouts;
+    timeouts.connect = std::min(ConnectTimeout, timeLeft());
+    timeouts.firstByte = timeLeft();
+    timeouts.reusedFirstByte = timeLeft();
+    timeouts.betweenBytes = m_route.kind == RouteKind::Streaming ? std::max(StreamSilence, m_route.eventGapTarget * 8) : timeLeft();
+    timeouts.closeEndsAnswer = true;
+    return timeouts;
+}
+
+ExchangeHooks Gateway::Request::exchangeHooks()
+{
+    const auto guarded = [weak = weak_from_this(), current = m_current](auto action) {
+        return [weak, current, action](auto &&...arguments) {
+            const auto self = weak.lock();
+            if (self && !self->m_done && self->m_current == current && self->m_exchange) {
+                action(*self, std::forward<decltype(arguments)>(arguments)...);
+            }
+        };
+    };
+    ExchangeHooks hooks;
+    hooks.onHead = guarded([](Request &self, unsigned status, const std::vector<HttpHeader> &headers) { self.onHead(status, headers); });
+    hooks.onBody = guarded([](Request &self, std::string bytes) { self.onBody(std::move(bytes)); });
+    hooks.onEnd = guarded([](Request &self) { self.onEnd(); });
+    hooks.onFailed = guarded([](Request &self, const ExchangeFailure &failure) { self.onExchangeFailed(failure); });
+    return hooks;
+}
+
+void Gateway::Request::onHead(unsigned status, const std::vector<HttpHeader> &headers)
+{
+    const EndpointAnswerHead answer = m_gateway.m_dialect.readAnswer(status, headers);
+    if (!answer.id.empty() && answer.id != m_head.id) {
+        // A late answer to an earlier request: what belongs to this one cannot be told apart on this connection any more.
+        m_exchange->cancel();
+        endpointFailed(Reason::IncompleteAnswer, true, false);
+        return;
+    }
+    if (answer.notRun) {
+        // The rest of the answer is read by the exchange alone, so that its connection can be used again.
+        endpointFailed(Reason::EndpointRefused, false, false);
+        return;
+    }
+    if (isSuccess(status) && !answer.isSigned) {
+        m_exchange->cancel();
+        endpointFailed(Reason::IncompleteAnswer, true, true);
+        return;
+    }
+    m_status = status;
+    m_headers = headers;
+    if (!m_firstByte) {
+        m_firstByte = currentTime() - m_arrivedAt;
+    }
+    if (isSuccess(status) && answer.isEventStream) {
+        beginStream();
+    }
+}
+
+void Gateway::Request::beginStream()
+{
+    m_streaming = true;
+    if (m_history.answerBegan) {
+        return;
+    }
+    m_history.answerBegan = true;
+    HttpResponse head;
+    head.status = m_status;
+    head.contentType.clear();
+    head.headers = m_gateway.m_dialect.answerHeaders(m_headers);
+    m_responder->begin(std::move(head));
+}
+
+void Gateway::Request::onBody(std::string bytes)
+{
+    if (m_streaming) {
+        forwardEvents(std::move(bytes));
+        return;
+    }
+    m_body += bytes;
+    if (m_body.size() > WholeAnswerLimit) {
+        beginStream();
+        m_responder->write(std::exchange(m_body, {}));
+        limitPending();
+    }
+}
+
+void Gateway::Request::forwardEvents(std::string bytes)
+{
+    if (m_route.resumable) {
+        bytes = m_resume.feed(bytes);
+    }
+    if (bytes.empty()) {
+        return;
+    }
+    if (m_history.exchanges == 1 && m_firstByte) {
+        m_gateway.m_metrics.observeFirstToken(*m_firstByte);
+    }
+    m_responder->write(std::move(bytes));
+    limitPending();
+}
+
+// The endpoint is read only as fast as the caller takes the answer.
+void Gateway::Request::limitPending()
+{
+    if (m_responder->pendingBytes() < PendingLimit || !m_exchange) {
+        return;
+    }
+    m_exchange->pause();
+    m_responder->onDrained = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_exchange) {
+            self->m_exchange->resume();
+        }
+    };
+}
+
+void Gateway::Request::onEnd()
+{
+    if (m_streaming) {
+        if (m_resume.hasPartial()) {
+            m_responder->write(m_resume.takePartial());
+        }
+        m_gateway.m_chooser.onSucceeded(m_endpoint);
+        leaveEndpoint();
+        m_responder->end();
+        finish("whole", m_status);
+        return;
+    }
+    if (m_status >= FirstServerError) {
+        ++m_history.possibleRuns;
+        m_gateway.m_chooser.onFailed(m_endpoint, currentTime());
+        leaveEndpoint();
+        const bool mayRetry = m_gateway.budgetOf(m_need.service).available() >= 1;
+        if (nextStep(m_route, m_history, timeLeft(), mayRetry) == NextStep::TryAnother) {
+            follow(NextStep::TryAnother, Reason::EndpointRefused);
+            return;
+        }
+        answerWhole();
+        return;
+    }
+    m_gateway.m_chooser.onSucceeded(m_endpoint);
+    leaveEndpoint();
+    answerWhole();
+}
+
+void Gateway::Request::answerWhole()
+{
+    HttpResponse response;
+    response.status = m_status;
+    response.contentType.clear();
+    response.headers = m_gateway.m_dialect.answerHeaders(m_headers);
+    response.body = std::move(m_body);
+    m_responder->answer(std::move(response));
+    finish("whole", m_status);
+}
+
+void Gateway::Request::onExchangeFailed(const ExchangeFailure &failure)
+{
+    const Reason reason = m_status == 0 ? failure.reason : Reason::IncompleteAnswer;
+    endpointFailed(reason, failure.mayHaveReached, !failure.reusedConnection);
+}
+
+void Gateway::Request::endpointFailed(Reason reason, bool possiblyRan, bool blamesEndpoint)
+{
+    if (possiblyRan) {
+        ++m_history.possibleRuns;
+    }
+    if (blamesEndpoint) {
+        m_gateway.m_chooser.onFailed(m_endpoint, currentTime());
+    }
+    m_lastFailure = reason;
+    logEvent(Severity::Info,
+             "exchange failed",
+             {{"request", m_head.id.value},
+              {"endpoint", m_endpoint.value},
+              {"reason", toText(reason)},
+              {"possibly_ran", possiblyRan},
+              {"exchange", m_history.exchanges}});
+    leaveEndpoint();
+    const bool mayRetry = m_gateway.budgetOf(m_need.service).available() >= 1;
+    follow(nextStep(m_route, m_history, timeLeft(), mayRetry), reason);
+}
+
+void Gateway::Request::follow(NextStep step, Reason reason)
+{
+    switch (step) {
+    case NextStep::TryAnother:
+        m_gateway.budgetOf(m_need.service).spend();
+        m_gateway.m_metrics.countRetry(reason);
+        tryDispatch();
+        return;
+    case NextStep::Refuse:
+        refuse(Reason::NoEndpoint, std::string(toText(reason)));
+        return;
+    case NextStep::Fail:
+        fail(reason);
+        return;
+    case NextStep::CutOff:
+        m_responder->abort();
+        m_gateway.m_metrics.countRefusal(reason);
+        finish("cut off", m_status);
+        return;
+    }
+}
+
+void Gateway::Request::onDeadline()
+{
+    if (m_done) {
+        return;
+    }
+    if (!m_exchange) {
+        if (m_history.possibleRuns > 0) {
+            fail(Reason::DeadlineExceeded);
+        } else {
+            refuse(refusalReason(m_waitingFor), "not taken before the deadline");
+        }
+        return;
+    }
+    m_exchange->cancel();
+    ++m_history.possibleRuns;
+    leaveEndpoint();
+    if (m_history.answerBegan) {
+        follow(NextStep::CutOff, Reason::DeadlineExceeded);
+    } else {
+        fail(Reason::DeadlineExceeded);
+    }
+}
+
+void Gateway::Request::onCallerGone()
+{
+    if (m_done) {
+        return;
+    }
+    if (m_exchange) {
+        m_exchange->cancel();
+        leaveEndpoint();
+    }
+    m_gateway.m_metrics.countRefusal(Reason::CallerGone);
+    finish("caller gone", 0);
+}
+
+void Gateway::Request::refuse(Reason reason, std::string detail)
+{
+    Refusal refusal;
+    refusal.reason = reason;
+    refusal.ran = Ran::No;
+    refusal.detail = std::move(detail);
+    HttpResponse response = refusalAnswer(refusal, m_head.id);
+    response.headers.push_back({"Retry-After", fractionalSeconds(retryAfter())});
+    const unsigned status = response.status;
+    m_responder->answer(std::move(response));
+    m_lastFailure = reason;
+    m_gateway.m_metrics.countRefusal(reason);
+    finish("refused", status);
+}
+
+void Gateway::Request::fail(Reason reason)
+{
+    Refusal refusal;
+    refusal.reason = traitsOf(reason).httpStatus == 503 ? Reason::EndpointLost : reason;
+    refusal.ran = Ran::Unknown;
+    HttpResponse response = refusalAnswer(refusal, m_head.id);
+    const unsigned status = response.status;
+    m_responder->answer(std::move(response));
+    m_lastFailure = reason;
+    m_gateway.m_metrics.countRefusal(reason);
+    finish("failed", status);
+}
+
+void Gateway::Request::leaveEndpoint()
+{
+    m_exchange.reset();
+    m_gateway.m_chooser.onEnded(m_endpoint);
+}
+
+void Gateway::Request::finish(std::string_view outcome, unsigned status)
+{
+    if (std::exchange(m_done, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_waitingSince.reset();
+    m_gateway.m_timers.cancel(m_deadlineTimer);
+    if (outcome == "whole") {
+        m_gateway.m_metrics.observeWholeAnswer(currentTime() - m_arrivedAt);
+    }
+    logOutcome(outcome, status);
+    m_gateway.m_requests.erase(m_number);
+    m_gateway.serveWaiting();
+}
+
+void Gateway::Request::logOutcome(std::string_view outcome, unsigned status) const
+{
+    const TimePoint now = currentTime();
+    boost::json::object fields{{"request", m_head.id.value},
+                               {"route", m_route.id.value},
+                               {"service", m_need.service.value},
+                               {"outcome", outcome},
+                               {"status", status},
+                               {"endpoint", m_endpoint.value},
+                               {"exchanges", m_history.exchanges},
+                               {"possible_runs", m_history.possibleRuns},
+                               {"waited_ms", milliseconds(m_waited)},
+                               {"total_ms", milliseconds(now - m_arrivedAt)},
+                               {"time_left_ms", milliseconds(m_deadline - now)},
+                               {"deployment", m_deployment->version.value},
+                               {"directory_age_ms", milliseconds(now - m_gateway.m_directoryAt)}};
+    if (!m_head.target.model.empty()) {
+        fields["model"] = m_head.target.model.value;
+        fields["adapter"] = m_head.target.adapter.value;
+    }
+    if (m_firstByte) {
+        fields["first_byte_ms"] = milliseconds(*m_firstByte);
+    }
+    if (m_lastFailure) {
+        fields["reason"] = toText(*m_lastFailure);
+    }
+    logEvent(Severity::Info, "request ended", std::move(fields));
+}
+
+Duration Gateway::Request::timeLeft() const
+{
+    return std::max(Duration(0), std::chrono::duration_cast<Duration>(m_deadline - currentTime()));
+}
+
+// When room is likely: refused callers come back spread over a while, so that they do not meet again.
+Duration Gateway::Request::retryAfter() const
+{
+    const auto spread = std::chrono::duration_cast<Duration>(ShortestRetryAfter + (LongestRetryAfter - ShortestRetryAfter) * m_gateway.draw());
+    return std::min(spread, std::max(ShortestRetryAfter, timeLeft() / 4));
+}
+
+} // namespace Hemlockhill
--- /dev/null
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -0,0 +1,89 @@
+// One caller's request on its way through the gateway.
+#pragma once
+
+#include "hemlockhill/gateway.h"
+#include "hemlockhill/routed_attempt.h"
+
+#include <optional>
+
+namespace Hemlockhill
+{
+
+class Gateway::Request : public std::enable_shared_from_this<Gateway::Request>
+{
+public:
+    Request(Gateway &gateway,
+            std::uint64_t number,
+            HttpRequest request,
+            RoutedRequestHead head,
+            std::shared_ptr<const Deployment> deployment,
+            const Route &route,
+            ServiceId service,
+            std::shared_ptr<HttpResponder> responder);
+
+    void start();
+    // Sends the request if an endpoint can take it now, and refuses it if it has waited in vain.
+    void tryDispatch();
+    bool isWaiting() const { return m_waitingSince.has_value(); }
+    // The order in which waiting requests are served.
+    std::pair<std::uint32_t, TimePoint> rank() const { return {m_route.priority, m_arrivedAt}; }
+    const RoutingTarget &target() const { return m_head.target; }
+
+private:
+    void wait(NoChoice reason);
+    Duration waitLimit(NoChoice reason) const;
+    void send(const EndpointId &endpoint);
+    ExchangeHooks exchangeHooks();
+    ExchangeTimeouts exchangeTimeouts() const;
+    void onHead(unsigned status, const std::vector<HttpHeader> &headers);
+    void onBody(std::string bytes);
+    void onEnd();
+    void onExchangeFailed(const ExchangeFailure &failure);
+    void onDeadline();
+    void onCallerGone();
+    void beginStream();
+    void forwardEvents(std::string bytes);
+    void limitPending();
+    void endpointFailed(Reason reason, bool possiblyRan, bool blamesEndpoint);
+    void follow(NextStep step, Reason reason);
+    void answerWhole();
+    void refuse(Reason reason, std::string detail);
+    void fail(Reason reason);
+    void leaveEndpoint();
+    void finish(std::string_view outcome, unsigned status);
+    void logOutcome(std::string_view outcome, unsigned status) const;
+    Duration timeLeft() const;
+    Duration retryAfter() const;
+
+    Gateway &m_gateway;
+    std::uint64_t m_number;
+    HttpRequest m_request;
+    RoutedRequestHead m_head;
+    // Keeps the route alive.
+    std::shared_ptr<const Deployment> m_deployment;
+    const Route &m_route;
+    EndpointNeed m_need;
+    std::shared_ptr<HttpResponder> m_responder;
+    TimePoint m_arrivedAt;
+    TimePoint m_deadline;
+    SubscriptionId m_deadlineTimer;
+    AttemptHistory m_history;
+    std::optional<TimePoint> m_waitingSince;
+    NoChoice m_waitingFor = NoChoice::NoEndpoint;
+    Duration m_waited{0};
+    std::shared_ptr<HttpExchange> m_exchange;
+    // Numbers the exchanges of this request, so that hooks of an earlier one are ignored.
+    std::uint32_t m_current = 0;
+    EndpointId m_endpoint;
+    // The answer of the present exchange.
+    unsigned m_status = 0;
+    std::vector<HttpHeader> m_headers;
+    std::string m_body;
+    bool m_streaming = false;
+    ResumePoint m_resume;
+    std::optional<Duration> m_firstByte;
+    std::optional<Reason> m_lastFailure;
+    bool m_done = false;
+};
+
+} // namespace Hemlockhill
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -114,6 +114,9 @@
   figures @3 :Text;
   # The digest of the record of suspected requests that it holds.
   quarantineDigest @4 :UInt64;
+  # The version of the deployment that it has in force, and the digest of the view of the runners that it holds.
+  deploymentVersion @5 :UInt64;
+  fleetDigest @6 :UInt64;
 }
 
 struct FollowReply {
@@ -128,6 +131,14 @@
   # The digest of the leader's record of suspected requests, and the record when the node's differs.
   quarantineDigest @6 :UInt64;
   quarantine @7 :Text;
+  # The document is empty unless it is newer than the node's.
+  deploymentVersion @8 :UInt64;
+  deployment @9 :Data;
+  # The leader's view of the runners is empty unless the node's differs.
+  fleetDigest @10 :UInt64;
+  fleet @11 :Data;
+  # Every controller that the leader knows of.
+  controllers @12 :List(Text);
 }
 
 struct AttestReply {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -276,7 +276,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fdf497fe4a97a6be, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fdf497fe4a97a6be, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -291,7 +291,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b03c630585afb38c, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b03c630585afb38c, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1943,6 +1943,10 @@
 
   inline  ::uint64_t getQuarantineDigest() const;
 
+  inline  ::uint64_t getDeploymentVersion() const;
+
+  inline  ::uint64_t getFleetDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1990,6 +1994,12 @@
   inline  ::uint64_t getQuarantineDigest();
   inline void setQuarantineDigest( ::uint64_t value);
 
+  inline  ::uint64_t getDeploymentVersion();
+  inline void setDeploymentVersion( ::uint64_t value);
+
+  inline  ::uint64_t getFleetDigest();
+  inline void setFleetDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2053,6 +2063,19 @@
   inline bool hasQuarantine() const;
   inline  ::capnp::Text::Reader getQuarantine() const;
 
+  inline  ::uint64_t getDeploymentVersion() const;
+
+  inline bool hasDeployment() const;
+  inline  ::capnp::Data::Reader getDeployment() const;
+
+  inline  ::uint64_t getFleetDigest() const;
+
+  inline bool hasFleet() const;
+  inline  ::capnp::Data::Reader getFleet() const;
+
+  inline bool hasControllers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getControllers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2122,6 +2145,34 @@
   inline void adoptQuarantine(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownQuarantine();
 
+  inline  ::uint64_t getDeploymentVersion();
+  inline void setDeploymentVersion( ::uint64_t value);
+
+  inline bool hasDeployment();
+  inline  ::capnp::Data::Builder getDeployment();
+  inline void setDeployment( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDeployment(unsigned int size);
+  inline void adoptDeployment(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDeployment();
+
+  inline  ::uint64_t getFleetDigest();
+  inline void setFleetDigest( ::uint64_t value);
+
+  inline bool hasFleet();
+  inline  ::capnp::Data::Builder getFleet();
+  inline void setFleet( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initFleet(unsigned int size);
+  inline void adoptFleet(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownFleet();
+
+  inline bool hasControllers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getControllers();
+  inline void setControllers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setControllers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initControllers(unsigned int size);
+  inline void adoptControllers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownControllers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5167,6 +5218,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FollowRequest::Reader::getDeploymentVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowRequest::Builder::getDeploymentVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setDeploymentVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FollowRequest::Reader::getFleetDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowRequest::Builder::getFleetDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setFleetDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FollowReply::Reader::getLeading() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5363,6 +5442,140 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FollowReply::Reader::getDeploymentVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowReply::Builder::getDeploymentVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setDeploymentVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FollowReply::Reader::hasDeployment() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasDeployment() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader FollowReply::Reader::getDeployment() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder FollowReply::Builder::getDeployment() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setDeployment( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder FollowReply::Builder::initDeployment(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptDeployment(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> FollowReply::Builder::disownDeployment() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FollowReply::Reader::getFleetDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowReply::Builder::getFleetDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setFleetDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FollowReply::Reader::hasFleet() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasFleet() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader FollowReply::Reader::getFleet() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder FollowReply::Builder::getFleet() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setFleet( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder FollowReply::Builder::initFleet(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptFleet(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> FollowReply::Builder::disownFleet() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool FollowReply::Reader::hasControllers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasControllers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FollowReply::Reader::getControllers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowReply::Builder::getControllers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setControllers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void FollowReply::Builder::setControllers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowReply::Builder::initControllers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptControllers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FollowReply::Builder::disownControllers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool AttestReply::Reader::getGranted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libhemlockhill/peers/peer_codec.cpp
+++ b/src/libhemlockhill/peers/peer_codec.cpp
@@ -263,6 +263,8 @@
     builder.setDigest(request.digest.value);
     builder.setFigures(request.figures);
     builder.setQuarantineDigest(request.quarantineDigest.value);
+    builder.setDeploymentVersion(request.deployment.value);
+    builder.setFleetDigest(request.fleetDigest.value);
 }
 
 FollowRequest read(Wire::FollowRequest::Reader reader)
@@ -271,7 +273,9 @@
             Revision{reader.getKnown()},
             StateDigest{reader.getDigest()},
             textOf(reader.getFigures()),
-            StateDigest{reader.getQuarantineDigest()}};
+            StateDigest{reader.getQuarantineDigest()},
+            DeploymentVersion{reader.getDeploymentVersion()},
+            StateDigest{reader.getFleetDigest()}};
 }
 
 void write(Wire::FollowReply::Builder builder, const FollowReply &reply)
@@ -287,6 +291,14 @@
     builder.setSnapshot(reply.snapshot);
     builder.setQuarantineDigest(reply.quarantineDigest.value);
     builder.setQuarantine(reply.quarantine);
+    builder.setDeploymentVersion(reply.deployment.version.value);
+    builder.setDeployment(dataOf(reply.deployment.text));
+    builder.setFleetDigest(reply.fleetDigest.value);
+    builder.setFleet(dataOf(reply.fleet));
+    auto controllers = builder.initControllers(static_cast<unsigned>(reply.controllers.size()));
+    for (unsigned position = 0; position < reply.controllers.size(); ++position) {
+        controllers.set(position, reply.controllers[position].value);
+    }
 }
 
 FollowReply read(Wire::FollowReply::Reader reader)
@@ -302,6 +314,13 @@
     reply.snapshot = textOf(reader.getSnapshot());
     reply.quarantineDigest = StateDigest{reader.getQuarantineDigest()};
     reply.quarantine = textOf(reader.getQuarantine());
+    reply.deployment.version = DeploymentVersion{reader.getDeploymentVersion()};
+    reply.deployment.text = bytesOf(reader.getDeployment());
+    reply.fleetDigest = StateDigest{reader.getFleetDigest()};
+    reply.fleet = bytesOf(reader.getFleet());
+    for (const auto controller : reader.getControllers()) {
+        reply.controllers.push_back(VmId{textOf(controller)});
+    }
     return reply;
 }
 
--- a/src/libhemlockhill/peers/peer_duty.cpp
+++ b/src/libhemlockhill/peers/peer_duty.cpp
@@ -170,6 +170,9 @@
         if (protocol != Wire::PROTOCOL_VERSION) {
             return "another protocol version";
         }
+        if (m_settings.peers.open) {
+            return nullptr;
+        }
         for (const PeerSettings &peer : m_settings.peers.others) {
             if (peer.vm == vm) {
                 return nullptr;
@@ -197,9 +200,7 @@
         , m_wake(m_io.lowLevelProvider->wrapInputFd(duty.m_wakeFile))
     {
         for (const PeerSettings &peer : duty.m_settings.peers.others) {
-            m_links.emplace(peer.vm, std::make_unique<PeerLink>(duty.m_settings, peer, m_io, duty.m_metrics, [this](PeerEvent event) {
-                                m_duty.m_outlet(std::move(event));
-                            }));
+            add(peer);
         }
     }
 
@@ -223,6 +224,16 @@
     }
 
 private:
+    void add(const PeerSettings &peer)
+    {
+        m_links.try_emplace(peer.vm,
+                            std::make_unique<PeerLink>(m_duty.m_settings, peer, m_io, m_duty.m_metrics, [this](PeerEvent event) {
+                                m_duty.m_outlet(std::move(event));
+                            }));
+    }
+
+    void handle(const AddPeer &message) { add(message.peer); }
+
     void handle(AnswerCall &&answer) { m_incoming.answer(std::move(answer)); }
 
     void handle(StartCall &&call)
--- /dev/null
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -0,0 +1,522 @@
+// Placement of models and adapters on the runners of a deployment.
+#include "hemlockhill/fleet_placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Hemlockhill
+{
+
+namespace
+{
+
+// Longer than an adapter takes from the store at full speed.
+constexpr Duration AdapterLoadTime = std::chrono::milliseconds(20);
+// How long an order's effect is believed before a report shows it: reports lag.
+constexpr Duration ReportLag = std::chrono::milliseconds(900);
+// Demand below this many requests a second counts as none.
+constexpr double LeastRate = 0.02;
+// An adapter that is asked for less often than this may make room for another.
+constexpr double IdleAdapterRate = 0.5;
+
+RoutingTarget baseOf(const ModelId &model)
+{
+    return {model, {}};
+}
+
+} // namespace
+
+std::string_view toText(RunnerOperation operation)
+{
+    return operation == RunnerOperation::Load ? "load" : "unload";
+}
+
+std::string_view toText(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        return "accepted";
+    case OrderOutcome::AlreadyDone:
+        return "already_done";
+    case OrderOutcome::Conflict:
+        return "conflict";
+    case OrderOutcome::Fenced:
+        return "fenced";
+    case OrderOutcome::Rejected:
+        return "rejected";
+    case OrderOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+FleetPlacement::FleetPlacement(FleetLimits limits, TimePoint now)
+    : m_limits(limits)
+{
+    // A former leader may have begun loads just now.
+    m_storeLoads.assign(m_limits.concurrentLoads, now);
+}
+
+void FleetPlacement::setDeployment(std::shared_ptr<const Deployment> deployment)
+{
+    m_deployment = std::move(deployment);
+}
+
+void FleetPlacement::onListing(const EndpointsById &listing, TimePoint)
+{
+    std::erase_if(m_runners, [&](const auto &entry) { return !listing.contains(entry.first); });
+    for (const auto &[id, listed] : listing) {
+        Runner &runner = m_runners[id];
+        const bool isNewLife = runner.live.incarnation != listed.incarnation;
+        const bool isReported = runner.report.has_value();
+        if (isNewLife) {
+            runner = Runner{};
+        }
+        runner.live = listed;
+        if (isNewLife || !isReported) {
+            runner.held = listed.held;
+        }
+    }
+}
+
+void FleetPlacement::onReport(const EndpointId &endpoint, const RunnerReport &report, TimePoint now)
+{
+    const auto found = m_runners.find(endpoint);
+    if (found == m_runners.end() || found->second.live.incarnation != report.incarnation) {
+        return;
+    }
+    Runner &runner = found->second;
+    const bool isOld = runner.report && report.sequence < runner.sequence;
+    runner.report = report;
+    runner.live.leaving = runner.live.leaving || report.leaving;
+    std::erase_if(runner.appearing, [&](const auto &entry) { return report.held.contains(entry.first) || now >= entry.second + ReportLag; });
+    if (isOld) {
+        return;
+    }
+    runner.sequence = report.sequence;
+    runner.held = report.held;
+    if (!report.busy && (runner.loading.empty() || runner.held.contains(baseOf(runner.loading)) || now >= runner.loadedAt + ReportLag)) {
+        runner.loading = ModelId{};
+    }
+}
+
+void FleetPlacement::onFigures(const VmId &node, const FiguresByTarget &figures, TimePoint now)
+{
+    auto &waiting = m_waiting[node];
+    waiting.clear();
+    const double memory = std::chrono::duration<double>(m_limits.demandMemory).count();
+    for (const auto &[target, figure] : figures) {
+        if (figure.waiting > 0) {
+            waiting[target] = figure.waiting;
+        }
+        if (figure.arrivals > 0) {
+            Demand &demand = m_demand[target];
+            demand.rate = rateOf(target, now) + figure.arrivals / memory;
+            demand.at = now;
+        }
+    }
+}
+
+void FleetPlacement::onAnswered(const RunnerOrder &order, OrderOutcome outcome, TimePoint now)
+{
+    const auto found = m_runners.find(order.endpoint);
+    if (found == m_runners.end() || found->second.live.incarnation != order.incarnation) {
+        return;
+    }
+    Runner &runner = found->second;
+    runner.orderUnderWay = false;
+    const bool isModel = order.target.adapter.empty();
+    const EngineProfile *profile = profileOf(runner);
+    if (outcome == OrderOutcome::Accepted || outcome == OrderOutcome::AlreadyDone) {
+        if (outcome == OrderOutcome::Accepted) {
+            runner.sequence = order.expected + OrderSequence{1};
+        }
+        if (order.operation == RunnerOperation::Unload) {
+            std::erase_if(runner.held, [&](const RoutingTarget &held) {
+                return isModel ? held.model == order.target.model : held == order.target;
+            });
+            runner.pausedUntil = isModel && outcome == OrderOutcome::Accepted ? now + std::chrono::milliseconds(50) : now;
+        } else if (!isModel) {
+            runner.appearing[order.target] = now + AdapterLoadTime;
+        } else if (outcome == OrderOutcome::AlreadyDone) {
+            runner.held.insert(order.target);
+        } else {
+            const auto model = profile != nullptr ? profile->models.find(order.target.model) : std::map<ModelId, EngineModel>::const_iterator{};
+            const bool known = profile != nullptr && model != profile->models.end();
+            const bool warm = runner.report && runner.report->inMemory.contains(order.target.model);
+            const bool disk = runner.report && runner.report->onDisk.contains(order.target.model);
+            runner.loading = order.target.model;
+            runner.loadedAt = now;
+            if (known) {
+                runner.loadedAt += warm ? model->second.warmLoadTime : disk ? model->second.diskLoadTime : model->second.loadTime;
+            }
+        }
+        return;
+    }
+    if (isModel && order.operation == RunnerOperation::Load && outcome != OrderOutcome::Unknown) {
+        runner.loading = ModelId{};
+    }
+    // What the runner is in now is known from its next report.
+    runner.pausedUntil = now + (outcome == OrderOutcome::Unknown ? m_limits.unknownPause : std::chrono::milliseconds(100));
+    runner.reportAskedAt = TimePoint{};
+}
+
+std::vector<EndpointId> FleetPlacement::reportsDue(TimePoint now)
+{
+    std::vector<EndpointId> due;
+    for (auto &[id, runner] : m_runners) {
+        const bool expectsLoad = !runner.loading.empty() && now >= runner.loadedAt;
+        const Duration period = expectsLoad ? m_limits.reportPeriod / 3 : m_limits.reportPeriod;
+        if (profileOf(runner) != nullptr && now - runner.reportAskedAt >= period) {
+            runner.reportAskedAt = now;
+            due.push_back(id);
+        }
+    }
+    return due;
+}
+
+std::vector<RunnerOrder> FleetPlacement::decide(TimePoint now)
+{
+    std::vector<RunnerOrder> orders;
+    if (!m_deployment) {
+        return orders;
+    }
+    for (const auto &[id, service] : m_deployment->services) {
+        if (service.engine) {
+            placeAdapters(id, *service.engine, now, orders);
+            placeModels(id, *service.engine, now, orders);
+        }
+    }
+    return orders;
+}
+
+EndpointsById FleetPlacement::directory(TimePoint now) const
+{
+    EndpointsById endpoints;
+    for (const auto &[id, runner] : m_runners) {
+        LiveEndpoint endpoint = runner.live;
+        endpoint.held = runner.held;
+        for (const auto &[target, readyAt] : runner.appearing) {
+            if (now >= readyAt) {
+                endpoint.held.insert(target);
+            }
+        }
+        endpoint.loading = runner.loading;
+        endpoint.loadingLeft = runner.loading.empty() ? Duration(0) : std::max(Duration(0), runner.loadedAt - now);
+        // Rounded, so that the directory's text changes only when the order of events matters.
+        endpoint.loadingLeft = std::chrono::duration_cast<std::chrono::milliseconds>(endpoint.loadingLeft) / 500 * 500;
+        if (runner.report) {
+            endpoint.load = runner.report->running + runner.report->waiting;
+        }
+        endpoints.emplace(id, std::move(endpoint));
+    }
+    return endpoints;
+}
+
+const EngineProfile *FleetPlacement::profileOf(const Runner &runner) const
+{
+    if (!m_deployment) {
+        return nullptr;
+    }
+    const auto service = m_deployment->services.find(runner.live.service);
+    return service != m_deployment->services.end() && service->second.engine ? &*service->second.engine : nullptr;
+}
+
+double FleetPlacement::rateOf(const RoutingTarget &target, TimePoint now) const
+{
+    const auto found = m_demand.find(target);
+    if (found == m_demand.end()) {
+        return 0;
+    }
+    const double age = std::chrono::duration<double>(now - found->second.at) / std::chrono::duration<double>(m_limits.demandMemory);
+    const double rate = found->second.rate * std::exp(-age);
+    return rate < LeastRate ? 0 : rate;
+}
+
+double FleetPlacement::modelRate(const ModelId &model, TimePoint now) const
+{
+    double rate = 0;
+    for (const auto &[target, demand] : m_demand) {
+        rate += target.model == model ? rateOf(target, now) : 0;
+    }
+    return rate;
+}
+
+std::uint32_t FleetPlacement::waitingFor(const RoutingTarget &target) const
+{
+    std::uint32_t sum = 0;
+    for (const auto &[node, waiting] : m_waiting) {
+        const auto found = waiting.find(target);
+        sum += found == waiting.end() ? 0 : found->second;
+    }
+    return sum;
+}
+
+std::uint32_t FleetPlacement::waitingForModel(const ModelId &model) const
+{
+    std::uint32_t sum = 0;
+    for (const auto &[node, waiting] : m_waiting) {
+        for (const auto &[target, count] : waiting) {
+            sum += target.model == model ? count : 0;
+        }
+    }
+    return sum;
+}
+
+std::uint32_t FleetPlacement::copies(const ModelId &model) const
+{
+    return static_cast<std::uint32_t>(std::count_if(m_runners.begin(), m_runners.end(), [&](const auto &entry) {
+        const Runner &runner = entry.second;
+        return !runner.live.leaving && (runner.held.contains(baseOf(model)) || runner.loading == model);
+    }));
+}
+
+double FleetPlacement::runnerRate(const Runner &runner, TimePoint now) const
+{
+    double rate = 0;
+    for (const RoutingTarget &target : runner.held) {
+        if (target.adapter.empty()) {
+            rate += modelRate(target.model, now) / std::max(1U, copies(target.model));
+        }
+    }
+    return rate + (runner.loading.empty() ? 0 : modelRate(runner.loading, now) / std::max(1U, copies(runner.loading)));
+}
+
+double FleetPlacement::usedWeights(const Runner &runner, const EngineProfile &profile) const
+{
+    double used = 0;
+    std::set<RoutingTarget> charged = runner.held;
+    if (!runner.loading.empty()) {
+        charged.insert(baseOf(runner.loading));
+    }
+    for (const auto &[target, readyAt] : runner.appearing) {
+        charged.insert(target);
+    }
+    if (runner.report) {
+        charged.insert(runner.report->pending.begin(), runner.report->pending.end());
+    }
+    for (const RoutingTarget &target : charged) {
+        const auto model = profile.models.find(target.model);
+        if (model != profile.models.end()) {
+            used += target.adapter.empty() ? model->second.weights.value : model->second.adapterWeights.value;
+        }
+    }
+    return used;
+}
+
+std::uint32_t FleetPlacement::usedAdapterSlots(const Runner &runner) const
+{
+    std::set<RoutingTarget> adapters;
+    for (const auto &[target, readyAt] : runner.appearing) {
+        adapters.insert(target);
+    }
+    if (runner.report) {
+        adapters.insert(runner.report->pending.begin(), runner.report->pending.end());
+    }
+    for (const RoutingTarget &target : runner.held) {
+        if (!target.adapter.empty()) {
+            adapters.insert(target);
+        }
+    }
+    return static_cast<std::uint32_t>(adapters.size());
+}
+
+bool FleetPlacement::takesOrders(const Runner &runner, TimePoint now) const
+{
+    return runner.report && !runner.live.leaving && !runner.orderUnderWay && now >= runner.pausedUntil;
+}
+
+bool FleetPlacement::isBusyWithModel(const Runner &runner) const
+{
+    return !runner.loading.empty() || (runner.report && runner.report->busy);
+}
+
+std::uint32_t FleetPlacement::loadsUnderWay() const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_runners.begin(), m_runners.end(), [](const auto &entry) { return !entry.second.loading.empty(); }));
+}
+
+bool FleetPlacement::storeAllows(const EngineProfile &profile, TimePoint now)
+{
+    while (!m_storeLoads.empty() && now - m_storeLoads.front() > m_limits.storeWindow) {
+        m_storeLoads.pop_front();
+    }
+    const double window = std::chrono::duration<double>(m_limits.storeWindow).count();
+    return static_cast<double>(m_storeLoads.size()) + 1 <= profile.loadsPerSecond * window;
+}
+
+bool FleetPlacement::loadsWithoutStore(const Runner &runner, const ModelId &model) const
+{
+    return runner.report && (runner.report->inMemory.contains(model) || runner.report->onDisk.contains(model));
+}
+
+// An adapter goes to a runner that holds its model, has a free place and is asked for least. Without a free place, the adapter that is
+// asked for least makes room.
+void FleetPlacement::placeAdapters(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
+{
+    for (const auto &[target, demand] : m_demand) {
+        const double rate = rateOf(target, now);
+        const std::uint32_t waiting = waitingFor(target);
+        const auto model = profile.models.find(target.model);
+        if (target.adapter.empty() || model == profile.models.end() || (rate == 0 && waiting == 0)) {
+            continue;
+        }
+        std::uint32_t holders = 0;
+        Runner *best = nullptr;
+        double bestCost = 0;
+        for (auto &[id, runner] : m_runners) {
+            if (runner.live.service != service || runner.live.leaving) {
+                continue;
+            }
+            if (runner.held.contains(target) || runner.appearing.contains(target)) {
+                ++holders;
+                continue;
+            }
+            if (!runner.held.contains(baseOf(target.model)) || !takesOrders(runner, now)) {
+                continue;
+            }
+            const bool isFull = usedAdapterSlots(runner) >= profile.adapterSlots
+                                || usedWeights(runner, profile) + model->second.adapterWeights.value > profile.weightCapacity.value;
+            if (isFull && !evictableAdapter(runner, now)) {
+                continue;
+            }
+            const double cost = runner.live.load + (runner.report ? runner.report->running + runner.report->waiting : 0)
+                                + usedAdapterSlots(runner) + (isFull ? profile.slots : 0);
+            if (best == nullptr || cost < bestCost) {
+                best = &runner;
+                bestCost = cost;
+            }
+        }
+        const auto wanted = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(rate / m_limits.busyAdapterRate));
+        if (best == nullptr || holders >= wanted) {
+            continue;
+        }
+        const bool hasPlace = usedAdapterSlots(*best) < profile.adapterSlots
+                              && usedWeights(*best, profile) + model->second.adapterWeights.value <= profile.weightCapacity.value;
+        if (hasPlace) {
+            orders.push_back(order(*best, RunnerOperation::Load, target));
+        } else if (holders == 0) {
+            orders.push_back(order(*best, RunnerOperation::Unload, *evictableAdapter(*best, now)));
+        }
+    }
+}
+
+std::optional<RoutingTarget> FleetPlacement::evictableAdapter(const Runner &runner, TimePoint now) const
+{
+    std::optional<RoutingTarget> idlest;
+    double idlestRate = 0;
+    for (const RoutingTarget &target : runner.held) {
+        const double rate = rateOf(target, now);
+        if (!target.adapter.empty() && rate < IdleAdapterRate && (!idlest || rate < idlestRate)) {
+            idlest = target;
+            idlestRate = rate;
+        }
+    }
+    return idlest;
+}
+
+// Models without a copy come first, those that requests wait for before others; then models whose copies have more than enough to do.
+void FleetPlacement::placeModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
+{
+    struct Wish {
+        const EngineModel *model;
+        double urgency;
+    };
+    std::vector<Wish> wishes;
+    for (const auto &[id, model] : profile.models) {
+        const std::uint32_t present = copies(id);
+        const double rate = modelRate(id, now);
+        if (present == 0) {
+            wishes.push_back({&model, 1000 + waitingForModel(id) + rate});
+        } else if (rate / present >= m_limits.busyRate) {
+            wishes.push_back({&model, rate / present});
+        }
+    }
+    std::sort(wishes.begin(), wishes.end(), [](const Wish &left, const Wish &right) { return left.urgency > right.urgency; });
+    for (const Wish &wish : wishes) {
+        if (loadsUnderWay() >= m_limits.concurrentLoads) {
+            return;
+        }
+        placeModel(service, profile, *wish.model, now, orders);
+    }
+}
+
+bool FleetPlacement::placeModel(
+    const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders)
+{
+    Runner *best = nullptr;
+    double bestCost = 0;
+    std::optional<ModelId> bestEviction;
+    const bool storeOpen = storeAllows(profile, now);
+    for (auto &[id, runner] : m_runners) {
+        const bool isCandidate = runner.live.service == service && takesOrders(runner, now) && !isBusyWithModel(runner)
+                                 && !runner.held.contains(baseOf(model.id));
+        const bool withoutStore = loadsWithoutStore(runner, model.id);
+        if (!isCandidate || (!withoutStore && !storeOpen)) {
+            continue;
+        }
+        const bool fits = usedWeights(runner, profile) + model.weights.value <= profile.weightCapacity.value;
+        std::optional<ModelId> eviction;
+        if (!fits) {
+            eviction = evictableModel(runner, model.id, now);
+            const auto evicted = eviction ? profile.models.find(*eviction) : profile.models.end();
+            const bool makesRoom = evicted != profile.models.end()
+                                   && usedWeights(runner, profile) - evicted->second.weights.value + model.weights.value
+                                          <= profile.weightCapacity.value;
+            if (!makesRoom) {
+                continue;
+            }
+        }
+        // In requests a second: a slow load costs what it delays.
+        const double cost = runnerRate(runner, now) + (withoutStore ? 0 : 10) + (fits ? 0 : 3);
+        if (best == nullptr || cost < bestCost) {
+            best = &runner;
+            bestCost = cost;
+            bestEviction = eviction;
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    if (bestEviction) {
+        orders.push_back(order(*best, RunnerOperation::Unload, baseOf(*bestEviction)));
+        return true;
+    }
+    if (!loadsWithoutStore(*best, model.id)) {
+        m_storeLoads.push_back(now);
+    }
+    orders.push_back(order(*best, RunnerOperation::Load, baseOf(model.id)));
+    // Counts as a copy from now on, so that no second one is ordered.
+    best->loading = model.id;
+    best->loadedAt = now + model.loadTime;
+    return true;
+}
+
+// A copy may go when others remain that can carry what is asked of the model.
+std::optional<ModelId> FleetPlacement::evictableModel(const Runner &runner, const ModelId &inFavourOf, TimePoint now) const
+{
+    std::optional<ModelId> idlest;
+    double idlestRate = m_limits.idleRate;
+    const bool isAbsent = copies(inFavourOf) == 0;
+    for (const RoutingTarget &target : runner.held) {
+        const std::uint32_t present = target.adapter.empty() ? copies(target.model) : 0;
+        if (present < 2) {
+            continue;
+        }
+        const double rate = modelRate(target.model, now) / (present - 1);
+        if (rate < idlestRate || (isAbsent && !idlest)) {
+            idlest = target.model;
+            idlestRate = rate;
+        }
+    }
+    return idlest;
+}
+
+RunnerOrder FleetPlacement::order(Runner &runner, RunnerOperation operation, const RoutingTarget &target)
+{
+    runner.orderUnderWay = true;
+    return {runner.live.id, runner.live.incarnation, runner.live.address, operation, target, runner.sequence};
+}
+
+} // namespace Hemlockhill
--- /dev/null
+++ b/src/libhemlockhill/request/routed_attempt.cpp
@@ -0,0 +1,79 @@
+// Decisions after a failed exchange, and where a stream can go on.
+#include "hemlockhill/routed_attempt.h"
+
+#include <utility>
+
+namespace Hemlockhill
+{
+
+namespace
+{
+
+// With less time than this another exchange would only burden an endpoint.
+constexpr Duration UsefulTime = std::chrono::milliseconds(30);
+constexpr std::string_view EventEnd = "\n\n";
+constexpr std::string_view IdField = "id:";
+
+// The id of the last event in whole events; empty when none bears one.
+std::string lastIdOf(std::string_view events)
+{
+    std::size_t lineEnd = events.size();
+    while (lineEnd > 0) {
+        const std::size_t before = lineEnd >= 1 ? events.rfind('\n', lineEnd - 1) : std::string_view::npos;
+        const std::size_t start = before == std::string_view::npos ? 0 : before + 1;
+        std::string_view line = events.substr(start, lineEnd - start);
+        if (line.starts_with(IdField)) {
+            line.remove_prefix(IdField.size());
+            if (line.starts_with(' ')) {
+                line.remove_prefix(1);
+            }
+            if (line.ends_with('\r')) {
+                line.remove_suffix(1);
+            }
+            return std::string(line);
+        }
+        if (before == std::string_view::npos) {
+            break;
+        }
+        lineEnd = before;
+    }
+    return {};
+}
+
+} // namespace
+
+NextStep nextStep(const Route &route, const AttemptHistory &history, Duration timeLeft, bool mayRetry)
+{
+    const bool runAgain = history.possibleRuns == 0 || (route.idempotent() && history.possibleRuns < route.attemptLimit);
+    const bool worthwhile = mayRetry && timeLeft >= UsefulTime && history.exchanges < ExchangeLimit;
+    if (history.answerBegan) {
+        const bool resumes = route.kind == RouteKind::Streaming && route.resumable;
+        return resumes && runAgain && worthwhile ? NextStep::TryAnother : NextStep::CutOff;
+    }
+    if (runAgain && worthwhile) {
+        return NextStep::TryAnother;
+    }
+    return history.possibleRuns == 0 ? NextStep::Refuse : NextStep::Fail;
+}
+
+std::string ResumePoint::feed(std::string_view bytes)
+{
+    m_partial += bytes;
+    const std::size_t end = m_partial.rfind(EventEnd);
+    if (end == std::string::npos) {
+        return {};
+    }
+    std::string whole = m_partial.substr(0, end + EventEnd.size());
+    m_partial.erase(0, whole.size());
+    if (std::string id = lastIdOf(whole); !id.empty()) {
+        m_lastEventId = std::move(id);
+    }
+    return whole;
+}
+
+std::string ResumePoint::takePartial()
+{
+    return std::exchange(m_partial, {});
+}
+
+} // namespace Hemlockhill
--- /dev/null
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -0,0 +1,156 @@
+// The choice among live endpoints.
+#include "hemlockhill/endpoint_choice.h"
+
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <algorithm>
+
+namespace Hemlockhill
+{
+
+namespace
+{
+
+// How much one more request weighs in the moving share of failures.
+constexpr double FailureShareStep = 0.15;
+// Draws apart endpoints with the same load, in requests.
+constexpr double TieBreak = 0.5;
+// An endpoint elsewhere is preferred once it has this many requests fewer per slot.
+constexpr double OtherDataCentreLoad = 0.02;
+
+} // namespace
+
+std::string_view toText(NoChoice reason)
+{
+    switch (reason) {
+    case NoChoice::NoEndpoint:
+        return "no_endpoint";
+    case NoChoice::ModelAbsent:
+        return "model_absent";
+    case NoChoice::NotLoadedYet:
+        return "not_loaded_yet";
+    case NoChoice::NoneLeft:
+        return "none_left";
+    case NoChoice::Full:
+        break;
+    }
+    return "full";
+}
+
+EndpointChooser::EndpointChooser(DataCentreId dataCentre, EndpointChooserLimits limits, std::uint64_t seed)
+    : m_dataCentre(std::move(dataCentre))
+    , m_limits(limits)
+    , m_random(seed)
+{
+}
+
+EndpointChoice EndpointChooser::choose(const EndpointsById &endpoints, const EndpointNeed &need, TimePoint now)
+{
+    const bool needsModel = !need.target.model.empty();
+    const RoutingTarget base{need.target.model, {}};
+    EndpointChoice choice;
+    double best = 0;
+    bool anyActive = false;
+    bool anyModel = false;
+    bool anyHolder = false;
+    bool anyUsable = false;
+    for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
+        anyActive = true;
+        anyModel = anyModel || endpoint->holds(base) || endpoint->loading == need.target.model;
+        if (needsModel && !endpoint->holds(need.target)) {
+            continue;
+        }
+        anyHolder = true;
+        if (need.avoided.contains(endpoint->id) || isPaused(endpoint->id, now)) {
+            continue;
+        }
+        anyUsable = true;
+        const double load = estimatedLoad(*endpoint);
+        if (load >= endpoint->slots * (1 + m_limits.queueShare)) {
+            continue;
+        }
+        boost::random::uniform_real_distribution<double> draw(0, TieBreak);
+        const double elsewhere = endpoint->dataCentre == m_dataCentre ? 0 : OtherDataCentreLoad;
+        const double cost = (load + draw(m_random)) / endpoint->slots + elsewhere;
+        if (!choice.endpoint || cost < best) {
+            choice.endpoint = endpoint->id;
+            best = cost;
+        }
+    }
+    if (!anyActive) {
+        choice.reason = NoChoice::NoEndpoint;
+    } else if (!anyHolder) {
+        choice.reason = anyModel ? NoChoice::NotLoadedYet : NoChoice::ModelAbsent;
+    } else {
+        choice.reason = anyUsable ? NoChoice::Full : NoChoice::NoneLeft;
+    }
+    return choice;
+}
+
+bool EndpointChooser::isPaused(const EndpointId &endpoint, TimePoint now) const
+{
+    const auto found = m_records.find(endpoint);
+    return found != m_records.end() && now < found->second.pausedUntil;
+}
+
+// Own requests are known exactly; of the others', what the last report showed beyond the own ones of that time.
+double EndpointChooser::estimatedLoad(const LiveEndpoint &endpoint) const
+{
+    const auto found = m_records.find(endpoint.id);
+    if (found == m_records.end()) {
+        return endpoint.load;
+    }
+    const Record &record = found->second;
+    const std::uint32_t others = endpoint.load > record.inFlightAtReport ? endpoint.load - record.inFlightAtReport : 0;
+    return record.inFlight + others;
+}
+
+void EndpointChooser::onDispatched(const EndpointId &endpoint)
+{
+    ++m_records[endpoint].inFlight;
+}
+
+void EndpointChooser::onEnded(const EndpointId &endpoint)
+{
+    Record &record = m_records[endpoint];
+    record.inFlight -= record.inFlight > 0 ? 1 : 0;
+}
+
+void EndpointChooser::onSucceeded(const EndpointId &endpoint)
+{
+    Record &record = m_records[endpoint];
+    record.failuresInARow = 0;
+    record.failureShare -= record.failureShare * FailureShareStep;
+}
+
+void EndpointChooser::onFailed(const EndpointId &endpoint, TimePoint now)
+{
+    Record &record = m_records[endpoint];
+    record.failureShare += (1 - record.failureShare) * FailureShareStep;
+    ++record.failuresInARow;
+    if (record.failuresInARow < 2 && record.failureShare < m_limits.failingShare) {
+        return;
+    }
+    const auto doublings = std::min<std::uint32_t>(record.failuresInARow, 4) - 1;
+    record.pausedUntil = now + std::min(m_limits.pauseAfterFailure * (1U << doublings), m_limits.longestPause);
+}
+
+void EndpointChooser::onDirectory(const EndpointsById &endpoints)
+{
+    std::erase_if(m_records, [&](const auto &entry) { return !endpoints.contains(entry.first) && entry.second.inFlight == 0; });
+    for (const auto &[id, endpoint] : endpoints) {
+        Record &record = m_records[id];
+        if (record.reportedLoad != endpoint.load) {
+            record.reportedLoad = endpoint.load;
+            record.inFlightAtReport = record.inFlight;
+        }
+    }
+}
+
+std::uint32_t EndpointChooser::inFlight(const EndpointId &endpoint) const
+{
+    const auto found = m_records.find(endpoint);
+    return found == m_records.end() ? 0 : found->second.inFlight;
+}
+
+} // namespace Hemlockhill
--- /dev/null
+++ b/src/libhemlockhill/routing/endpoint_directory.cpp
@@ -0,0 +1,105 @@
+// The text of the directory of endpoints.
+#include "hemlockhill/endpoint_directory.h"
+
+#include "runtime/json_text.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace Hemlockhill
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+json::array encodeHeld(const std::set<RoutingTarget> &held)
+{
+    json::array list;
+    for (const RoutingTarget &target : held) {
+        list.push_back(json::array{target.model.value, target.adapter.value});
+    }
+    return list;
+}
+
+std::string text(const json::value &value)
+{
+    return std::string(value.as_string());
+}
+
+LiveEndpoint decodeEndpoint(const json::object &object)
+{
+    LiveEndpoint endpoint;
+    endpoint.id = EndpointId{text(object.at("id"))};
+    endpoint.incarnation = Incarnation{text(object.at("incarnation"))};
+    endpoint.service = ServiceId{text(object.at("service"))};
+    const auto address = parseAddress(text(object.at("address")));
+    if (!address) {
+        throw DecodeError("an endpoint without an address");
+    }
+    endpoint.address = *address;
+    endpoint.dataCentre = DataCentreId{text(object.at("data_centre"))};
+    endpoint.slots = object.at("slots").to_number<std::uint32_t>();
+    endpoint.leaving = object.at("leaving").as_bool();
+    for (const json::value &entry : object.at("held").as_array()) {
+        endpoint.held.insert({ModelId{text(entry.at(0))}, AdapterId{text(entry.at(1))}});
+    }
+    endpoint.loading = ModelId{text(object.at("loading"))};
+    endpoint.loadingLeft = std::chrono::milliseconds(object.at("loading_left_ms").to_number<std::int64_t>());
+    endpoint.load = object.at("load").to_number<std::uint32_t>();
+    return endpoint;
+}
+
+} // namespace
+
+std::vector<const LiveEndpoint *> activeEndpoints(const EndpointsById &endpoints, const ServiceId &service)
+{
+    std::vector<const LiveEndpoint *> active;
+    for (const auto &[id, endpoint] : endpoints) {
+        if (endpoint.service == service && !endpoint.leaving) {
+            active.push_back(&endpoint);
+        }
+    }
+    return active;
+}
+
+std::string encodeDirectory(const EndpointsById &endpoints)
+{
+    json::array list;
+    for (const auto &[id, endpoint] : endpoints) {
+        list.push_back({{"id", endpoint.id.value},
+                        {"incarnation", endpoint.incarnation.value},
+                        {"service", endpoint.service.value},
+                        {"address", endpoint.address.text()},
+                        {"data_centre", endpoint.dataCentre.value},
+                        {"slots", endpoint.slots},
+                        {"leaving", endpoint.leaving},
+                        {"held", encodeHeld(endpoint.held)},
+                        {"loading", endpoint.loading.value},
+                        {"loading_left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(endpoint.loadingLeft).count()},
+                        {"load", endpoint.load}});
+    }
+    return json::serialize(list);
+}
+
+EndpointsById decodeDirectory(std::string_view text)
+{
+    EndpointsById endpoints;
+    try {
+        const json::value list = json::parse(text);
+        for (const json::value &entry : list.as_array()) {
+            LiveEndpoint endpoint = decodeEndpoint(entry.as_object());
+            const EndpointId id = endpoint.id;
+            endpoints.emplace(id, std::move(endpoint));
+        }
+    } catch (const DecodeError &) {
+        throw;
+    } catch (const std::exception &error) {
+        throw DecodeError(std::string("a directory of endpoints that cannot be read: ") + error.what());
+    }
+    return endpoints;
+}
+
+} // namespace Hemlockhill
--- a/src/libhemlockhill/runtime/log.cpp
+++ b/src/libhemlockhill/runtime/log.cpp
@@ -4,9 +4,13 @@
 #include <boost/json/serialize.hpp>
 #include <glog/logging.h>
 
+#include <atomic>
 #include <chrono>
 #include <ctime>
+#include <mutex>
+#include <poll.h>
 #include <string>
+#include <unistd.h>
 
 namespace Hemlockhill
 {
@@ -26,6 +30,76 @@
     return context;
 }
 
+// Informational lines that may be written in a second, and those that may be saved up for a busy moment.
+constexpr double LinesPerSecond = 80;
+constexpr double LineReserve = 400;
+// A pipe that can be written to takes this many bytes without blocking.
+constexpr std::size_t LongestLine = 4096;
+
+// Lets informational lines through at a bounded rate, so that a busy node does not spend its time on logging.
+class LineBudget
+{
+public:
+    bool spend()
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = std::chrono::steady_clock::now();
+        m_available = std::min(LineReserve, m_available + std::chrono::duration<double>(now - m_filledAt).count() * LinesPerSecond);
+        m_filledAt = now;
+        if (m_available < 1) {
+            return false;
+        }
+        m_available -= 1;
+        return true;
+    }
+
+private:
+    std::mutex m_mutex;
+    double m_available = LineReserve;
+    std::chrono::steady_clock::time_point m_filledAt = std::chrono::steady_clock::now();
+};
+
+LineBudget &lineBudget()
+{
+    static LineBudget budget;
+    return budget;
+}
+
+// Lines that were not written since the last one that was.
+std::atomic<std::uint64_t> &droppedLines()
+{
+    static std::atomic<std::uint64_t> dropped{0};
+    return dropped;
+}
+
+// Writes whole lines to standard output. A reader that is too slow loses lines; it never holds up the process.
+class StandardOutput : public google::LogSink
+{
+public:
+    void send(google::LogSeverity,
+              const char *,
+              const char *,
+              int,
+              const google::LogMessageTime &,
+              const char *message,
+              std::size_t length) override
+    {
+        std::string line(message, std::min(length, LongestLine - 1));
+        line += '\n';
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        const bool isReady = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        if (!isReady || ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+            ++droppedLines();
+        }
+    }
+};
+
+StandardOutput &standardOutput()
+{
+    static StandardOutput output;
+    return output;
+}
+
 std::string utcTime()
 {
     const auto now = std::chrono::system_clock::now();
@@ -57,13 +131,15 @@
 void startLogging(std::string_view program, std::string_view node, std::string_view dataCentre)
 {
     logContext() = LogContext{std::string(program), std::string(node), std::string(dataCentre)};
-    FLAGS_logtostderr = true;
-    FLAGS_log_prefix = false;
     google::InitGoogleLogging(logContext().program.c_str());
 }
 
 void logEvent(Severity severity, std::string_view event, boost::json::object fields)
 {
+    if (severity == Severity::Info && !lineBudget().spend()) {
+        ++droppedLines();
+        return;
+    }
     boost::json::object line;
     line["time"] = utcTime();
     line["severity"] = severityName(severity);
@@ -73,16 +149,19 @@
     for (auto &field : fields) {
         line[field.key()] = std::move(field.value());
     }
+    if (const std::uint64_t dropped = droppedLines().exchange(0); dropped > 0) {
+        line["dropped_lines"] = dropped;
+    }
     const std::string text = boost::json::serialize(line);
     switch (severity) {
     case Severity::Info:
-        LOG(INFO) << text;
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&standardOutput(), INFO) << text;
         break;
     case Severity::Warning:
-        LOG(WARNING) << text;
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&standardOutput(), WARNING) << text;
         break;
     case Severity::Error:
-        LOG(ERROR) << text;
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&standardOutput(), ERROR) << text;
         break;
     }
 }
--- a/src/libhemlockhill/settings/settings.cpp
+++ b/src/libhemlockhill/settings/settings.cpp
@@ -40,6 +40,7 @@
 void readPeers(ObjectReader &reader, PeersSettings &peers)
 {
     peers.listen = reader.requiredAddress("listen");
+    peers.open = reader.boolean("open", peers.open);
     reader.objects("others", [&peers](ObjectReader &element) { peers.others.push_back(readPeer(element)); });
 }
 
@@ -57,6 +58,7 @@
     control.heartbeat = reader.duration("heartbeat", control.heartbeat);
     control.electionTimeout = reader.duration("election_timeout", control.electionTimeout);
     control.lease = reader.duration("lease", control.lease);
+    control.mayBeginGroup = reader.boolean("may_begin_group", control.mayBeginGroup);
     control.keyRetention = reader.duration("key_retention", control.keyRetention);
     control.attainmentWeight = reader.positiveNumber("attainment_weight", control.attainmentWeight);
     control.moveWeight = reader.positiveNumber("move_weight", control.moveWeight);
--- a/src/libhemlockhill/storage/log_storage.cpp
+++ b/src/libhemlockhill/storage/log_storage.cpp
@@ -109,7 +109,6 @@
     // The last entry in the segments, or what a RestartRecord put in its place.
     LogIndex m_lastIndex;
     std::unique_ptr<StorageFile> m_lock;
-    std::unique_ptr<StorageFile> m_identityFile;
     std::unique_ptr<StorageFile> m_syncedFile;
     std::unique_ptr<StorageFile> m_active;
     // The last one is the active one.
@@ -183,7 +182,6 @@
         throw StorageError(StorageFault::FolderLost, "no log in " + m_settings.folder.string());
     }
     m_identity = onlyRecord<IdentityRecord>(readFile(m_hooks, path), path).voter;
-    m_identityFile = std::make_unique<StorageFile>(m_hooks, path, O_RDONLY);
 }
 
 std::optional<ConsensusSnapshot> LogStorage::Folder::readSnapshot() const
@@ -300,10 +298,15 @@
     m_syncedFile->overwrite(encodeRecord(SyncedRecord{m_segments.back().number, m_segments.back().bytes}));
 }
 
-// A deleted file takes writes and syncs as before, and is gone with the process.
+// A deleted file takes writes and syncs as before, and is gone with the process. What the folder holds decides, since some file systems
+// number a file differently by its path and by its descriptor.
 void LogStorage::Folder::checkLinks() const
 {
-    if (!m_active->isStillLinked() || !m_identityFile->isStillLinked()) {
+    std::error_code missing;
+    const bool hasLog = fs::file_size(segmentPath(m_segments.back()), missing) == m_segments.back().bytes && !missing;
+    const fs::path path = pathOf("identity");
+    const bool hasIdentity = fs::exists(path, missing) && onlyRecord<IdentityRecord>(readFile(m_hooks, path), path).voter == m_identity;
+    if (!hasLog || !hasIdentity) {
         throw StorageError(StorageFault::FolderLost, m_settings.folder.string());
     }
 }
--- a/src/libhemlockhill/storage/storage_file.cpp
+++ b/src/libhemlockhill/storage/storage_file.cpp
@@ -3,7 +3,6 @@
 
 #include <fcntl.h>
 #include <sys/file.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -116,18 +115,6 @@
     return ::flock(m_descriptor, LOCK_EX | LOCK_NB) == 0;
 }
 
-bool StorageFile::isStillLinked() const
-{
-    struct stat opened {
-    };
-    struct stat named {
-    };
-    if (::fstat(m_descriptor, &opened) != 0 || ::stat(m_path.c_str(), &named) != 0) {
-        return false;
-    }
-    return opened.st_ino == named.st_ino && opened.st_dev == named.st_dev;
-}
-
 std::string readFile(const FileHooks &hooks, const std::filesystem::path &path)
 {
     return StorageFile(hooks, path, O_RDONLY).readAll();
--- a/src/libhemlockhill/storage/storage_file.h
+++ b/src/libhemlockhill/storage/storage_file.h
@@ -32,8 +32,6 @@
     void sync();
     // Locks the file against other processes until it is closed; false when another process holds it.
     bool tryLock();
-    // Whether the path still names this file.
-    bool isStillLinked() const;
 
 private:
     const FileHooks &m_hooks;
