Pace prompts over all nodes, and believe accepted orders until a report shows them

Ruled out: first events (p50 141 ms against an aim of 500), lost answers. Orders: a report older than the last order cleared what had just been accepted, so a runner's adapter places were counted too low and the limit was broken. Change: a token bucket of prompt tokens for each runner, shared by datagrams; an order in doubt blocks the runner until a later report; models are placed by the work that is asked of them, in seconds of a runner.

--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -117,6 +117,7 @@
     std::optional<VoterId> silentVoter(const VoterMembership &membership, TimePoint now) const;
     bool asksIdentity(TimePoint now) const;
     std::vector<VmId> controllers() const;
+    std::vector<VmId> followers(TimePoint now) const;
     void compactIfLong();
     void reportGauges(TimePoint now);
 
@@ -147,6 +148,7 @@
     // The record of suspected requests as nodes receive it.
     std::string m_quarantine;
     StateDigest m_quarantineDigest;
+    std::map<VmId, TimePoint> m_followedAt;
     std::string m_fleet;
     StateDigest m_fleetDigest;
     LogIndex m_applied;
--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "hemlockhill/endpoint_directory.h"
+#include "hemlockhill/prompt_pacer.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
@@ -20,6 +21,7 @@
     ServiceId service;
     // Without a model any endpoint of the service will do.
     RoutingTarget target;
+    TokenCount prompt;
     // Endpoints that this request has already been sent to.
     std::set<EndpointId> avoided;
 };
@@ -34,7 +36,9 @@
     // Every endpoint that could run it has failed lately or was already tried.
     NoneLeft,
     // Every endpoint that could run it has as many requests as it can batch.
-    Full
+    Full,
+    // Every endpoint that could run it has been given as many prompt tokens lately as its streams bear.
+    Paced
 };
 
 std::string_view toText(NoChoice reason);
@@ -42,6 +46,8 @@
 struct EndpointChoice {
     std::optional<EndpointId> endpoint;
     NoChoice reason = NoChoice::NoEndpoint;
+    // When the reason is Paced: how long until the first of them may take it.
+    Duration delay{0};
 };
 
 struct EndpointChooserLimits {
@@ -52,6 +58,7 @@
     Duration longestPause = std::chrono::seconds(4);
     // Requests of its own that an endpoint may fail among its latest before it counts as failing.
     double failingShare = 0.3;
+    PromptPace pace;
 };
 
 class EndpointChooser
@@ -61,7 +68,9 @@
 
     EndpointChoice choose(const EndpointsById &endpoints, const EndpointNeed &need, TimePoint now);
 
-    void onDispatched(const EndpointId &endpoint);
+    void onDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now);
+    // Another node has sent a prompt there.
+    void onOtherDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now);
     // An exchange ended, well or not.
     void onEnded(const EndpointId &endpoint);
     // The endpoint answered as it should.
@@ -91,6 +100,7 @@
     DataCentreId m_dataCentre;
     EndpointChooserLimits m_limits;
     boost::random::mt19937_64 m_random;
+    PromptPacer m_pacer;
     std::map<EndpointId, Record> m_records;
 };
 
--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -75,10 +75,13 @@
 std::string_view toText(OrderOutcome outcome);
 
 struct FleetLimits {
-    // Requests a second for one copy of a model, from which on another copy is worth a load.
-    double busyRate = 14;
-    // A copy that serves fewer may make room for one of a busy model.
-    double idleRate = 6;
+    // The share of a runner's time that one copy of a model may take before another copy is worth a load.
+    double busyShare = 0.35;
+    // The share that the copies left over may take after one of them has made room.
+    double idleShare = 0.3;
+    // What a runner reads of prompts, and the tokens that it generates for all requests of a full batch together.
+    double promptTokensPerSecond = 25'800;
+    double outputTokensPerSecond = 5'000;
     // Requests a second for one adapter on one runner, from which on it is loaded on another one too.
     double busyAdapterRate = 6;
     // Models being loaded at one time.
@@ -126,20 +129,27 @@
         TimePoint loadedAt;
         // Adapters that were ordered and are not in a report yet.
         std::map<RoutingTarget, TimePoint> appearing;
+        // Since when it is not known which orders the runner has accepted.
+        std::optional<TimePoint> uncertainSince;
     };
 
+    // What is asked of a target, as moving averages.
     struct Demand {
+        // Requests a second.
         double rate = 0;
+        // Seconds of a runner's time in a second.
+        double work = 0;
         TimePoint at;
     };
 
     const EngineProfile *profileOf(const Runner &runner) const;
     double rateOf(const RoutingTarget &target, TimePoint now) const;
-    double modelRate(const ModelId &model, TimePoint now) const;
+    double modelWork(const ModelId &model, TimePoint now) const;
+    double fading(const Demand &demand, TimePoint now) const;
     std::uint32_t waitingFor(const RoutingTarget &target) const;
     std::uint32_t waitingForModel(const ModelId &model) const;
     std::uint32_t copies(const ModelId &model) const;
-    double runnerRate(const Runner &runner, TimePoint now) const;
+    double runnerWork(const Runner &runner, TimePoint now) const;
     double usedWeights(const Runner &runner, const EngineProfile &profile) const;
     std::uint32_t usedAdapterSlots(const Runner &runner) const;
     bool takesOrders(const Runner &runner, TimePoint now) const;
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -35,6 +35,8 @@
     std::uint32_t arrivals = 0;
     // Requests that wait for the target to be loaded.
     std::uint32_t waiting = 0;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t expectedTokens = 0;
 };
 using FiguresByTarget = std::map<RoutingTarget, TargetFigures>;
 
@@ -50,6 +52,10 @@
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
+    // Called when a prompt is sent to a runner, for the other nodes to know.
+    std::function<void(const EndpointId &endpoint, TokenCount prompt)> onPromptSent;
+    // Another node has sent a prompt to a runner.
+    void onOtherPromptSent(const EndpointId &endpoint, TokenCount prompt);
     // Called when a request begins to wait for a target that no endpoint holds.
     std::function<void()> onTargetMissing;
 
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -30,6 +30,8 @@
     std::function<void(const DeploymentDocument &document)> deployment;
     // A follower received the leader's view of the runners.
     std::function<void(const std::string &fleet)> fleet;
+    // The nodes that follow the same leader, this one included, have changed.
+    std::function<void(const std::vector<VmId> &followers)> followers;
     // This node leads from that term on, or no longer leads.
     std::function<void(std::optional<Term> term)> leadership;
     // The leader received a follower's figures.
@@ -104,6 +106,7 @@
     TimePoint m_leaderHeardAt;
     DeploymentVersion m_inForce;
     StateDigest m_fleetDigest;
+    std::vector<VmId> m_followers;
     // The regular follow call that is under way; calls of reportFigures() are not waited for.
     std::optional<CallId> m_followCall;
     std::uint64_t m_lastCall = 0;
--- a/src/include/hemlockhill/peer_messages.h
+++ b/src/include/hemlockhill/peer_messages.h
@@ -72,6 +72,8 @@
     std::string fleet;
     // Every controller that the leader knows of.
     std::vector<VmId> controllers;
+    // The nodes that have followed the leader lately.
+    std::vector<VmId> followers;
 };
 
 struct AttestRequest {
--- a/src/include/hemlockhill/request_dialect.h
+++ b/src/include/hemlockhill/request_dialect.h
@@ -24,6 +24,8 @@
     TokenCount promptTokens;
     // The most that may be generated.
     TokenCount outputTokens;
+    // What the caller expects to be generated; often far off.
+    TokenCount expectedTokens;
     // The last event that the caller has of an answer that broke off.
     std::string lastEventId;
 };
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -20,6 +20,8 @@
 constexpr Duration DiscoveryPeriod = std::chrono::seconds(1);
 // A voter that has been silent for this long is removed from an open group that has voters enough without it.
 constexpr Duration SilentVoterTimeout = std::chrono::seconds(6);
+// A node that has not followed for this long is no longer named to the others.
+constexpr Duration FollowerMemory = std::chrono::seconds(5);
 // Voters that answer, below which none is removed for its silence.
 constexpr std::size_t FewestVoters = 3;
 // How long an operator's accepted command may take to be in force everywhere before its sender is told to ask again.
@@ -379,6 +381,7 @@
         reply.fleet = m_fleet;
     }
     reply.controllers = controllers();
+    reply.followers = followers(now);
     return reply;
 }
 
@@ -389,6 +392,7 @@
         return;
     }
     m_leases->reported(node, request.confirmed, now);
+    m_followedAt[node] = now;
     // A node that is up to date but has not confirmed it yet is answered at once too, so that it can confirm.
     const bool isCurrent = request.known == m_history.revision() && request.confirmed == m_history.revision()
                            && request.quarantineDigest == m_quarantineDigest && request.fleetDigest == m_fleetDigest
@@ -483,6 +487,17 @@
     return vms;
 }
 
+std::vector<VmId> Controller::followers(TimePoint now) const
+{
+    std::vector<VmId> vms;
+    for (const auto &[vm, followedAt] : m_followedAt) {
+        if (now - followedAt < FollowerMemory) {
+            vms.push_back(vm);
+        }
+    }
+    return vms;
+}
+
 // A voter whose VM is gone for good would weaken the quorum for ever.
 std::optional<VoterId> Controller::silentVoter(const VoterMembership &membership, TimePoint now) const
 {
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -240,6 +240,10 @@
     for (const VmId &controller : reply.controllers) {
         learnPeer(controller, false);
     }
+    if (reply.followers != m_followers) {
+        m_followers = reply.followers;
+        m_hooks.followers(m_followers);
+    }
     if (!reply.deployment.text.empty()) {
         takeDocument(reply.deployment);
     }
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -24,7 +24,7 @@
 namespace json = boost::json;
 
 // How often requests that wait are looked at although nothing has changed.
-constexpr Duration WaitingPeriod = std::chrono::milliseconds(25);
+constexpr Duration WaitingPeriod = std::chrono::milliseconds(10);
 // From a request's first byte to its last, beyond the time that its header may take.
 constexpr Duration BodyTimeout = std::chrono::seconds(7);
 
@@ -51,7 +51,7 @@
 {
     json::array list;
     for (const auto &[target, figure] : figures) {
-        list.push_back(json::array{target.model.value, target.adapter.value, figure.arrivals, figure.waiting});
+        list.push_back(json::array{target.model.value, target.adapter.value, figure.arrivals, figure.waiting, figure.promptTokens, figure.expectedTokens});
     }
     return json::serialize(list);
 }
@@ -63,7 +63,10 @@
         const json::value list = json::parse(text);
         for (const json::value &entry : list.as_array()) {
             const RoutingTarget target{ModelId{std::string(entry.at(0).as_string())}, AdapterId{std::string(entry.at(1).as_string())}};
-            figures[target] = {entry.at(2).to_number<std::uint32_t>(), entry.at(3).to_number<std::uint32_t>()};
+            figures[target] = {entry.at(2).to_number<std::uint32_t>(),
+                               entry.at(3).to_number<std::uint32_t>(),
+                               entry.at(4).to_number<std::uint64_t>(),
+                               entry.at(5).to_number<std::uint64_t>()};
         }
     } catch (const std::exception &error) {
         throw DecodeError(std::string("figures that cannot be read: ") + error.what());
@@ -113,6 +116,11 @@
     serveWaiting();
 }
 
+void Gateway::onOtherPromptSent(const EndpointId &endpoint, TokenCount prompt)
+{
+    m_chooser.onOtherDispatched(endpoint, prompt, currentTime());
+}
+
 FiguresByTarget Gateway::takeFigures()
 {
     FiguresByTarget figures = std::exchange(m_figures, {});
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -25,7 +25,7 @@
 // The part of the caller's time that a request waits for its model to be loaded.
 constexpr double LoadPatiencePart = 0.2;
 // A request waits for room at most this many times its latency target.
-constexpr double RoomPatience = 1.0;
+constexpr double RoomPatience = 0.7;
 // Bounds of what a refused caller is told to wait.
 constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration LongestRetryAfter = std::chrono::milliseconds(1500);
@@ -55,7 +55,7 @@
 
 Reason refusalReason(NoChoice reason)
 {
-    return reason == NoChoice::Full ? Reason::QueueFull : Reason::NoEndpoint;
+    return reason == NoChoice::Full || reason == NoChoice::Paced ? Reason::QueueFull : Reason::NoEndpoint;
 }
 
 } // namespace
@@ -80,6 +80,7 @@
 {
     m_need.service = std::move(service);
     m_need.target = m_head.target;
+    m_need.prompt = m_head.promptTokens;
 }
 
 void Gateway::Request::start()
@@ -97,7 +98,10 @@
     });
     m_gateway.budgetOf(m_need.service).onRequest();
     if (!m_head.target.model.empty()) {
-        ++m_gateway.m_figures[m_head.target].arrivals;
+        TargetFigures &figures = m_gateway.m_figures[m_head.target];
+        ++figures.arrivals;
+        figures.promptTokens += m_head.promptTokens.value;
+        figures.expectedTokens += m_head.expectedTokens.value;
     }
     tryDispatch();
 }
@@ -155,6 +159,7 @@
     case NoChoice::NotLoadedYet:
         return std::chrono::duration_cast<Duration>(all * LoadPatiencePart);
     case NoChoice::Full:
+    case NoChoice::Paced:
         return std::min(std::chrono::duration_cast<Duration>(m_route.latencyTarget * RoomPatience), all);
     case NoChoice::NoEndpoint:
     case NoChoice::NoneLeft:
@@ -174,7 +179,10 @@
     m_headers.clear();
     m_body.clear();
     m_resume.dropPartial();
-    m_gateway.m_chooser.onDispatched(endpoint);
+    m_gateway.m_chooser.onDispatched(endpoint, m_need.prompt, currentTime());
+    if (!m_need.target.model.empty() && m_gateway.onPromptSent) {
+        m_gateway.onPromptSent(endpoint, m_need.prompt);
+    }
     ForwardOptions options;
     options.endpoint = endpoint;
     options.timeLeft = timeLeft();
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -139,6 +139,14 @@
   fleet @11 :Data;
   # Every controller that the leader knows of.
   controllers @12 :List(Text);
+  # The nodes that have followed the leader lately.
+  followers @13 :List(Text);
+}
+
+struct DispatchNotice {
+  # A node has sent a prompt of that size to a runner.
+  endpoint @0 :Text;
+  promptTokens @1 :UInt64;
 }
 
 struct AttestReply {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -35,6 +35,7 @@
 CAPNP_DECLARE_SCHEMA(8cc686d2424c8a5d);
 CAPNP_DECLARE_SCHEMA(fdf497fe4a97a6be);
 CAPNP_DECLARE_SCHEMA(b03c630585afb38c);
+CAPNP_DECLARE_SCHEMA(815a091a53a1b5d0);
 CAPNP_DECLARE_SCHEMA(c01a1a408fb439b9);
 CAPNP_DECLARE_SCHEMA(977b16e3b029f291);
 CAPNP_DECLARE_SCHEMA(c4200768ca12413b);
@@ -291,7 +292,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b03c630585afb38c, 6, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(b03c630585afb38c, 6, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct DispatchNotice {
+  DispatchNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(815a091a53a1b5d0, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2076,6 +2092,9 @@
   inline bool hasControllers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getControllers() const;
 
+  inline bool hasFollowers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getFollowers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2173,6 +2192,14 @@
   inline void adoptControllers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownControllers();
 
+  inline bool hasFollowers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getFollowers();
+  inline void setFollowers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setFollowers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initFollowers(unsigned int size);
+  inline void adoptFollowers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownFollowers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2199,6 +2226,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class DispatchNotice::Reader {
+public:
+  typedef DispatchNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline  ::uint64_t getPromptTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DispatchNotice::Builder {
+public:
+  typedef DispatchNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline  ::uint64_t getPromptTokens();
+  inline void setPromptTokens( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DispatchNotice::Pipeline {
+public:
+  typedef DispatchNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class AttestReply::Reader {
 public:
   typedef AttestReply Reads;
@@ -5576,6 +5689,92 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool FollowReply::Reader::hasFollowers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasFollowers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FollowReply::Reader::getFollowers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowReply::Builder::getFollowers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setFollowers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void FollowReply::Builder::setFollowers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowReply::Builder::initFollowers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptFollowers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FollowReply::Builder::disownFollowers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool DispatchNotice::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DispatchNotice::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader DispatchNotice::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder DispatchNotice::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DispatchNotice::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder DispatchNotice::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void DispatchNotice::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> DispatchNotice::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t DispatchNotice::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DispatchNotice::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DispatchNotice::Builder::setPromptTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AttestReply::Reader::getGranted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libhemlockhill/peers/peer_codec.cpp
+++ b/src/libhemlockhill/peers/peer_codec.cpp
@@ -299,6 +299,10 @@
     for (unsigned position = 0; position < reply.controllers.size(); ++position) {
         controllers.set(position, reply.controllers[position].value);
     }
+    auto followers = builder.initFollowers(static_cast<unsigned>(reply.followers.size()));
+    for (unsigned position = 0; position < reply.followers.size(); ++position) {
+        followers.set(position, reply.followers[position].value);
+    }
 }
 
 FollowReply read(Wire::FollowReply::Reader reader)
@@ -321,6 +325,9 @@
     for (const auto controller : reader.getControllers()) {
         reply.controllers.push_back(VmId{textOf(controller)});
     }
+    for (const auto follower : reader.getFollowers()) {
+        reply.followers.push_back(VmId{textOf(follower)});
+    }
     return reply;
 }
 
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -14,6 +14,8 @@
 constexpr Duration AdapterLoadTime = std::chrono::milliseconds(20);
 // How long an order's effect is believed before a report shows it: reports lag.
 constexpr Duration ReportLag = std::chrono::milliseconds(900);
+// A report that is asked for this long after an order in doubt shows what became of it.
+constexpr Duration SettlingTime = std::chrono::milliseconds(350);
 // Demand below this many requests a second counts as none.
 constexpr double LeastRate = 0.02;
 // An adapter that is asked for less often than this may make room for another.
@@ -89,10 +91,16 @@
     const bool isOld = runner.report && report.sequence < runner.sequence;
     runner.report = report;
     runner.live.leaving = runner.live.leaving || report.leaving;
-    std::erase_if(runner.appearing, [&](const auto &entry) { return report.held.contains(entry.first) || now >= entry.second + ReportLag; });
-    if (isOld) {
+    if (runner.uncertainSince) {
+        // Only what was so after the order in doubt tells what became of it.
+        if (now - *runner.uncertainSince < SettlingTime) {
+            return;
+        }
+        runner.uncertainSince.reset();
+    } else if (isOld) {
         return;
     }
+    std::erase_if(runner.appearing, [&](const auto &entry) { return report.held.contains(entry.first) || now >= entry.second + ReportLag; });
     runner.sequence = report.sequence;
     runner.held = report.held;
     if (!report.busy && (runner.loading.empty() || runner.held.contains(baseOf(runner.loading)) || now >= runner.loadedAt + ReportLag)) {
@@ -111,7 +119,11 @@
         }
         if (figure.arrivals > 0) {
             Demand &demand = m_demand[target];
-            demand.rate = rateOf(target, now) + figure.arrivals / memory;
+            const double left = fading(demand, now);
+            const double work = static_cast<double>(figure.promptTokens) / m_limits.promptTokensPerSecond
+                                + static_cast<double>(figure.expectedTokens) / m_limits.outputTokensPerSecond;
+            demand.rate = demand.rate * left + figure.arrivals / memory;
+            demand.work = demand.work * left + work / memory;
             demand.at = now;
         }
     }
@@ -128,7 +140,9 @@
     const bool isModel = order.target.adapter.empty();
     const EngineProfile *profile = profileOf(runner);
     if (outcome == OrderOutcome::Accepted || outcome == OrderOutcome::AlreadyDone) {
-        if (outcome == OrderOutcome::Accepted) {
+        // An adapter is unloaded at once, and the answer is that of an order that holds already.
+        const bool isUnloadedAdapter = !isModel && order.operation == RunnerOperation::Unload;
+        if (outcome == OrderOutcome::Accepted || isUnloadedAdapter) {
             runner.sequence = order.expected + OrderSequence{1};
         }
         if (order.operation == RunnerOperation::Unload) {
@@ -157,8 +171,10 @@
         runner.loading = ModelId{};
     }
     // What the runner is in now is known from its next report.
-    runner.pausedUntil = now + (outcome == OrderOutcome::Unknown ? m_limits.unknownPause : std::chrono::milliseconds(100));
-    runner.reportAskedAt = TimePoint{};
+    runner.pausedUntil = now + (outcome == OrderOutcome::Unknown ? m_limits.unknownPause : Duration(0));
+    runner.uncertainSince = now;
+    // Asked for right when it is of use.
+    runner.reportAskedAt = now + SettlingTime - m_limits.reportPeriod;
 }
 
 std::vector<EndpointId> FleetPlacement::reportsDue(TimePoint now)
@@ -228,18 +244,24 @@
     if (found == m_demand.end()) {
         return 0;
     }
-    const double age = std::chrono::duration<double>(now - found->second.at) / std::chrono::duration<double>(m_limits.demandMemory);
-    const double rate = found->second.rate * std::exp(-age);
+    const double rate = found->second.rate * fading(found->second, now);
     return rate < LeastRate ? 0 : rate;
 }
 
-double FleetPlacement::modelRate(const ModelId &model, TimePoint now) const
+// The part of a moving average that counts now.
+double FleetPlacement::fading(const Demand &demand, TimePoint now) const
 {
-    double rate = 0;
+    const double age = std::chrono::duration<double>(now - demand.at) / std::chrono::duration<double>(m_limits.demandMemory);
+    return std::exp(-age);
+}
+
+double FleetPlacement::modelWork(const ModelId &model, TimePoint now) const
+{
+    double work = 0;
     for (const auto &[target, demand] : m_demand) {
-        rate += target.model == model ? rateOf(target, now) : 0;
+        work += target.model == model ? demand.work * fading(demand, now) : 0;
     }
-    return rate;
+    return work;
 }
 
 std::uint32_t FleetPlacement::waitingFor(const RoutingTarget &target) const
@@ -271,15 +293,15 @@
     }));
 }
 
-double FleetPlacement::runnerRate(const Runner &runner, TimePoint now) const
+double FleetPlacement::runnerWork(const Runner &runner, TimePoint now) const
 {
-    double rate = 0;
+    double work = 0;
     for (const RoutingTarget &target : runner.held) {
         if (target.adapter.empty()) {
-            rate += modelRate(target.model, now) / std::max(1U, copies(target.model));
+            work += modelWork(target.model, now) / std::max(1U, copies(target.model));
         }
     }
-    return rate + (runner.loading.empty() ? 0 : modelRate(runner.loading, now) / std::max(1U, copies(runner.loading)));
+    return work + (runner.loading.empty() ? 0 : modelWork(runner.loading, now) / std::max(1U, copies(runner.loading)));
 }
 
 double FleetPlacement::usedWeights(const Runner &runner, const EngineProfile &profile) const
@@ -323,7 +345,7 @@
 
 bool FleetPlacement::takesOrders(const Runner &runner, TimePoint now) const
 {
-    return runner.report && !runner.live.leaving && !runner.orderUnderWay && now >= runner.pausedUntil;
+    return runner.report && !runner.uncertainSince && !runner.live.leaving && !runner.orderUnderWay && now >= runner.pausedUntil;
 }
 
 bool FleetPlacement::isBusyWithModel(const Runner &runner) const
@@ -426,11 +448,11 @@
     std::vector<Wish> wishes;
     for (const auto &[id, model] : profile.models) {
         const std::uint32_t present = copies(id);
-        const double rate = modelRate(id, now);
+        const double work = modelWork(id, now);
         if (present == 0) {
-            wishes.push_back({&model, 1000 + waitingForModel(id) + rate});
-        } else if (rate / present >= m_limits.busyRate) {
-            wishes.push_back({&model, rate / present});
+            wishes.push_back({&model, 1000 + waitingForModel(id) + work});
+        } else if (work / present >= m_limits.busyShare) {
+            wishes.push_back({&model, work / present});
         }
     }
     std::sort(wishes.begin(), wishes.end(), [](const Wish &left, const Wish &right) { return left.urgency > right.urgency; });
@@ -468,8 +490,8 @@
                 continue;
             }
         }
-        // In requests a second: a slow load costs what it delays.
-        const double cost = runnerRate(runner, now) + (withoutStore ? 0 : 10) + (fits ? 0 : 3);
+        // As a share of the runner's time: a slow load costs what it delays.
+        const double cost = runnerWork(runner, now) + (withoutStore ? 0 : 0.5) + (fits ? 0 : 0.1);
         if (best == nullptr || cost < bestCost) {
             best = &runner;
             bestCost = cost;
@@ -497,17 +519,17 @@
 std::optional<ModelId> FleetPlacement::evictableModel(const Runner &runner, const ModelId &inFavourOf, TimePoint now) const
 {
     std::optional<ModelId> idlest;
-    double idlestRate = m_limits.idleRate;
+    double idlestShare = m_limits.idleShare;
     const bool isAbsent = copies(inFavourOf) == 0;
     for (const RoutingTarget &target : runner.held) {
         const std::uint32_t present = target.adapter.empty() ? copies(target.model) : 0;
         if (present < 2) {
             continue;
         }
-        const double rate = modelRate(target.model, now) / (present - 1);
-        if (rate < idlestRate || (isAbsent && !idlest)) {
+        const double share = modelWork(target.model, now) / (present - 1);
+        if (share < idlestShare || (isAbsent && !idlest)) {
             idlest = target.model;
-            idlestRate = rate;
+            idlestShare = share;
         }
     }
     return idlest;
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -32,15 +32,18 @@
     case NoChoice::NoneLeft:
         return "none_left";
     case NoChoice::Full:
+        return "full";
+    case NoChoice::Paced:
         break;
     }
-    return "full";
+    return "paced";
 }
 
 EndpointChooser::EndpointChooser(DataCentreId dataCentre, EndpointChooserLimits limits, std::uint64_t seed)
     : m_dataCentre(std::move(dataCentre))
     , m_limits(limits)
     , m_random(seed)
+    , m_pacer(m_limits.pace)
 {
 }
 
@@ -54,6 +57,7 @@
     bool anyModel = false;
     bool anyHolder = false;
     bool anyUsable = false;
+    bool anyRoom = false;
     for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
         anyActive = true;
         anyModel = anyModel || endpoint->holds(base) || endpoint->loading == need.target.model;
@@ -69,6 +73,12 @@
         if (load >= endpoint->slots * (1 + m_limits.queueShare)) {
             continue;
         }
+        const Duration delay = needsModel ? m_pacer.delay(endpoint->id, need.prompt, now) : Duration(0);
+        if (delay > Duration(0)) {
+            choice.delay = anyRoom ? std::min(choice.delay, delay) : delay;
+            anyRoom = true;
+            continue;
+        }
         boost::random::uniform_real_distribution<double> draw(0, TieBreak);
         const double elsewhere = endpoint->dataCentre == m_dataCentre ? 0 : OtherDataCentreLoad;
         const double cost = (load + draw(m_random)) / endpoint->slots + elsewhere;
@@ -81,6 +91,8 @@
         choice.reason = NoChoice::NoEndpoint;
     } else if (!anyHolder) {
         choice.reason = anyModel ? NoChoice::NotLoadedYet : NoChoice::ModelAbsent;
+    } else if (anyRoom) {
+        choice.reason = NoChoice::Paced;
     } else {
         choice.reason = anyUsable ? NoChoice::Full : NoChoice::NoneLeft;
     }
@@ -105,9 +117,15 @@
     return record.inFlight + others;
 }
 
-void EndpointChooser::onDispatched(const EndpointId &endpoint)
+void EndpointChooser::onDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now)
 {
     ++m_records[endpoint].inFlight;
+    m_pacer.onDispatched(endpoint, prompt, now);
+}
+
+void EndpointChooser::onOtherDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now)
+{
+    m_pacer.onDispatched(endpoint, prompt, now);
 }
 
 void EndpointChooser::onEnded(const EndpointId &endpoint)
--- /dev/null
+++ b/src/libhemlockhill/routing/prompt_pacer.cpp
@@ -0,0 +1,39 @@
+// Token buckets of prompts.
+#include "hemlockhill/prompt_pacer.h"
+
+#include <algorithm>
+
+namespace Hemlockhill
+{
+
+PromptPacer::PromptPacer(PromptPace pace)
+    : m_pace(pace)
+{
+}
+
+double PromptPacer::levelOf(const EndpointId &endpoint, TimePoint now) const
+{
+    const auto found = m_buckets.find(endpoint);
+    if (found == m_buckets.end()) {
+        return m_pace.burst;
+    }
+    const double elapsed = std::chrono::duration<double>(now - found->second.at).count();
+    return std::min(m_pace.burst, found->second.level + elapsed * m_pace.tokensPerSecond);
+}
+
+Duration PromptPacer::delay(const EndpointId &endpoint, TokenCount prompt, TimePoint now) const
+{
+    const double needed = std::min(static_cast<double>(prompt.value), m_pace.burst);
+    const double missing = needed - levelOf(endpoint, now);
+    if (missing <= 0) {
+        return Duration(0);
+    }
+    return std::chrono::ceil<Duration>(std::chrono::duration<double>(missing / m_pace.tokensPerSecond));
+}
+
+void PromptPacer::onDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now)
+{
+    m_buckets[endpoint] = {levelOf(endpoint, now) - static_cast<double>(prompt.value), now};
+}
+
+} // namespace Hemlockhill
