Serve waiting requests that can be on time before late ones, and refuse while callers can still come back; charge room until a report shows it free

Refusals: requests waited 350 ms and were then turned away, twice, while callers of streams leave only after two seconds; others waited longer than their callers did. Ruled out: processor time (entry 0.025 of 0.25 of a core), retries. Change: foreign loads are awaited, what is told to go is charged; waits are bounded by the caller's silence limit, on time before late.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -129,6 +129,10 @@
         TimePoint loadedAt;
         // Adapters that were ordered and are not in a report yet.
         std::map<RoutingTarget, TimePoint> appearing;
+        // What was ordered to go and still takes its room, since requests may be using it.
+        std::set<RoutingTarget> vacating;
+        // A report showed a load or unload under way that this leader has not ordered.
+        bool foreignBusy = false;
         // Since when it is not known which orders the runner has accepted.
         std::optional<TimePoint> uncertainSince;
     };
@@ -150,6 +154,8 @@
     std::uint32_t waitingForModel(const ModelId &model) const;
     std::uint32_t copies(const ModelId &model) const;
     double runnerWork(const Runner &runner, TimePoint now) const;
+    void takeProgress(Runner &runner, const RunnerReport &report) const;
+    std::set<RoutingTarget> charged(const Runner &runner) const;
     double usedWeights(const Runner &runner, const EngineProfile &profile) const;
     std::uint32_t usedAdapterSlots(const Runner &runner) const;
     bool takesOrders(const Runner &runner, TimePoint now) const;
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -81,6 +81,8 @@
     void onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
     void refuse(HttpResponder &responder, Reason reason, const RoutedRequestHead &head, std::string detail);
     void serveWaiting();
+    // Whether requests for the model wait for room already.
+    bool isQueued(const ServiceId &service, const ModelId &model) const;
     RetryBudget &budgetOf(const ServiceId &service);
     double draw();
 
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -13,6 +13,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Hemlockhill
@@ -202,12 +203,31 @@
             waiting.push_back(request);
         }
     }
-    std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) { return left->rank() < right->rank(); });
+    const TimePoint now = currentTime();
+    std::sort(waiting.begin(), waiting.end(), [now](const auto &left, const auto &right) { return left->rank(now) < right->rank(now); });
+    // Where one request waits for room, those behind it do not take it from the one before them.
+    std::set<std::pair<ServiceId, ModelId>> queues;
     for (const auto &request : waiting) {
+        const std::pair queue{request->service(), request->target().model};
+        if (queues.contains(queue)) {
+            request->expire();
+            continue;
+        }
         request->tryDispatch();
+        if (request->waitsForRoom()) {
+            queues.insert(queue);
+        }
     }
 }
 
+bool Gateway::isQueued(const ServiceId &service, const ModelId &model) const
+{
+    return std::any_of(m_requests.begin(), m_requests.end(), [&](const auto &entry) {
+        const Request &request = *entry.second;
+        return request.waitsForRoom() && request.service() == service && request.target().model == model;
+    });
+}
+
 RetryBudget &Gateway::budgetOf(const ServiceId &service)
 {
     return m_budgets.try_emplace(service, m_settings.retries).first->second;
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -22,10 +22,6 @@
 constexpr Duration EndpointPatience = std::chrono::milliseconds(400);
 // After this an endpoint that turned the request away may be asked again.
 constexpr Duration AskAgainAfter = std::chrono::milliseconds(40);
-// The part of the caller's time that a request waits for its model to be loaded.
-constexpr double LoadPatiencePart = 0.2;
-// A request waits for room at most this many times its latency target.
-constexpr double RoomPatience = 0.7;
 // Bounds of what a refused caller is told to wait.
 constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration LongestRetryAfter = std::chrono::milliseconds(1500);
@@ -103,6 +99,11 @@
         figures.promptTokens += m_head.promptTokens.value;
         figures.expectedTokens += m_head.expectedTokens.value;
     }
+    if (m_gateway.isQueued(m_need.service, m_head.target.model)) {
+        m_waitingSince = m_arrivedAt;
+        m_waitingFor = NoChoice::Paced;
+        return;
+    }
     tryDispatch();
 }
 
@@ -136,12 +137,8 @@
     if (reason == NoChoice::NoneLeft && m_history.possibleRuns == 0 && now - *m_waitingSince >= AskAgainAfter) {
         m_need.avoided.clear();
     }
-    if (now - *m_waitingSince >= waitLimit(reason)) {
-        if (m_history.possibleRuns > 0) {
-            fail(m_lastFailure.value_or(Reason::NoEndpoint));
-        } else {
-            refuse(refusalReason(reason), std::string(toText(reason)));
-        }
+    if (hasWaitedTooLong(now)) {
+        giveUpWaiting();
         return;
     }
     const bool lacksTarget = reason == NoChoice::NotLoadedYet || reason == NoChoice::ModelAbsent;
@@ -150,22 +147,37 @@
     }
 }
 
-// How long this request waits for what it lacks. What comes later is of no use to the caller, who is better told to come back.
+void Gateway::Request::expire()
+{
+    if (m_waitingSince && !m_done && hasWaitedTooLong(currentTime())) {
+        giveUpWaiting();
+    }
+}
+
+bool Gateway::Request::hasWaitedTooLong(TimePoint now) const
+{
+    return now - *m_waitingSince >= waitLimit(m_waitingFor) || now >= m_arrivedAt + usefulWait(m_route, m_deadline - m_arrivedAt);
+}
+
+void Gateway::Request::giveUpWaiting()
+{
+    if (m_history.possibleRuns > 0) {
+        fail(m_lastFailure.value_or(Reason::NoEndpoint));
+    } else {
+        refuse(refusalReason(m_waitingFor), std::string(toText(m_waitingFor)));
+    }
+}
+
+WaitingRank Gateway::Request::rank(TimePoint now) const
+{
+    return {isLate(m_route, now - m_arrivedAt), m_route.priority, m_arrivedAt};
+}
+
+// How long this request waits for what it lacks, beside what is of use to its caller.
 Duration Gateway::Request::waitLimit(NoChoice reason) const
 {
-    const Duration all = m_deadline - m_arrivedAt;
-    switch (reason) {
-    case NoChoice::ModelAbsent:
-    case NoChoice::NotLoadedYet:
-        return std::chrono::duration_cast<Duration>(all * LoadPatiencePart);
-    case NoChoice::Full:
-    case NoChoice::Paced:
-        return std::min(std::chrono::duration_cast<Duration>(m_route.latencyTarget * RoomPatience), all);
-    case NoChoice::NoEndpoint:
-    case NoChoice::NoneLeft:
-        break;
-    }
-    return EndpointPatience;
+    const bool mayComeBack = reason == NoChoice::NoEndpoint || reason == NoChoice::NoneLeft;
+    return mayComeBack ? EndpointPatience : m_deadline - m_arrivedAt;
 }
 
 void Gateway::Request::send(const EndpointId &endpoint)
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -3,6 +3,7 @@
 
 #include "hemlockhill/gateway.h"
 #include "hemlockhill/routed_attempt.h"
+#include "hemlockhill/waiting.h"
 
 #include <optional>
 
@@ -25,13 +26,19 @@
     // Sends the request if an endpoint can take it now, and refuses it if it has waited in vain.
     void tryDispatch();
     bool isWaiting() const { return m_waitingSince.has_value(); }
-    // The order in which waiting requests are served.
-    std::pair<std::uint32_t, TimePoint> rank() const { return {m_route.priority, m_arrivedAt}; }
+    // Refuses the request if it has waited in vain.
+    void expire();
+    // True when it waits for room that others of its model would take before it.
+    bool waitsForRoom() const { return isWaiting() && (m_waitingFor == NoChoice::Full || m_waitingFor == NoChoice::Paced); }
+    WaitingRank rank(TimePoint now) const;
     const RoutingTarget &target() const { return m_head.target; }
+    const ServiceId &service() const { return m_need.service; }
 
 private:
     void wait(NoChoice reason);
     Duration waitLimit(NoChoice reason) const;
+    bool hasWaitedTooLong(TimePoint now) const;
+    void giveUpWaiting();
     void send(const EndpointId &endpoint);
     ExchangeHooks exchangeHooks();
     ExchangeTimeouts exchangeTimeouts() const;
--- /dev/null
+++ b/src/libhemlockhill/peers/dispatch_notices_test.cpp
@@ -0,0 +1,32 @@
+// Datagrams that tell of prompts.
+#include "hemlockhill/dispatch_notices.h"
+
+#include "hemlockhill/failure.h"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Hemlockhill;
+
+BOOST_AUTO_TEST_CASE(a_notice_survives_its_datagram)
+{
+    const DispatchNotice notice{EndpointId{"i-7f3a91c2"}, TokenCount{1460}};
+    BOOST_CHECK(decodeDispatchNotice(encode(notice)) == notice);
+}
+
+BOOST_AUTO_TEST_CASE(damaged_datagrams_are_refused_or_read_without_harm)
+{
+    const std::string whole = encode({EndpointId{"i-7f3a91c2"}, TokenCount{1460}});
+    boost::random::mt19937 random(5);
+    BOOST_CHECK_THROW(decodeDispatchNotice(""), DecodeError);
+    for (int round = 0; round < 2000; ++round) {
+        std::string damaged = whole.substr(0, random() % (whole.size() + 1));
+        if (!damaged.empty()) {
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        }
+        try {
+            decodeDispatchNotice(damaged);
+        } catch (const DecodeError &) {
+        }
+    }
+}
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -98,16 +98,36 @@
         }
         runner.uncertainSince.reset();
     } else if (isOld) {
+        takeProgress(runner, report);
         return;
     }
+    runner.foreignBusy = report.busy && runner.loading.empty() && runner.vacating.empty();
+    std::erase_if(runner.vacating, [&](const RoutingTarget &target) { return !report.held.contains(target); });
     std::erase_if(runner.appearing, [&](const auto &entry) { return report.held.contains(entry.first) || now >= entry.second + ReportLag; });
     runner.sequence = report.sequence;
     runner.held = report.held;
+    std::erase_if(runner.held, [&](const RoutingTarget &target) { return runner.vacating.contains(target); });
     if (!report.busy && (runner.loading.empty() || runner.held.contains(baseOf(runner.loading)) || now >= runner.loadedAt + ReportLag)) {
         runner.loading = ModelId{};
     }
 }
 
+// A report from before the last order still shows that what was ordered earlier has been done.
+void FleetPlacement::takeProgress(Runner &runner, const RunnerReport &report) const
+{
+    if (!runner.loading.empty() && report.held.contains(baseOf(runner.loading))) {
+        runner.held.insert(baseOf(runner.loading));
+        runner.loading = ModelId{};
+    }
+    for (auto entry = runner.appearing.begin(); entry != runner.appearing.end();) {
+        const bool isThere = report.held.contains(entry->first);
+        if (isThere) {
+            runner.held.insert(entry->first);
+        }
+        entry = isThere ? runner.appearing.erase(entry) : std::next(entry);
+    }
+}
+
 void FleetPlacement::onFigures(const VmId &node, const FiguresByTarget &figures, TimePoint now)
 {
     auto &waiting = m_waiting[node];
@@ -149,7 +169,11 @@
             std::erase_if(runner.held, [&](const RoutingTarget &held) {
                 return isModel ? held.model == order.target.model : held == order.target;
             });
-            runner.pausedUntil = isModel && outcome == OrderOutcome::Accepted ? now + std::chrono::milliseconds(50) : now;
+            if (outcome == OrderOutcome::Accepted) {
+                // Requests that use it still run; their end shows in a report.
+                runner.vacating.insert(order.target);
+                runner.reportAskedAt = TimePoint{};
+            }
         } else if (!isModel) {
             runner.appearing[order.target] = now + AdapterLoadTime;
         } else if (outcome == OrderOutcome::AlreadyDone) {
@@ -304,10 +328,11 @@
     return work + (runner.loading.empty() ? 0 : modelWork(runner.loading, now) / std::max(1U, copies(runner.loading)));
 }
 
-double FleetPlacement::usedWeights(const Runner &runner, const EngineProfile &profile) const
+// Everything that takes room on the runner, or may do so before a report shows it.
+std::set<RoutingTarget> FleetPlacement::charged(const Runner &runner) const
 {
-    double used = 0;
     std::set<RoutingTarget> charged = runner.held;
+    charged.insert(runner.vacating.begin(), runner.vacating.end());
     if (!runner.loading.empty()) {
         charged.insert(baseOf(runner.loading));
     }
@@ -317,7 +342,13 @@
     if (runner.report) {
         charged.insert(runner.report->pending.begin(), runner.report->pending.end());
     }
-    for (const RoutingTarget &target : charged) {
+    return charged;
+}
+
+double FleetPlacement::usedWeights(const Runner &runner, const EngineProfile &profile) const
+{
+    double used = 0;
+    for (const RoutingTarget &target : charged(runner)) {
         const auto model = profile.models.find(target.model);
         if (model != profile.models.end()) {
             used += target.adapter.empty() ? model->second.weights.value : model->second.adapterWeights.value;
@@ -328,29 +359,21 @@
 
 std::uint32_t FleetPlacement::usedAdapterSlots(const Runner &runner) const
 {
-    std::set<RoutingTarget> adapters;
-    for (const auto &[target, readyAt] : runner.appearing) {
-        adapters.insert(target);
-    }
-    if (runner.report) {
-        adapters.insert(runner.report->pending.begin(), runner.report->pending.end());
-    }
-    for (const RoutingTarget &target : runner.held) {
-        if (!target.adapter.empty()) {
-            adapters.insert(target);
-        }
-    }
-    return static_cast<std::uint32_t>(adapters.size());
+    const std::set<RoutingTarget> all = charged(runner);
+    return static_cast<std::uint32_t>(
+        std::count_if(all.begin(), all.end(), [](const RoutingTarget &target) { return !target.adapter.empty(); }));
 }
 
 bool FleetPlacement::takesOrders(const Runner &runner, TimePoint now) const
 {
-    return runner.report && !runner.uncertainSince && !runner.live.leaving && !runner.orderUnderWay && now >= runner.pausedUntil;
+    return runner.report && !runner.foreignBusy && !runner.uncertainSince && !runner.live.leaving && !runner.orderUnderWay && now >= runner.pausedUntil;
 }
 
 bool FleetPlacement::isBusyWithModel(const Runner &runner) const
 {
-    return !runner.loading.empty() || (runner.report && runner.report->busy);
+    const auto isModel = [](const RoutingTarget &target) { return target.adapter.empty(); };
+    const bool vacatesModel = std::any_of(runner.vacating.begin(), runner.vacating.end(), isModel);
+    return !runner.loading.empty() || vacatesModel || (runner.report && runner.report->busy);
 }
 
 std::uint32_t FleetPlacement::loadsUnderWay() const
@@ -391,7 +414,7 @@
             if (runner.live.service != service || runner.live.leaving) {
                 continue;
             }
-            if (runner.held.contains(target) || runner.appearing.contains(target)) {
+            if (runner.held.contains(target) || runner.appearing.contains(target) || runner.vacating.contains(target)) {
                 ++holders;
                 continue;
             }
--- /dev/null
+++ b/src/libhemlockhill/placement/fleet_placement_test.cpp
@@ -0,0 +1,231 @@
+// Placement on a fleet whose reports lag, whose orders are lost and whose demand moves.
+#include "hemlockhill/fleet_placement.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace Hemlockhill;
+
+namespace
+{
+
+const ServiceId Drafts{"drafts"};
+const VmId Node{"node"};
+const TimePoint Start = TimePoint{} + std::chrono::seconds(1000);
+
+RoutingTarget model(const std::string &id)
+{
+    return {ModelId{id}, {}};
+}
+
+RoutingTarget adapter(const std::string &id, const std::string &name)
+{
+    return {ModelId{id}, AdapterId{name}};
+}
+
+// Runners with room for two models and two adapters each.
+class Fleet
+{
+public:
+    explicit Fleet(const std::vector<std::set<RoutingTarget>> &held, std::vector<std::string> models = {"m1", "m2", "m3"})
+        : placement(FleetLimits{}, Start - std::chrono::seconds(30))
+    {
+        auto deployment = std::make_shared<Deployment>();
+        RoutedService service;
+        service.id = Drafts;
+        EngineProfile engine;
+        engine.slots = 4;
+        engine.weightCapacity = Megabytes{200};
+        engine.adapterSlots = 2;
+        engine.loadsPerSecond = 1;
+        for (const std::string &name : models) {
+            EngineModel described;
+            described.id = ModelId{name};
+            described.weights = Megabytes{90};
+            described.adapterWeights = Megabytes{1};
+            described.loadTime = std::chrono::seconds(8);
+            engine.models.emplace(described.id, described);
+        }
+        service.engine = engine;
+        deployment->services.emplace(Drafts, service);
+        placement.setDeployment(deployment);
+        for (std::size_t index = 0; index < held.size(); ++index) {
+            LiveEndpoint endpoint;
+            endpoint.id = EndpointId{"r" + std::to_string(index)};
+            endpoint.incarnation = Incarnation{"1"};
+            endpoint.service = Drafts;
+            endpoint.slots = 4;
+            endpoint.held = held[index];
+            listing.emplace(endpoint.id, endpoint);
+        }
+        placement.onListing(listing, now);
+        for (std::size_t index = 0; index < held.size(); ++index) {
+            report(index, 0, held[index]);
+        }
+    }
+
+    void report(std::size_t index, std::uint64_t sequence, std::set<RoutingTarget> held, bool busy = false)
+    {
+        RunnerReport report;
+        report.incarnation = Incarnation{"1"};
+        report.sequence = OrderSequence{sequence};
+        report.held = std::move(held);
+        report.busy = busy;
+        placement.onReport(EndpointId{"r" + std::to_string(index)}, report, now);
+    }
+
+    void ask(const RoutingTarget &target, std::uint32_t waiting, std::uint64_t promptTokens = 100)
+    {
+        placement.onFigures(Node, {{target, {1, waiting, promptTokens, 0}}}, now);
+    }
+
+    // The orders that are given now, each answered in this way.
+    std::vector<RunnerOrder> orders(OrderOutcome outcome)
+    {
+        const std::vector<RunnerOrder> given = placement.decide(now);
+        for (const RunnerOrder &order : given) {
+            placement.onAnswered(order, outcome, now);
+        }
+        return given;
+    }
+
+    FleetPlacement placement;
+    EndpointsById listing;
+    TimePoint now = Start;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_adapter_that_requests_wait_for_is_loaded_beside_its_model)
+{
+    Fleet fleet({{model("m1")}, {model("m2"), model("m3")}});
+    fleet.ask(adapter("m1", "a1"), 1);
+    const auto given = fleet.orders(OrderOutcome::Accepted);
+    BOOST_REQUIRE_EQUAL(given.size(), 1);
+    BOOST_CHECK_EQUAL(given[0].endpoint, EndpointId{"r0"});
+    BOOST_CHECK(given[0].target == adapter("m1", "a1"));
+    fleet.now += std::chrono::milliseconds(50);
+    BOOST_CHECK(fleet.placement.directory(fleet.now).at(EndpointId{"r0"}).holds(adapter("m1", "a1")));
+    BOOST_CHECK(fleet.orders(OrderOutcome::Accepted).empty());
+}
+
+// Reports that are older than the last order must not free a place that has been given away since.
+BOOST_AUTO_TEST_CASE(adapter_places_are_counted_while_reports_lag)
+{
+    Fleet fleet({{model("m1")}, {model("m2"), model("m3")}});
+    std::set<RoutingTarget> held{model("m1")};
+    std::uint64_t loaded = 0;
+    for (int number = 1; number <= 6; ++number) {
+        fleet.ask(adapter("m1", "a" + std::to_string(number)), 1);
+        for (const RunnerOrder &order : fleet.orders(OrderOutcome::Accepted)) {
+            BOOST_CHECK(order.operation == RunnerOperation::Load);
+            ++loaded;
+        }
+        // A report from before the last order, which shows what was loaded before it.
+        if (loaded > 0) {
+            fleet.now += std::chrono::milliseconds(200);
+            fleet.report(0, loaded - 1, held);
+            held.insert(adapter("m1", "a" + std::to_string(number)));
+        }
+    }
+    BOOST_CHECK_EQUAL(loaded, 2);
+}
+
+// A new leader finds a runner that loads what the former one ordered, and learns what that is only from a report after its end.
+BOOST_AUTO_TEST_CASE(a_load_that_another_leader_ordered_is_awaited)
+{
+    Fleet fleet({{model("m1")}, {model("m2")}}, {"m1", "m2", "m3"});
+    fleet.report(0, 1, {model("m1")}, true);
+    fleet.report(1, 1, {model("m2")}, true);
+    fleet.ask(model("m3"), 1);
+    BOOST_CHECK(fleet.orders(OrderOutcome::Accepted).empty());
+    fleet.report(0, 1, {model("m1"), model("m2")});
+    fleet.report(1, 1, {model("m2")});
+    const auto given = fleet.orders(OrderOutcome::Accepted);
+    BOOST_REQUIRE_EQUAL(given.size(), 1);
+    BOOST_CHECK_EQUAL(given[0].endpoint, EndpointId{"r1"});
+}
+
+// What was told to go takes its room until a report shows that it has gone.
+BOOST_AUTO_TEST_CASE(a_model_that_still_runs_requests_keeps_its_room)
+{
+    Fleet fleet({{model("m1"), model("m2")}, {model("m1"), model("m2")}});
+    fleet.ask(model("m3"), 1);
+    const auto given = fleet.orders(OrderOutcome::Accepted);
+    BOOST_REQUIRE_EQUAL(given.size(), 1);
+    BOOST_CHECK(given[0].operation == RunnerOperation::Unload);
+    const auto index = given[0].endpoint == EndpointId{"r0"} ? 0U : 1U;
+    const RoutingTarget left = given[0].target == model("m1") ? model("m2") : model("m1");
+    fleet.now += std::chrono::milliseconds(400);
+    fleet.report(index, 1, {model("m1"), model("m2")}, true);
+    for (const RunnerOrder &order : fleet.placement.decide(fleet.now)) {
+        BOOST_CHECK(order.endpoint != given[0].endpoint);
+    }
+    fleet.report(index, 1, {left});
+    const auto next = fleet.orders(OrderOutcome::Accepted);
+    BOOST_REQUIRE_EQUAL(next.size(), 1);
+    BOOST_CHECK(next[0].operation == RunnerOperation::Load);
+    BOOST_CHECK(next[0].target == model("m3"));
+}
+
+BOOST_AUTO_TEST_CASE(an_order_without_an_answer_blocks_its_runner_until_a_later_report)
+{
+    Fleet fleet({{model("m1")}, {model("m2"), model("m3")}});
+    fleet.ask(adapter("m1", "a1"), 1);
+    BOOST_REQUIRE_EQUAL(fleet.orders(OrderOutcome::Unknown).size(), 1);
+    fleet.now += std::chrono::milliseconds(100);
+    fleet.report(0, 0, {model("m1")});
+    BOOST_CHECK(fleet.orders(OrderOutcome::Accepted).empty());
+    fleet.now += std::chrono::milliseconds(700);
+    fleet.report(0, 1, {model("m1"), adapter("m1", "a1")});
+    fleet.ask(adapter("m1", "a2"), 1);
+    const auto given = fleet.orders(OrderOutcome::Accepted);
+    BOOST_REQUIRE_EQUAL(given.size(), 1);
+    BOOST_CHECK(given[0].target == adapter("m1", "a2"));
+    BOOST_CHECK(given[0].expected == OrderSequence{1});
+}
+
+// Demand moves to models with one copy each: no more loads begin than the store's pace allows.
+BOOST_AUTO_TEST_CASE(loads_keep_to_the_pace_of_the_store)
+{
+    std::vector<std::set<RoutingTarget>> held(12);
+    std::vector<std::string> models;
+    for (int number = 0; number < 12; ++number) {
+        models.push_back("m" + std::to_string(number));
+    }
+    Fleet fleet(held, models);
+    std::size_t loads = 0;
+    for (int step = 0; step < 50; ++step) {
+        fleet.now += std::chrono::milliseconds(100);
+        for (const RunnerOrder &order : fleet.orders(OrderOutcome::Accepted)) {
+            loads += order.operation == RunnerOperation::Load ? 1 : 0;
+            const auto index = static_cast<std::size_t>(std::stoul(order.endpoint.value.substr(1)));
+            held[index].insert(order.target);
+            fleet.report(index, order.expected.value + 1, held[index]);
+        }
+    }
+    BOOST_CHECK_GE(loads, 1);
+    BOOST_CHECK_LE(loads, 5);
+}
+
+BOOST_AUTO_TEST_CASE(the_last_copy_of_a_model_never_makes_room)
+{
+    Fleet fleet({{model("m1"), model("m2")}, {model("m3"), model("m4")}}, {"m1", "m2", "m3", "m4"});
+    for (int step = 0; step < 100; ++step) {
+        fleet.now += std::chrono::milliseconds(100);
+        fleet.ask(model("m1"), 5, 50'000);
+        BOOST_CHECK(fleet.orders(OrderOutcome::Accepted).empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_runner_that_started_again_holds_nothing_that_it_held_before)
+{
+    Fleet fleet({{model("m1")}, {model("m2"), model("m3")}});
+    fleet.listing[EndpointId{"r0"}].incarnation = Incarnation{"2"};
+    fleet.listing[EndpointId{"r0"}].held.clear();
+    fleet.placement.onListing(fleet.listing, fleet.now);
+    BOOST_CHECK(fleet.placement.directory(fleet.now).at(EndpointId{"r0"}).held.empty());
+    fleet.report(0, 0, {model("m1")});
+    BOOST_CHECK(fleet.placement.directory(fleet.now).at(EndpointId{"r0"}).held.empty());
+}
--- /dev/null
+++ b/src/libhemlockhill/request/routed_attempt_test.cpp
@@ -0,0 +1,74 @@
+// What follows a failed exchange, for each kind of route.
+#include "hemlockhill/routed_attempt.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Hemlockhill;
+
+namespace
+{
+
+constexpr Duration Enough = std::chrono::seconds(1);
+
+Route route(RouteKind kind, bool resumable = false, std::uint32_t attempts = 2)
+{
+    Route route;
+    route.kind = kind;
+    route.resumable = resumable;
+    route.attemptLimit = attempts;
+    return route;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_that_did_not_run_goes_elsewhere_whatever_its_kind)
+{
+    for (const RouteKind kind : {RouteKind::Safe, RouteKind::Unsafe, RouteKind::Streaming}) {
+        BOOST_CHECK(nextStep(route(kind, false, 1), {1, 0, false}, Enough, true) == NextStep::TryAnother);
+        BOOST_CHECK(nextStep(route(kind, false, 1), {1, 0, false}, Enough, false) == NextStep::Refuse);
+        BOOST_CHECK(nextStep(route(kind, false, 1), {ExchangeLimit, 0, false}, Enough, true) == NextStep::Refuse);
+        BOOST_CHECK(nextStep(route(kind, false, 1), {1, 0, false}, Duration(0), true) == NextStep::Refuse);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(only_what_may_be_repeated_runs_again)
+{
+    const AttemptHistory ran{1, 1, false};
+    BOOST_CHECK(nextStep(route(RouteKind::Safe), ran, Enough, true) == NextStep::TryAnother);
+    BOOST_CHECK(nextStep(route(RouteKind::Safe, false, 1), ran, Enough, true) == NextStep::Fail);
+    BOOST_CHECK(nextStep(route(RouteKind::Unsafe, false, 9), ran, Enough, true) == NextStep::Fail);
+    BOOST_CHECK(nextStep(route(RouteKind::Streaming, false, 9), ran, Enough, true) == NextStep::Fail);
+    BOOST_CHECK(nextStep(route(RouteKind::Streaming, true), ran, Enough, true) == NextStep::TryAnother);
+    // A refusal after a possible run would be a false promise.
+    BOOST_CHECK(nextStep(route(RouteKind::Safe), ran, Enough, false) == NextStep::Fail);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_began_is_resumed_or_cut_off)
+{
+    const AttemptHistory begun{1, 1, true};
+    BOOST_CHECK(nextStep(route(RouteKind::Streaming, true), begun, Enough, true) == NextStep::TryAnother);
+    BOOST_CHECK(nextStep(route(RouteKind::Streaming, false, 9), begun, Enough, true) == NextStep::CutOff);
+    BOOST_CHECK(nextStep(route(RouteKind::Safe, false, 9), begun, Enough, true) == NextStep::CutOff);
+}
+
+BOOST_AUTO_TEST_CASE(whole_events_are_passed_on_and_their_last_id_is_kept)
+{
+    ResumePoint point;
+    BOOST_CHECK_EQUAL(point.feed("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    BOOST_CHECK_EQUAL(point.lastEventId(), "1");
+    BOOST_CHECK(point.hasPartial());
+    BOOST_CHECK_EQUAL(point.feed("ta: b\n\n"), "id: 2\ndata: b\n\n");
+    BOOST_CHECK_EQUAL(point.lastEventId(), "2");
+    BOOST_CHECK(!point.hasPartial());
+    BOOST_CHECK_EQUAL(point.feed("id: 3\n"), "");
+    point.dropPartial();
+    BOOST_CHECK_EQUAL(point.feed("id: 3\ndata: c\n\n"), "id: 3\ndata: c\n\n");
+    BOOST_CHECK_EQUAL(point.lastEventId(), "3");
+}
+
+BOOST_AUTO_TEST_CASE(an_event_may_begin_with_another_field)
+{
+    ResumePoint point;
+    point.feed("x-version: 2\nid:14\r\ndata: a\n\n");
+    BOOST_CHECK_EQUAL(point.lastEventId(), "14");
+}
--- /dev/null
+++ b/src/libhemlockhill/request/waiting_test.cpp
@@ -0,0 +1,55 @@
+// How long requests wait, and in which order.
+#include "hemlockhill/waiting.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <vector>
+
+using namespace Hemlockhill;
+
+namespace
+{
+
+Route route(RouteKind kind, Duration target, Duration gap = Duration(0))
+{
+    Route route;
+    route.kind = kind;
+    route.latencyTarget = target;
+    route.eventGapTarget = gap;
+    return route;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_stream_waits_no_longer_than_its_caller_does)
+{
+    const Route draft = route(RouteKind::Streaming, std::chrono::milliseconds(500), std::chrono::milliseconds(250));
+    BOOST_CHECK(usefulWait(draft, std::chrono::seconds(15)) < std::chrono::seconds(2));
+    BOOST_CHECK(usefulWait(draft, std::chrono::seconds(15)) > std::chrono::milliseconds(500));
+    const Route batch = route(RouteKind::Streaming, std::chrono::seconds(6), std::chrono::milliseconds(250));
+    BOOST_CHECK(usefulWait(batch, std::chrono::seconds(25)) >= std::chrono::seconds(6));
+    BOOST_CHECK(usefulWait(batch, std::chrono::seconds(25)) < std::chrono::seconds(12));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_is_refused_still_has_time_to_come_back)
+{
+    const Route call = route(RouteKind::Unsafe, std::chrono::milliseconds(300));
+    BOOST_CHECK(usefulWait(call, std::chrono::milliseconds(800)) < std::chrono::milliseconds(400));
+}
+
+// A burst of drafts and queries that the runners cannot take at once: those that are late let the others pass, in either class.
+BOOST_AUTO_TEST_CASE(requests_that_can_be_on_time_go_before_late_ones)
+{
+    const TimePoint start{};
+    std::vector<WaitingRank> waiting{{true, 0, start},
+                                     {false, 1, start + std::chrono::milliseconds(400)},
+                                     {false, 0, start + std::chrono::milliseconds(500)},
+                                     {true, 1, start},
+                                     {false, 1, start + std::chrono::milliseconds(390)}};
+    std::sort(waiting.begin(), waiting.end());
+    BOOST_CHECK(!waiting[0].late && waiting[0].priority == 0);
+    BOOST_CHECK(waiting[1].arrivedAt == start + std::chrono::milliseconds(390));
+    BOOST_CHECK(!waiting[2].late);
+    BOOST_CHECK(waiting[3].late && waiting[3].priority == 0);
+}
--- /dev/null
+++ b/src/libhemlockhill/routing/endpoint_choice_test.cpp
@@ -0,0 +1,118 @@
+// The choice among endpoints at one node.
+#include "hemlockhill/endpoint_choice.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Hemlockhill;
+
+namespace
+{
+
+const ServiceId Drafts{"drafts"};
+const ModelId Model{"m"};
+const TimePoint Start = TimePoint{} + std::chrono::seconds(100);
+
+LiveEndpoint runner(const std::string &id, std::set<RoutingTarget> held)
+{
+    LiveEndpoint endpoint;
+    endpoint.id = EndpointId{id};
+    endpoint.service = Drafts;
+    endpoint.dataCentre = DataCentreId{"a"};
+    endpoint.slots = 4;
+    endpoint.held = std::move(held);
+    return endpoint;
+}
+
+EndpointsById directory(std::initializer_list<LiveEndpoint> list)
+{
+    EndpointsById endpoints;
+    for (const LiveEndpoint &endpoint : list) {
+        endpoints.emplace(endpoint.id, endpoint);
+    }
+    return endpoints;
+}
+
+EndpointNeed need(const std::string &adapter = {})
+{
+    EndpointNeed need;
+    need.service = Drafts;
+    need.target = {Model, AdapterId{adapter}};
+    need.prompt = TokenCount{100};
+    return need;
+}
+
+EndpointChooser chooser()
+{
+    return EndpointChooser(DataCentreId{"a"}, {}, 7);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_endpoint_with_fewer_requests_is_chosen)
+{
+    const auto endpoints = directory({runner("r1", {{Model, {}}}), runner("r2", {{Model, {}}})});
+    EndpointChooser choice = chooser();
+    for (int count = 0; count < 2; ++count) {
+        choice.onDispatched(EndpointId{"r1"}, TokenCount{1}, Start);
+    }
+    BOOST_CHECK_EQUAL(choice.choose(endpoints, need(), Start).endpoint.value_or(EndpointId{}), EndpointId{"r2"});
+}
+
+BOOST_AUTO_TEST_CASE(requests_of_other_nodes_count_as_the_directory_shows_them)
+{
+    auto endpoints = directory({runner("r1", {{Model, {}}}), runner("r2", {{Model, {}}})});
+    endpoints[EndpointId{"r1"}].load = 3;
+    EndpointChooser choice = chooser();
+    choice.onDirectory(endpoints);
+    choice.onDispatched(EndpointId{"r2"}, TokenCount{1}, Start);
+    BOOST_CHECK_EQUAL(choice.choose(endpoints, need(), Start).endpoint.value_or(EndpointId{}), EndpointId{"r2"});
+}
+
+BOOST_AUTO_TEST_CASE(what_is_missing_is_named)
+{
+    EndpointChooser choice = chooser();
+    BOOST_CHECK(choice.choose({}, need(), Start).reason == NoChoice::NoEndpoint);
+    BOOST_CHECK(choice.choose(directory({runner("r1", {})}), need(), Start).reason == NoChoice::ModelAbsent);
+    BOOST_CHECK(choice.choose(directory({runner("r1", {{Model, {}}})}), need("a1"), Start).reason == NoChoice::NotLoadedYet);
+    auto loading = directory({runner("r1", {})});
+    loading[EndpointId{"r1"}].loading = Model;
+    BOOST_CHECK(choice.choose(loading, need(), Start).reason == NoChoice::NotLoadedYet);
+    auto leaving = directory({runner("r1", {{Model, {}}})});
+    leaving[EndpointId{"r1"}].leaving = true;
+    BOOST_CHECK(choice.choose(leaving, need(), Start).reason == NoChoice::NoEndpoint);
+}
+
+BOOST_AUTO_TEST_CASE(a_full_endpoint_gets_nothing_more)
+{
+    const auto endpoints = directory({runner("r1", {{Model, {}}})});
+    EndpointChooser choice = chooser();
+    for (int count = 0; count < 6; ++count) {
+        BOOST_REQUIRE(choice.choose(endpoints, need(), Start).endpoint);
+        choice.onDispatched(EndpointId{"r1"}, TokenCount{1}, Start);
+    }
+    BOOST_CHECK(choice.choose(endpoints, need(), Start).reason == NoChoice::Full);
+    choice.onEnded(EndpointId{"r1"});
+    BOOST_CHECK(choice.choose(endpoints, need(), Start).endpoint);
+}
+
+BOOST_AUTO_TEST_CASE(prompts_of_all_nodes_are_paced_together)
+{
+    const auto endpoints = directory({runner("r1", {{Model, {}}})});
+    EndpointChooser choice = chooser();
+    choice.onOtherDispatched(EndpointId{"r1"}, TokenCount{5000}, Start);
+    const EndpointChoice paced = choice.choose(endpoints, need(), Start);
+    BOOST_CHECK(paced.reason == NoChoice::Paced);
+    BOOST_CHECK(paced.delay > Duration(0));
+    BOOST_CHECK(choice.choose(endpoints, need(), Start + paced.delay).endpoint);
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_fails_again_is_left_alone_for_a_while)
+{
+    const auto endpoints = directory({runner("r1", {{Model, {}}})});
+    EndpointChooser choice = chooser();
+    choice.onFailed(EndpointId{"r1"}, Start);
+    BOOST_CHECK(choice.choose(endpoints, need(), Start).endpoint);
+    choice.onFailed(EndpointId{"r1"}, Start);
+    BOOST_CHECK(choice.choose(endpoints, need(), Start).reason == NoChoice::NoneLeft);
+    BOOST_CHECK(choice.choose(endpoints, need(), Start + std::chrono::seconds(5)).endpoint);
+}
--- /dev/null
+++ b/src/libhemlockhill/routing/endpoint_directory_test.cpp
@@ -0,0 +1,53 @@
+// The directory of endpoints as text.
+#include "hemlockhill/endpoint_directory.h"
+
+#include "hemlockhill/failure.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Hemlockhill;
+
+namespace
+{
+
+LiveEndpoint runner(const std::string &id)
+{
+    LiveEndpoint endpoint;
+    endpoint.id = EndpointId{id};
+    endpoint.incarnation = Incarnation{"17"};
+    endpoint.service = ServiceId{"drafts"};
+    endpoint.address = Address{"10.0.0.1", 8080};
+    endpoint.dataCentre = DataCentreId{"a"};
+    endpoint.slots = 64;
+    endpoint.held = {{ModelId{"m"}, {}}, {ModelId{"m"}, AdapterId{"a1"}}};
+    endpoint.loading = ModelId{"n"};
+    endpoint.loadingLeft = std::chrono::milliseconds(1500);
+    endpoint.load = 7;
+    return endpoint;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_directory_survives_its_text)
+{
+    const EndpointsById endpoints{{EndpointId{"r1"}, runner("r1")}, {EndpointId{"r2"}, runner("r2")}};
+    BOOST_CHECK(decodeDirectory(encodeDirectory(endpoints)) == endpoints);
+    BOOST_CHECK(decodeDirectory("[]").empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_damaged_directory_is_refused_as_a_whole)
+{
+    for (const char *text : {"", "{}", "[1]", "[{\"id\": \"r1\"}]", "[{\"id\": 3}]"}) {
+        BOOST_CHECK_THROW(decodeDirectory(text), DecodeError);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(only_endpoints_of_the_service_that_take_work_are_active)
+{
+    EndpointsById endpoints{{EndpointId{"r1"}, runner("r1")}, {EndpointId{"r2"}, runner("r2")}, {EndpointId{"r3"}, runner("r3")}};
+    endpoints[EndpointId{"r2"}].leaving = true;
+    endpoints[EndpointId{"r3"}].service = ServiceId{"other"};
+    const auto active = activeEndpoints(endpoints, ServiceId{"drafts"});
+    BOOST_REQUIRE_EQUAL(active.size(), 1);
+    BOOST_CHECK_EQUAL(active.front()->id, EndpointId{"r1"});
+}
--- /dev/null
+++ b/src/libhemlockhill/routing/prompt_pacer_test.cpp
@@ -0,0 +1,80 @@
+// Prompts that arrive together are spread so that no runner's streams pause.
+#include "hemlockhill/prompt_pacer.h"
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <vector>
+
+using namespace Hemlockhill;
+
+namespace
+{
+
+const EndpointId Runner{"r1"};
+
+struct Sent {
+    TimePoint at;
+    std::uint64_t tokens;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_prompt_larger_than_the_bucket_goes_when_the_bucket_is_full)
+{
+    PromptPacer pacer({1000, 500});
+    const TimePoint start{};
+    BOOST_CHECK(pacer.delay(Runner, TokenCount{2000}, start) == Duration(0));
+    pacer.onDispatched(Runner, TokenCount{2000}, start);
+    BOOST_CHECK(pacer.delay(Runner, TokenCount{1}, start) > std::chrono::seconds(1));
+    BOOST_CHECK(pacer.delay(Runner, TokenCount{2000}, start + std::chrono::seconds(2)) == Duration(0));
+}
+
+BOOST_AUTO_TEST_CASE(other_runners_are_not_held_up)
+{
+    PromptPacer pacer({1000, 500});
+    pacer.onDispatched(Runner, TokenCount{2000}, TimePoint{});
+    BOOST_CHECK(pacer.delay(EndpointId{"r2"}, TokenCount{400}, TimePoint{}) == Duration(0));
+}
+
+// The load of a runner whose model is the most asked for: 20 prompts a second of 1,460 tokens each, with the gaps of a Poisson process.
+// What a runner reads in the time of three events must leave their pause within 250 ms.
+BOOST_AUTO_TEST_CASE(a_burst_is_spread_over_the_time_that_streams_bear)
+{
+    const PromptPace pace;
+    PromptPacer pacer(pace);
+    boost::random::mt19937_64 random(11);
+    boost::random::exponential_distribution<double> gap(20);
+    std::deque<TimePoint> waiting;
+    std::vector<Sent> sent;
+    constexpr std::uint64_t Prompt = 1460;
+    TimePoint nextArrival{};
+    const TimePoint end = TimePoint{} + std::chrono::seconds(60);
+    for (TimePoint now{}; now < end; now += std::chrono::milliseconds(1)) {
+        while (nextArrival <= now) {
+            waiting.push_back(nextArrival);
+            nextArrival += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random)));
+        }
+        if (!waiting.empty() && pacer.delay(Runner, TokenCount{Prompt}, now) == Duration(0)) {
+            pacer.onDispatched(Runner, TokenCount{Prompt}, now);
+            sent.push_back({now, Prompt});
+            waiting.pop_front();
+        }
+    }
+    constexpr Duration Window = std::chrono::milliseconds(200);
+    const double bound = pace.burst + pace.tokensPerSecond * std::chrono::duration<double>(Window).count();
+    std::uint64_t most = 0;
+    for (std::size_t first = 0; first < sent.size(); ++first) {
+        std::uint64_t sum = 0;
+        for (std::size_t index = first; index < sent.size() && sent[index].at - sent[first].at <= Window; ++index) {
+            sum += sent[index].tokens;
+        }
+        most = std::max(most, sum);
+    }
+    BOOST_CHECK_LE(static_cast<double>(most), bound);
+    // The runner is given as much as its pace allows while prompts wait.
+    const double rate = static_cast<double>(sent.size() * Prompt) / 60;
+    BOOST_CHECK_GE(rate, pace.tokensPerSecond * 0.9);
+}
