--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -6,6 +6,7 @@
 
 #include "hemlockhill/endpoint_directory.h"
 #include "hemlockhill/prompt_pacer.h"
+#include "hemlockhill/request_dialect.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
@@ -22,6 +23,7 @@
     // Without a model any endpoint of the service will do.
     RoutingTarget target;
     TokenCount prompt;
+    std::vector<PromptPart> sharedParts;
     // Endpoints that this request has already been sent to.
     std::set<EndpointId> avoided;
 };
@@ -68,7 +70,9 @@
 
     EndpointChoice choose(const EndpointsById &endpoints, const EndpointNeed &need, TimePoint now);
 
-    void onDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now);
+    // The part of the prompt that the endpoint probably has to read, as it keeps what it has read lately.
+    TokenCount unreadTokens(const EndpointId &endpoint, const EndpointNeed &need) const;
+    void onDispatched(const EndpointId &endpoint, const EndpointNeed &need, TimePoint now);
     // Another node has sent a prompt there.
     void onOtherDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now);
     // An exchange ended, well or not.
@@ -101,6 +105,7 @@
     EndpointChooserLimits m_limits;
     boost::random::mt19937_64 m_random;
     PromptPacer m_pacer;
+    PrefixIndex m_prefixes;
     std::map<EndpointId, Record> m_records;
 };
 
--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -41,6 +41,14 @@
     std::set<ModelId> onDisk;
 };
 
+// What is asked of a model and what carries it, for logs.
+struct ModelLoad {
+    // Seconds of a runner's time in a second.
+    double work = 0;
+    std::uint32_t copies = 0;
+    std::uint32_t waiting = 0;
+};
+
 enum class RunnerOperation { Load, Unload };
 
 std::string_view toText(RunnerOperation operation);
@@ -112,6 +120,8 @@
     std::vector<EndpointId> reportsDue(TimePoint now);
     // Orders to send now, at most one for each runner.
     std::vector<RunnerOrder> decide(TimePoint now);
+    // The models that are asked for.
+    std::map<ModelId, ModelLoad> loads(TimePoint now) const;
     // The endpoints as callers' nodes should see them.
     EndpointsById directory(TimePoint now) const;
 
--- a/src/include/hemlockhill/prompt_pacer.h
+++ b/src/include/hemlockhill/prompt_pacer.h
@@ -13,9 +13,9 @@
 
 struct PromptPace {
     // Prompt tokens a second that a runner reads without holding up its streams.
-    double tokensPerSecond = 13'000;
+    double tokensPerSecond = 16'000;
     // Prompt tokens that it may be given at once.
-    double burst = 2'200;
+    double burst = 3'200;
 };
 
 // A token bucket for each runner, filled by time and drawn from by every prompt that any node sends there. A prompt that is larger than
--- a/src/include/hemlockhill/request_dialect.h
+++ b/src/include/hemlockhill/request_dialect.h
@@ -3,6 +3,7 @@
 
 #include "hemlockhill/engine_api.h"
 #include "hemlockhill/http.h"
+#include "hemlockhill/prefix_index.h"
 #include "hemlockhill/world.h"
 
 #include <functional>
@@ -13,6 +14,13 @@
 namespace Hemlockhill
 {
 
+// A part of a prompt that other requests may share.
+struct PromptPart {
+    // Covers the part and everything before it, for this model and adapter.
+    PrefixHash prefix;
+    TokenCount tokens;
+};
+
 // What a caller's headers say of its request.
 struct RoutedRequestHead {
     // The caller's own name for this attempt; endpoints repeat it in their answers.
@@ -22,6 +30,8 @@
     // Empty when the request is for no model.
     RoutingTarget target;
     TokenCount promptTokens;
+    // The beginning of the prompt, in order, without the part that belongs to this request alone.
+    std::vector<PromptPart> sharedParts;
     // The most that may be generated.
     TokenCount outputTokens;
     // What the caller expects to be generated; often far off.
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -77,6 +77,7 @@
     m_need.service = std::move(service);
     m_need.target = m_head.target;
     m_need.prompt = m_head.promptTokens;
+    m_need.sharedParts = m_head.sharedParts;
 }
 
 void Gateway::Request::start()
@@ -191,9 +192,10 @@
     m_headers.clear();
     m_body.clear();
     m_resume.dropPartial();
-    m_gateway.m_chooser.onDispatched(endpoint, m_need.prompt, currentTime());
+    const TokenCount unread = m_gateway.m_chooser.unreadTokens(endpoint, m_need);
+    m_gateway.m_chooser.onDispatched(endpoint, m_need, currentTime());
     if (!m_need.target.model.empty() && m_gateway.onPromptSent) {
-        m_gateway.onPromptSent(endpoint, m_need.prompt);
+        m_gateway.onPromptSent(endpoint, unread);
     }
     ForwardOptions options;
     options.endpoint = endpoint;
@@ -297,9 +299,14 @@
     if (bytes.empty()) {
         return;
     }
-    if (m_history.exchanges == 1 && m_firstByte) {
+    const TimePoint now = currentTime();
+    if (m_lastEventAt == TimePoint{}) {
+        m_firstByte = now - m_arrivedAt;
         m_gateway.m_metrics.observeFirstToken(*m_firstByte);
+    } else {
+        m_longestGap = std::max(m_longestGap, std::chrono::duration_cast<Duration>(now - m_lastEventAt));
     }
+    m_lastEventAt = now;
     m_responder->write(std::move(bytes));
     limitPending();
 }
@@ -514,6 +521,9 @@
         fields["model"] = m_head.target.model.value;
         fields["adapter"] = m_head.target.adapter.value;
     }
+    if (m_streaming) {
+        fields["longest_gap_ms"] = milliseconds(m_longestGap);
+    }
     if (m_firstByte) {
         fields["first_byte_ms"] = milliseconds(*m_firstByte);
     }
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -89,6 +89,9 @@
     bool m_streaming = false;
     ResumePoint m_resume;
     std::optional<Duration> m_firstByte;
+    // Of the events that went to the caller.
+    TimePoint m_lastEventAt;
+    Duration m_longestGap{0};
     std::optional<Reason> m_lastFailure;
     bool m_done = false;
 };
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -253,6 +253,21 @@
     return endpoints;
 }
 
+std::map<ModelId, ModelLoad> FleetPlacement::loads(TimePoint now) const
+{
+    std::map<ModelId, ModelLoad> loads;
+    for (const auto &[target, demand] : m_demand) {
+        if (rateOf(target, now) > 0) {
+            loads[target.model].work += demand.work * fading(demand, now);
+        }
+    }
+    for (auto &[model, load] : loads) {
+        load.copies = copies(model);
+        load.waiting = waitingForModel(model);
+    }
+    return loads;
+}
+
 const EngineProfile *FleetPlacement::profileOf(const Runner &runner) const
 {
     if (!m_deployment) {
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -4,6 +4,7 @@
 #include <boost/random/uniform_real_distribution.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Hemlockhill
 {
@@ -17,6 +18,19 @@
 constexpr double TieBreak = 0.5;
 // An endpoint elsewhere is preferred once it has this many requests fewer per slot.
 constexpr double OtherDataCentreLoad = 0.02;
+// Prompt tokens that weigh as much as one more request in progress.
+constexpr double TokensOfOneRequest = 1500;
+// Beginnings of prompts that are remembered, over all endpoints.
+constexpr std::size_t PrefixLimit = 20'000;
+
+std::vector<PrefixHash> prefixesOf(const std::vector<PromptPart> &parts)
+{
+    std::vector<PrefixHash> prefixes;
+    for (const PromptPart &part : parts) {
+        prefixes.push_back(part.prefix);
+    }
+    return prefixes;
+}
 
 } // namespace
 
@@ -44,6 +58,7 @@
     , m_limits(limits)
     , m_random(seed)
     , m_pacer(m_limits.pace)
+    , m_prefixes(PrefixLimit)
 {
 }
 
@@ -73,7 +88,8 @@
         if (load >= endpoint->slots * (1 + m_limits.queueShare)) {
             continue;
         }
-        const Duration delay = needsModel ? m_pacer.delay(endpoint->id, need.prompt, now) : Duration(0);
+        const TokenCount unread = needsModel ? unreadTokens(endpoint->id, need) : TokenCount{0};
+        const Duration delay = needsModel ? m_pacer.delay(endpoint->id, unread, now) : Duration(0);
         if (delay > Duration(0)) {
             choice.delay = anyRoom ? std::min(choice.delay, delay) : delay;
             anyRoom = true;
@@ -81,7 +97,8 @@
         }
         boost::random::uniform_real_distribution<double> draw(0, TieBreak);
         const double elsewhere = endpoint->dataCentre == m_dataCentre ? 0 : OtherDataCentreLoad;
-        const double cost = (load + draw(m_random)) / endpoint->slots + elsewhere;
+        const double work = load + static_cast<double>(unread.value) / TokensOfOneRequest;
+        const double cost = (work + draw(m_random)) / endpoint->slots + elsewhere;
         if (!choice.endpoint || cost < best) {
             choice.endpoint = endpoint->id;
             best = cost;
@@ -117,10 +134,23 @@
     return record.inFlight + others;
 }
 
-void EndpointChooser::onDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now)
+TokenCount EndpointChooser::unreadTokens(const EndpointId &endpoint, const EndpointNeed &need) const
+{
+    const auto parts = need.sharedParts.size();
+    const double share = parts == 0 ? 0 : m_prefixes.share(endpoint, prefixesOf(need.sharedParts));
+    const auto kept = static_cast<std::size_t>(std::lround(share * static_cast<double>(parts)));
+    TokenCount unread = need.prompt;
+    for (std::size_t index = 0; index < kept; ++index) {
+        unread -= std::min(unread, need.sharedParts[index].tokens);
+    }
+    return unread;
+}
+
+void EndpointChooser::onDispatched(const EndpointId &endpoint, const EndpointNeed &need, TimePoint now)
 {
     ++m_records[endpoint].inFlight;
-    m_pacer.onDispatched(endpoint, prompt, now);
+    m_pacer.onDispatched(endpoint, unreadTokens(endpoint, need), now);
+    m_prefixes.onPlaced(endpoint, prefixesOf(need.sharedParts));
 }
 
 void EndpointChooser::onOtherDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now)
--- a/src/libhemlockhill/routing/endpoint_choice_test.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice_test.cpp
@@ -41,6 +41,14 @@
     return need;
 }
 
+// A request whose prompt is too short to be paced.
+EndpointNeed small()
+{
+    EndpointNeed brief = need();
+    brief.prompt = TokenCount{1};
+    return brief;
+}
+
 EndpointChooser chooser()
 {
     return EndpointChooser(DataCentreId{"a"}, {}, 7);
@@ -53,7 +61,7 @@
     const auto endpoints = directory({runner("r1", {{Model, {}}}), runner("r2", {{Model, {}}})});
     EndpointChooser choice = chooser();
     for (int count = 0; count < 2; ++count) {
-        choice.onDispatched(EndpointId{"r1"}, TokenCount{1}, Start);
+        choice.onDispatched(EndpointId{"r1"}, small(), Start);
     }
     BOOST_CHECK_EQUAL(choice.choose(endpoints, need(), Start).endpoint.value_or(EndpointId{}), EndpointId{"r2"});
 }
@@ -64,7 +72,7 @@
     endpoints[EndpointId{"r1"}].load = 3;
     EndpointChooser choice = chooser();
     choice.onDirectory(endpoints);
-    choice.onDispatched(EndpointId{"r2"}, TokenCount{1}, Start);
+    choice.onDispatched(EndpointId{"r2"}, small(), Start);
     BOOST_CHECK_EQUAL(choice.choose(endpoints, need(), Start).endpoint.value_or(EndpointId{}), EndpointId{"r2"});
 }
 
@@ -88,7 +96,7 @@
     EndpointChooser choice = chooser();
     for (int count = 0; count < 6; ++count) {
         BOOST_REQUIRE(choice.choose(endpoints, need(), Start).endpoint);
-        choice.onDispatched(EndpointId{"r1"}, TokenCount{1}, Start);
+        choice.onDispatched(EndpointId{"r1"}, small(), Start);
     }
     BOOST_CHECK(choice.choose(endpoints, need(), Start).reason == NoChoice::Full);
     choice.onEnded(EndpointId{"r1"});
@@ -116,3 +124,17 @@
     BOOST_CHECK(choice.choose(endpoints, need(), Start).reason == NoChoice::NoneLeft);
     BOOST_CHECK(choice.choose(endpoints, need(), Start + std::chrono::seconds(5)).endpoint);
 }
+
+BOOST_AUTO_TEST_CASE(what_an_endpoint_has_read_lately_is_not_read_again)
+{
+    EndpointChooser choice = chooser();
+    EndpointNeed shared = need();
+    shared.prompt = TokenCount{1000};
+    shared.sharedParts = {{PrefixHash{1}, TokenCount{200}}, {PrefixHash{2}, TokenCount{100}}};
+    BOOST_CHECK_EQUAL(choice.unreadTokens(EndpointId{"r1"}, shared).value, 1000);
+    choice.onDispatched(EndpointId{"r1"}, shared, Start);
+    BOOST_CHECK_EQUAL(choice.unreadTokens(EndpointId{"r1"}, shared).value, 700);
+    shared.sharedParts[1].prefix = PrefixHash{3};
+    BOOST_CHECK_EQUAL(choice.unreadTokens(EndpointId{"r1"}, shared).value, 800);
+    BOOST_CHECK_EQUAL(choice.unreadTokens(EndpointId{"r2"}, shared).value, 1000);
+}
