Stop counting a copy as soon as it is told to go

Cause: three copies of one model were told to go in one pass, each on account of the others, and its callers were refused for 2 s.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -85,15 +85,17 @@
 struct FleetLimits {
     // The share of a runner's time that one copy of a model may take before another copy is worth a load.
     double busyShare = 0.35;
-    // The share that the copies left over may take after one of them has made room.
-    double idleShare = 0.3;
+    // A copy makes room for another model's when the busier of the two then has at most this part of what the other one has now.
+    double reliefPart = 0.8;
+    // A model that takes less of a runner's time may be moved elsewhere to make room.
+    double coldShare = 0.08;
     // What a runner reads of prompts, and the tokens that it generates for all requests of a full batch together.
     double promptTokensPerSecond = 25'800;
     double outputTokensPerSecond = 5'000;
     // Requests a second for one adapter on one runner, from which on it is loaded on another one too.
-    double busyAdapterRate = 6;
+    double busyAdapterRate = 1.5;
     // Models being loaded at one time.
-    std::uint32_t concurrentLoads = 4;
+    std::uint32_t concurrentLoads = 6;
     // The store's loads are counted over this time.
     Duration storeWindow = std::chrono::seconds(5);
     // The time after which demand counts a third.
@@ -178,6 +180,10 @@
     void placeModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     bool placeModel(
         const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders);
+    // Begins to move a model that is hardly asked for to where it fits beside others.
+    bool relocateFor(
+        const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders);
+    RunnerOrder orderLoad(Runner &runner, const EngineModel &model, TimePoint now);
     std::optional<RoutingTarget> evictableAdapter(const Runner &runner, TimePoint now) const;
     std::optional<ModelId> evictableModel(const Runner &runner, const ModelId &inFavourOf, TimePoint now) const;
     RunnerOrder order(Runner &runner, RunnerOperation operation, const RoutingTarget &target);
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Hemlockhill
 {
@@ -97,6 +98,9 @@
             return;
         }
         runner.uncertainSince.reset();
+        if (!report.busy) {
+            runner.vacating.clear();
+        }
     } else if (isOld) {
         takeProgress(runner, report);
         return;
@@ -166,13 +170,11 @@
             runner.sequence = order.expected + OrderSequence{1};
         }
         if (order.operation == RunnerOperation::Unload) {
-            std::erase_if(runner.held, [&](const RoutingTarget &held) {
-                return isModel ? held.model == order.target.model : held == order.target;
-            });
             if (outcome == OrderOutcome::Accepted) {
                 // Requests that use it still run; their end shows in a report.
-                runner.vacating.insert(order.target);
                 runner.reportAskedAt = TimePoint{};
+            } else {
+                runner.vacating.erase(order.target);
             }
         } else if (!isModel) {
             runner.appearing[order.target] = now + AdapterLoadTime;
@@ -194,6 +196,9 @@
     if (isModel && order.operation == RunnerOperation::Load && outcome != OrderOutcome::Unknown) {
         runner.loading = ModelId{};
     }
+    if (order.operation == RunnerOperation::Unload && outcome != OrderOutcome::Unknown) {
+        runner.vacating.erase(order.target);
+    }
     // What the runner is in now is known from its next report.
     runner.pausedUntil = now + (outcome == OrderOutcome::Unknown ? m_limits.unknownPause : Duration(0));
     runner.uncertainSince = now;
@@ -448,7 +453,7 @@
                 bestCost = cost;
             }
         }
-        const auto wanted = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(rate / m_limits.busyAdapterRate));
+        const auto wanted = 1 + static_cast<std::uint32_t>(rate / m_limits.busyAdapterRate);
         if (best == nullptr || holders >= wanted) {
             continue;
         }
@@ -537,35 +542,77 @@
         }
     }
     if (best == nullptr) {
-        return false;
+        return relocateFor(service, profile, model, now, orders);
     }
     if (bestEviction) {
         orders.push_back(order(*best, RunnerOperation::Unload, baseOf(*bestEviction)));
         return true;
     }
-    if (!loadsWithoutStore(*best, model.id)) {
+    orders.push_back(orderLoad(*best, model, now));
+    return true;
+}
+
+bool FleetPlacement::relocateFor(
+    const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders)
+{
+    const bool storeOpen = storeAllows(profile, now);
+    for (auto &[id, runner] : m_runners) {
+        const double room = profile.weightCapacity.value - usedWeights(runner, profile);
+        if (runner.live.service != service || !takesOrders(runner, now) || isBusyWithModel(runner)) {
+            continue;
+        }
+        for (const auto &[otherId, other] : m_runners) {
+            const bool isSource = otherId != id && other.live.service == service && takesOrders(other, now) && !isBusyWithModel(other)
+                                  && !other.held.contains(baseOf(model.id));
+            for (const RoutingTarget &target : isSource ? other.held : std::set<RoutingTarget>{}) {
+                const auto moved = profile.models.find(target.model);
+                const bool isCold = target.adapter.empty() && moved != profile.models.end() && copies(target.model) == 1
+                                    && modelWork(target.model, now) < m_limits.coldShare && !runner.held.contains(target);
+                if (!isCold || moved->second.weights.value > room || (!storeOpen && !loadsWithoutStore(runner, target.model))) {
+                    continue;
+                }
+                const double freed = profile.weightCapacity.value - usedWeights(other, profile) + moved->second.weights.value;
+                if (freed >= model.weights.value) {
+                    orders.push_back(orderLoad(runner, moved->second, now));
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+RunnerOrder FleetPlacement::orderLoad(Runner &runner, const EngineModel &model, TimePoint now)
+{
+    if (!loadsWithoutStore(runner, model.id)) {
         m_storeLoads.push_back(now);
     }
-    orders.push_back(order(*best, RunnerOperation::Load, baseOf(model.id)));
     // Counts as a copy from now on, so that no second one is ordered.
-    best->loading = model.id;
-    best->loadedAt = now + model.loadTime;
-    return true;
+    runner.loading = model.id;
+    runner.loadedAt = now + model.loadTime;
+    return order(runner, RunnerOperation::Load, baseOf(model.id));
 }
 
 // A copy may go when others remain that can carry what is asked of the model.
 std::optional<ModelId> FleetPlacement::evictableModel(const Runner &runner, const ModelId &inFavourOf, TimePoint now) const
 {
     std::optional<ModelId> idlest;
-    double idlestShare = m_limits.idleShare;
-    const bool isAbsent = copies(inFavourOf) == 0;
+    const std::uint32_t favoured = copies(inFavourOf);
+    const bool isAbsent = favoured == 0;
+    const double wanted = modelWork(inFavourOf, now);
+    // Where the model has copies already, one more must relieve them.
+    const double bound = isAbsent ? std::numeric_limits<double>::max() : m_limits.reliefPart * wanted / favoured;
+    if (!isAbsent && wanted / (favoured + 1) > bound) {
+        return std::nullopt;
+    }
+    double idlestShare = bound;
     for (const RoutingTarget &target : runner.held) {
         const std::uint32_t present = target.adapter.empty() ? copies(target.model) : 0;
         if (present < 2) {
             continue;
         }
         const double share = modelWork(target.model, now) / (present - 1);
-        if (share < idlestShare || (isAbsent && !idlest)) {
+        if (share < idlestShare) {
             idlest = target.model;
             idlestShare = share;
         }
@@ -576,6 +623,13 @@
 RunnerOrder FleetPlacement::order(Runner &runner, RunnerOperation operation, const RoutingTarget &target)
 {
     runner.orderUnderWay = true;
+    if (operation == RunnerOperation::Unload) {
+        // No longer a copy from now on, so that no other one makes room on its account.
+        std::erase_if(runner.held, [&](const RoutingTarget &held) {
+            return target.adapter.empty() ? held.model == target.model : held == target;
+        });
+        runner.vacating.insert(target);
+    }
     return {runner.live.id, runner.live.incarnation, runner.live.address, operation, target, runner.sequence};
 }
 
--- a/src/libhemlockhill/placement/fleet_placement_test.cpp
+++ b/src/libhemlockhill/placement/fleet_placement_test.cpp
@@ -229,3 +229,21 @@
     fleet.report(0, 0, {model("m1")});
     BOOST_CHECK(fleet.placement.directory(fleet.now).at(EndpointId{"r0"}).held.empty());
 }
+
+// Several models want room at once while demand leaves one with three copies: only as many of these go as leave it one.
+BOOST_AUTO_TEST_CASE(copies_that_make_room_at_the_same_time_leave_one)
+{
+    Fleet fleet({{model("old"), model("b")}, {model("old"), model("c")}, {model("old"), model("d")}}, {"old", "b", "c", "d", "e", "f", "g"});
+    fleet.ask(model("e"), 3);
+    fleet.placement.onFigures(VmId{"other"}, {{model("f"), {1, 3, 100, 0}}, {model("g"), {1, 3, 100, 0}}}, fleet.now);
+    std::size_t gone = 0;
+    for (const RunnerOrder &order : fleet.orders(OrderOutcome::Accepted)) {
+        gone += order.operation == RunnerOperation::Unload && order.target == model("old") ? 1 : 0;
+    }
+    BOOST_CHECK_EQUAL(gone, 2);
+    std::size_t left = 0;
+    for (const auto &[id, endpoint] : fleet.placement.directory(fleet.now)) {
+        left += endpoint.holds(model("old")) ? 1 : 0;
+    }
+    BOOST_CHECK_EQUAL(left, 1);
+}
