Let a copy go only when another one runs requests

Cause: a copy that was still being loaded counted, so the only running one made room and its callers were refused for up to 8 s.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -164,7 +164,10 @@
     double fading(const Demand &demand, TimePoint now) const;
     std::uint32_t waitingFor(const RoutingTarget &target) const;
     std::uint32_t waitingForModel(const ModelId &model) const;
+    // Copies that are there or being loaded.
     std::uint32_t copies(const ModelId &model) const;
+    // Copies that run requests.
+    std::uint32_t readyCopies(const ModelId &model) const;
     double runnerWork(const Runner &runner, TimePoint now) const;
     void takeProgress(Runner &runner, const RunnerReport &report) const;
     std::set<RoutingTarget> charged(const Runner &runner) const;
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -337,6 +337,13 @@
     }));
 }
 
+std::uint32_t FleetPlacement::readyCopies(const ModelId &model) const
+{
+    return static_cast<std::uint32_t>(std::count_if(m_runners.begin(), m_runners.end(), [&](const auto &entry) {
+        return !entry.second.live.leaving && entry.second.held.contains(baseOf(model));
+    }));
+}
+
 double FleetPlacement::runnerWork(const Runner &runner, TimePoint now) const
 {
     double work = 0;
@@ -607,7 +614,7 @@
     }
     double idlestShare = bound;
     for (const RoutingTarget &target : runner.held) {
-        const std::uint32_t present = target.adapter.empty() ? copies(target.model) : 0;
+        const std::uint32_t present = target.adapter.empty() ? readyCopies(target.model) : 0;
         if (present < 2) {
             continue;
         }
--- a/src/libhemlockhill/placement/fleet_placement_test.cpp
+++ b/src/libhemlockhill/placement/fleet_placement_test.cpp
@@ -247,3 +247,18 @@
     }
     BOOST_CHECK_EQUAL(left, 1);
 }
+
+// While a second copy loads for seconds, the first one carries all requests and may not make room.
+BOOST_AUTO_TEST_CASE(a_copy_that_is_being_loaded_does_not_let_the_other_one_go)
+{
+    Fleet fleet({{model("a"), model("b")}, {model("c")}}, {"a", "b", "c"});
+    fleet.ask(model("a"), 3, 200'000);
+    const auto given = fleet.orders(OrderOutcome::Accepted);
+    BOOST_REQUIRE_EQUAL(given.size(), 1);
+    BOOST_CHECK(given[0].operation == RunnerOperation::Load && given[0].endpoint == EndpointId{"r1"});
+    for (int step = 0; step < 30; ++step) {
+        fleet.now += std::chrono::milliseconds(100);
+        fleet.placement.onFigures(Node, {{model("c"), {5, 5, 400'000, 0}}}, fleet.now);
+        BOOST_CHECK(fleet.orders(OrderOutcome::Accepted).empty());
+    }
+}
