--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -159,35 +159,34 @@
         }
         return;
     }
-    std::visit(Overloaded{
-                   [&](const ConsensusBatch &batch) {
-                       learnPeer(call.from, false);
-                       m_controller->onConsensus(batch, now);
-                   },
-                   [&](const IdentityRequest &) {
-                       learnPeer(call.from, false);
-                       answerCall(call.incoming, m_controller->identity());
-                   },
-                   [&](const FollowRequest &request) {
-                       if (m_controller->leads(now) && !request.figures.empty()) {
-                           m_hooks.figures(call.from, request.figures);
-                       }
-                       m_controller->follow(
-                           call.from,
-                           request,
-                           [this, incoming = call.incoming](FollowReply reply) { answerCall(incoming, std::move(reply)); },
-                           now);
-                   },
-                   [&](const AttestRequest &) { answerCall(call.incoming, AttestReply{}); },
-                   [&](const SubmitRequest &request) {
-                       m_controller->submit(
-                           request.payload,
-                           [this, incoming = call.incoming](SubmitReply reply) { answerCall(incoming, std::move(reply)); },
-                           now);
-                   },
-                   [&](const QueryRequest &) { answerCall(call.incoming, QueryReply{}); },
-               },
-               call.request);
+    std::visit(
+        Overloaded{
+            [&](const ConsensusBatch &batch) {
+                learnPeer(call.from, false);
+                m_controller->onConsensus(batch, now);
+            },
+            [&](const IdentityRequest &) {
+                learnPeer(call.from, false);
+                answerCall(call.incoming, m_controller->identity());
+            },
+            [&](const FollowRequest &request) {
+                if (m_controller->leads(now) && !request.figures.empty()) {
+                    m_hooks.figures(call.from, request.figures);
+                }
+                m_controller->follow(
+                    call.from,
+                    request,
+                    [this, incoming = call.incoming](FollowReply reply) { answerCall(incoming, std::move(reply)); },
+                    now);
+            },
+            [&](const AttestRequest &) { answerCall(call.incoming, AttestReply{}); },
+            [&](const SubmitRequest &request) {
+                m_controller->submit(
+                    request.payload, [this, incoming = call.incoming](SubmitReply reply) { answerCall(incoming, std::move(reply)); }, now);
+            },
+            [&](const QueryRequest &) { answerCall(call.incoming, QueryReply{}); },
+        },
+        call.request);
 }
 
 void GroupMember::onAnswer(const PeerCallAnswered &answer)
--- /dev/null
+++ b/src/libhemlockhill/control/open_group_test.cpp
@@ -0,0 +1,399 @@
+// Controllers that know only seeds: they begin one group, grow it, and repair it, under random cuts, kills and lost disks.
+#include "hemlockhill/controller.h"
+
+#include "consensus/group_under_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <deque>
+#include <iostream>
+
+using namespace Hemlockhill;
+
+namespace
+{
+
+constexpr std::size_t Seeds = 3;
+constexpr Duration Step = std::chrono::milliseconds(20);
+
+VmId vmAt(std::size_t node)
+{
+    return VmId{"10.0.0." + std::to_string(node + 1)};
+}
+
+std::size_t nodeOf(const VmId &vm)
+{
+    return std::stoul(vm.value.substr(vm.value.rfind('.') + 1)) - 1;
+}
+
+struct Letter {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    TimePoint at;
+    std::function<void()> deliver;
+};
+
+// What a VM's disk holds.
+struct Disk {
+    std::string folder;
+    TestDisk log;
+    std::optional<VoterMembership> initialMembership;
+};
+
+struct Vm {
+    std::unique_ptr<Controller> controller;
+    Disk disk;
+    std::set<VmId> known;
+    unsigned life = 0;
+    bool everStarted = false;
+    // The highest document that this process has applied.
+    std::uint64_t inForce = 0;
+};
+
+class Region
+{
+public:
+    Region(std::size_t size, std::uint64_t seed)
+        : m_random(seed)
+        , m_vms(size)
+    {
+    }
+
+    std::size_t random(std::size_t below) { return boost::random::uniform_int_distribution<std::size_t>(0, below - 1)(m_random); }
+    bool chance(std::size_t percent) { return random(100) < percent; }
+
+    void start(std::size_t node)
+    {
+        Vm &vm = m_vms[node];
+        Settings settings;
+        settings.cluster = ClusterId{"test"};
+        settings.vm = vmAt(node);
+        settings.peers.open = true;
+        settings.peers.listen.port = 1;
+        for (std::size_t seed = 0; seed < Seeds; ++seed) {
+            if (seed != node) {
+                settings.peers.others.push_back({vmAt(seed), {}, {}, true});
+            }
+        }
+        // As the platform sets it: only where the whole system starts for the first time.
+        settings.control.mayBeginGroup = !vm.everStarted && node < Seeds && now == TimePoint{} + Step;
+        vm.everStarted = true;
+        vm.known.clear();
+        vm.inForce = 0;
+        ++vm.life;
+        if (vm.disk.folder.empty()) {
+            vm.disk.folder = "folder" + std::to_string(++m_lastFolder);
+        }
+        ControllerHooks hooks;
+        hooks.sendConsensus = [this, node](const VmId &to, const ConsensusBatch &batch) {
+            send(node, to, [this, batch](std::size_t at) { m_vms[at].controller->onConsensus(batch, now); });
+        };
+        hooks.askIdentity = [this, node](const VmId &to) {
+            send(node, to, [this, node](std::size_t at) {
+                const IdentityReply reply = m_vms[at].controller->identity();
+                send(at, vmAt(node), [this, at, reply](std::size_t back) { m_vms[back].controller->onIdentity(vmAt(at), reply, now); });
+            });
+        };
+        hooks.store = [this, node](const ConsensusActions &actions) {
+            m_vms[node].disk.log.apply(actions);
+            later(node, [this, node, mark = *actions.mark] { m_vms[node].controller->onStorage(StorageSynced{mark}, now); });
+        };
+        hooks.adopt = [this, node](const VoterMembership &membership) { m_vms[node].disk.initialMembership = membership; };
+        hooks.leadershipChanged = [](std::optional<Term>) {};
+        hooks.applied = [this, node](const ReplicatedCommand &) { check(node); };
+        hooks.restored = [this, node] { check(node); };
+        vm.controller = std::make_unique<Controller>(settings, m_metrics, std::move(hooks));
+        StorageOpened opened;
+        opened.identity = VoterId{vm.disk.folder};
+        opened.restored = {vm.disk.log.hardState, std::nullopt, vm.disk.log.entries, vm.disk.initialMembership.value_or(VoterMembership{})};
+        if (vm.disk.log.snapshot) {
+            opened.restored.snapshot = *vm.disk.log.snapshot;
+        }
+        opened.initialMembership = vm.disk.initialMembership;
+        vm.controller->onStorage(opened, now);
+    }
+
+    void kill(std::size_t node)
+    {
+        m_vms[node].controller.reset();
+        std::erase_if(m_letters, [node](const Letter &letter) { return letter.to == node; });
+    }
+
+    void wipe(std::size_t node)
+    {
+        kill(node);
+        m_vms[node].disk = Disk{};
+    }
+
+    void step()
+    {
+        now += Step;
+        ++steps;
+        std::deque<Letter> due;
+        std::erase_if(m_letters, [&](Letter &letter) {
+            if (letter.at > now) {
+                return false;
+            }
+            due.push_back(std::move(letter));
+            return true;
+        });
+        for (Letter &letter : due) {
+            if (m_vms[letter.to].controller) {
+                letter.deliver();
+            }
+        }
+        for (std::size_t node = 0; node < m_vms.size(); ++node) {
+            if (m_vms[node].controller) {
+                m_vms[node].controller->tick(now);
+            }
+        }
+    }
+
+    void run(Duration time)
+    {
+        for (const TimePoint end = now + time; now < end;) {
+            step();
+        }
+    }
+
+    std::optional<std::size_t> leader() const
+    {
+        for (std::size_t node = 0; node < m_vms.size(); ++node) {
+            if (m_vms[node].controller && m_vms[node].controller->leads(now)) {
+                return node;
+            }
+        }
+        return std::nullopt;
+    }
+
+    // Sends a document with the next version to the leader, if there is one.
+    void submit()
+    {
+        const auto at = leader();
+        if (!at) {
+            return;
+        }
+        const DeploymentDocument document{DeploymentVersion{++m_lastVersion}, "document " + std::to_string(m_lastVersion)};
+        m_vms[*at].controller->submit(
+            encodePayload(ReplicatedMachine::Deployment, encode(document)),
+            [this, version = document.version.value](const SubmitReply &reply) {
+                if (std::holds_alternative<std::string>(reply.outcome)) {
+                    acknowledged = std::max(acknowledged, version);
+                }
+            },
+            now);
+    }
+
+    // No group but one is ever begun, what a leader answers includes everything acknowledged, and no process goes back.
+    void check(std::size_t node)
+    {
+        Vm &vm = m_vms[node];
+        if (!vm.controller) {
+            return;
+        }
+        const std::uint64_t version = vm.controller->state().deployment().current().version.value;
+        BOOST_REQUIRE_GE(version, vm.inForce);
+        vm.inForce = version;
+    }
+
+    void checkAll()
+    {
+        std::set<std::string> groups;
+        for (std::size_t node = 0; node < m_vms.size(); ++node) {
+            if (m_vms[node].disk.initialMembership) {
+                groups.insert(encodeMembership(*m_vms[node].disk.initialMembership));
+            }
+            if (m_vms[node].controller && m_vms[node].controller->leads(now)) {
+                BOOST_REQUIRE_GE(m_vms[node].controller->state().deployment().current().version.value, acknowledged);
+            }
+        }
+        BOOST_REQUIRE_LE(groups.size(), 1);
+    }
+
+    std::size_t voters() const
+    {
+        const auto at = leader();
+        return at ? m_vms[*at].controller->consensus()->membership().voters.size() : 0;
+    }
+
+    bool runs(std::size_t node) const { return m_vms[node].controller != nullptr; }
+    std::size_t size() const { return m_vms.size(); }
+
+    TimePoint now;
+    std::uint64_t steps = 0;
+    std::uint64_t acknowledged = 0;
+    std::set<std::pair<std::size_t, std::size_t>> cuts;
+    std::size_t dropPercent = 0;
+
+private:
+    void later(std::size_t node, std::function<void()> action)
+    {
+        m_letters.push_back({node, node, now + std::chrono::milliseconds(random(30)), std::move(action)});
+    }
+
+    void send(std::size_t from, const VmId &to, std::function<void(std::size_t)> deliver)
+    {
+        const std::size_t target = nodeOf(to);
+        // Whoever is called learns of the caller, as the peers' calls name it.
+        learn(from, target);
+        if (target >= m_vms.size() || cuts.contains({from, target}) || chance(dropPercent)) {
+            return;
+        }
+        m_letters.push_back({from, target, now + std::chrono::milliseconds(random(40)), [this, from, target, deliver = std::move(deliver)] {
+                                 learn(target, from);
+                                 deliver(target);
+                             }});
+    }
+
+    void learn(std::size_t node, std::size_t other)
+    {
+        Vm &vm = m_vms[node];
+        const bool isSeed = other < Seeds;
+        if (vm.controller && node != other && !isSeed && vm.known.insert(vmAt(other)).second) {
+            vm.controller->addPeer({vmAt(other), {}, {}, true});
+        }
+    }
+
+    boost::random::mt19937_64 m_random;
+    Metrics m_metrics;
+    std::vector<Vm> m_vms;
+    std::vector<Letter> m_letters;
+    std::uint64_t m_lastFolder = 0;
+    std::uint64_t m_lastVersion = 0;
+};
+
+std::uint64_t firstSeed()
+{
+    const char *text = std::getenv("HEMLOCKHILL_TEST_SEED");
+    return text == nullptr ? 1 : std::stoull(text);
+}
+
+void startAll(Region &region)
+{
+    region.now = TimePoint{} + Step;
+    for (std::size_t node = 0; node < region.size(); ++node) {
+        region.start(node);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(seeds_begin_one_group_that_grows_to_every_controller)
+{
+    Region region(5, 3);
+    startAll(region);
+    region.run(std::chrono::seconds(15));
+    BOOST_CHECK_EQUAL(region.voters(), 5);
+    region.submit();
+    region.run(std::chrono::seconds(1));
+    BOOST_CHECK_EQUAL(region.acknowledged, 1);
+    region.checkAll();
+}
+
+BOOST_AUTO_TEST_CASE(a_controller_with_an_empty_disk_begins_no_group_of_its_own)
+{
+    Region region(3, 4);
+    startAll(region);
+    region.run(std::chrono::seconds(5));
+    region.submit();
+    region.run(std::chrono::seconds(1));
+    for (std::size_t other : {1U, 2U}) {
+        region.cuts.insert({0, other});
+        region.cuts.insert({other, 0});
+    }
+    region.wipe(0);
+    region.start(0);
+    region.run(std::chrono::seconds(10));
+    region.checkAll();
+    region.cuts.clear();
+    region.run(std::chrono::seconds(15));
+    BOOST_CHECK_EQUAL(region.voters(), 3);
+    region.checkAll();
+}
+
+BOOST_AUTO_TEST_CASE(a_voter_that_is_gone_for_good_is_replaced_at_another_address)
+{
+    Region region(4, 5);
+    region.now = TimePoint{} + Step;
+    for (std::size_t node = 0; node < 3; ++node) {
+        region.start(node);
+    }
+    region.run(std::chrono::seconds(5));
+    region.submit();
+    region.run(std::chrono::seconds(1));
+    region.kill(1);
+    region.start(3);
+    region.run(std::chrono::seconds(20));
+    BOOST_CHECK_EQUAL(region.voters(), 3);
+    region.kill(0);
+    region.run(std::chrono::seconds(5));
+    BOOST_CHECK(region.leader());
+    region.checkAll();
+}
+
+// One disk is lost at a time, and the next one only after the group has had time to repair itself.
+BOOST_AUTO_TEST_CASE(random_failures_keep_what_was_acknowledged)
+{
+    std::uint64_t steps = 0;
+    for (std::uint64_t seed = firstSeed(); seed < firstSeed() + 12; ++seed) {
+        BOOST_TEST_CONTEXT("HEMLOCKHILL_TEST_SEED=" << seed)
+        {
+            Region region(5, seed);
+            startAll(region);
+            region.run(std::chrono::seconds(12));
+            TimePoint nextWipe = region.now + std::chrono::seconds(10);
+            for (int round = 0; round < 400; ++round) {
+                region.submit();
+                region.dropPercent = region.chance(30) ? 10 : 0;
+                const std::size_t node = region.random(region.size());
+                const std::size_t other = region.random(region.size());
+                switch (region.random(8)) {
+                case 0:
+                    region.kill(node);
+                    break;
+                case 1:
+                    if (region.now >= nextWipe && region.voters() == region.size()) {
+                        region.wipe(node);
+                        nextWipe = region.now + std::chrono::seconds(20);
+                    }
+                    break;
+                case 2:
+                    region.cuts.insert({node, other});
+                    break;
+                case 3:
+                    for (std::size_t herd = 0; herd < region.size(); ++herd) {
+                        region.kill(herd);
+                    }
+                    break;
+                default:
+                    region.cuts.clear();
+                    for (std::size_t down = 0; down < region.size(); ++down) {
+                        if (!region.runs(down)) {
+                            region.start(down);
+                        }
+                    }
+                }
+                region.run(std::chrono::milliseconds(100 + region.random(600)));
+                region.checkAll();
+            }
+            region.cuts.clear();
+            region.dropPercent = 0;
+            for (std::size_t down = 0; down < region.size(); ++down) {
+                if (!region.runs(down)) {
+                    region.start(down);
+                }
+            }
+            region.run(std::chrono::seconds(40));
+            BOOST_CHECK_EQUAL(region.voters(), 5);
+            const std::uint64_t before = region.acknowledged;
+            region.submit();
+            region.run(std::chrono::seconds(1));
+            BOOST_CHECK_GT(region.acknowledged, before);
+            region.checkAll();
+            steps += region.steps * region.size();
+        }
+    }
+    std::cout << "steps of controllers: " << steps << ", first seed " << firstSeed() << '\n';
+    BOOST_CHECK_GE(steps, 100'000);
+}
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -52,7 +52,8 @@
 {
     json::array list;
     for (const auto &[target, figure] : figures) {
-        list.push_back(json::array{target.model.value, target.adapter.value, figure.arrivals, figure.waiting, figure.promptTokens, figure.expectedTokens});
+        list.push_back(json::array{
+            target.model.value, target.adapter.value, figure.arrivals, figure.waiting, figure.promptTokens, figure.expectedTokens});
     }
     return json::serialize(list);
 }
@@ -167,12 +168,12 @@
         total += share.weight;
     }
     double drawn = draw() * total;
-    const auto chosen = std::find_if(
-        route->shares.begin(), route->shares.end(), [&drawn](const RouteShare &share) { return (drawn -= share.weight) < 0; });
+    const auto chosen =
+        std::find_if(route->shares.begin(), route->shares.end(), [&drawn](const RouteShare &share) { return (drawn -= share.weight) < 0; });
     const ServiceId service = chosen == route->shares.end() ? route->shares.back().service : chosen->service;
     const std::uint64_t number = ++m_lastRequest;
-    const auto started = std::make_shared<Request>(
-        *this, number, std::move(request), std::move(head), m_deployment, *route, service, responder);
+    const auto started =
+        std::make_shared<Request>(*this, number, std::move(request), std::move(head), m_deployment, *route, service, responder);
     m_requests.emplace(number, started);
     started->start();
 }
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -541,7 +541,8 @@
 // When room is likely: refused callers come back spread over a while, so that they do not meet again.
 Duration Gateway::Request::retryAfter() const
 {
-    const auto spread = std::chrono::duration_cast<Duration>(ShortestRetryAfter + (LongestRetryAfter - ShortestRetryAfter) * m_gateway.draw());
+    const auto spread =
+        std::chrono::duration_cast<Duration>(ShortestRetryAfter + (LongestRetryAfter - ShortestRetryAfter) * m_gateway.draw());
     return std::min(spread, std::max(ShortestRetryAfter, timeLeft() / 4));
 }
 
--- a/src/libhemlockhill/peers/peer_duty.cpp
+++ b/src/libhemlockhill/peers/peer_duty.cpp
@@ -226,8 +226,7 @@
 private:
     void add(const PeerSettings &peer)
     {
-        m_links.try_emplace(peer.vm,
-                            std::make_unique<PeerLink>(m_duty.m_settings, peer, m_io, m_duty.m_metrics, [this](PeerEvent event) {
+        m_links.try_emplace(peer.vm, std::make_unique<PeerLink>(m_duty.m_settings, peer, m_io, m_duty.m_metrics, [this](PeerEvent event) {
                                 m_duty.m_outlet(std::move(event));
                             }));
     }
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -107,7 +107,8 @@
     }
     runner.foreignBusy = report.busy && runner.loading.empty() && runner.vacating.empty();
     std::erase_if(runner.vacating, [&](const RoutingTarget &target) { return !report.held.contains(target); });
-    std::erase_if(runner.appearing, [&](const auto &entry) { return report.held.contains(entry.first) || now >= entry.second + ReportLag; });
+    std::erase_if(runner.appearing,
+                  [&](const auto &entry) { return report.held.contains(entry.first) || now >= entry.second + ReportLag; });
     runner.sequence = report.sequence;
     runner.held = report.held;
     std::erase_if(runner.held, [&](const RoutingTarget &target) { return runner.vacating.contains(target); });
@@ -181,7 +182,8 @@
         } else if (outcome == OrderOutcome::AlreadyDone) {
             runner.held.insert(order.target);
         } else {
-            const auto model = profile != nullptr ? profile->models.find(order.target.model) : std::map<ModelId, EngineModel>::const_iterator{};
+            const auto model =
+                profile != nullptr ? profile->models.find(order.target.model) : std::map<ModelId, EngineModel>::const_iterator{};
             const bool known = profile != nullptr && model != profile->models.end();
             const bool warm = runner.report && runner.report->inMemory.contains(order.target.model);
             const bool disk = runner.report && runner.report->onDisk.contains(order.target.model);
@@ -393,7 +395,8 @@
 
 bool FleetPlacement::takesOrders(const Runner &runner, TimePoint now) const
 {
-    return runner.report && !runner.foreignBusy && !runner.uncertainSince && !runner.live.leaving && !runner.orderUnderWay && now >= runner.pausedUntil;
+    return runner.report && !runner.foreignBusy && !runner.uncertainSince && !runner.live.leaving && !runner.orderUnderWay
+           && now >= runner.pausedUntil;
 }
 
 bool FleetPlacement::isBusyWithModel(const Runner &runner) const
@@ -533,9 +536,9 @@
         if (!fits) {
             eviction = evictableModel(runner, model.id, now);
             const auto evicted = eviction ? profile.models.find(*eviction) : profile.models.end();
-            const bool makesRoom = evicted != profile.models.end()
-                                   && usedWeights(runner, profile) - evicted->second.weights.value + model.weights.value
-                                          <= profile.weightCapacity.value;
+            const bool makesRoom =
+                evicted != profile.models.end()
+                && usedWeights(runner, profile) - evicted->second.weights.value + model.weights.value <= profile.weightCapacity.value;
             if (!makesRoom) {
                 continue;
             }
@@ -632,9 +635,8 @@
     runner.orderUnderWay = true;
     if (operation == RunnerOperation::Unload) {
         // No longer a copy from now on, so that no other one makes room on its account.
-        std::erase_if(runner.held, [&](const RoutingTarget &held) {
-            return target.adapter.empty() ? held.model == target.model : held == target;
-        });
+        std::erase_if(runner.held,
+                      [&](const RoutingTarget &held) { return target.adapter.empty() ? held.model == target.model : held == target; });
         runner.vacating.insert(target);
     }
     return {runner.live.id, runner.live.incarnation, runner.live.address, operation, target, runner.sequence};
--- a/src/libhemlockhill/runtime/log.cpp
+++ b/src/libhemlockhill/runtime/log.cpp
@@ -76,13 +76,8 @@
 class StandardOutput : public google::LogSink
 {
 public:
-    void send(google::LogSeverity,
-              const char *,
-              const char *,
-              int,
-              const google::LogMessageTime &,
-              const char *message,
-              std::size_t length) override
+    void send(google::LogSeverity, const char *, const char *, int, const google::LogMessageTime &, const char *message, std::size_t length)
+        override
     {
         std::string line(message, std::min(length, LongestLine - 1));
         line += '\n';
