--- a/src/libhemlockhill/routing/prompt_pacer.cpp
+++ b/src/libhemlockhill/routing/prompt_pacer.cpp
@@ -33,7 +33,9 @@
 
 void PromptPacer::onDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now)
 {
-    m_buckets[endpoint] = {levelOf(endpoint, now) - static_cast<double>(prompt.value), now};
+    // Taken before the bucket is made, which begins full.
+    const double level = levelOf(endpoint, now);
+    m_buckets[endpoint] = {level - static_cast<double>(prompt.value), now};
 }
 
 } // namespace Hemlockhill
