Pack models that are hardly asked for, and fill the room before demand comes

Cause: with every model on one runner at least, six places were left for copies of the models that take nine tenths of the work.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -96,6 +96,8 @@
     double busyAdapterRate = 1.5;
     // Models being loaded at one time.
     std::uint32_t concurrentLoads = 6;
+    // Of these, loads that only prepare for demand to come.
+    std::uint32_t concurrentPreparations = 2;
     // The store's loads are counted over this time.
     Duration storeWindow = std::chrono::seconds(5);
     // The time after which demand counts a third.
@@ -183,9 +185,13 @@
     void placeModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     bool placeModel(
         const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders);
-    // Begins to move a model that is hardly asked for to where it fits beside others.
-    bool relocateFor(
-        const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders);
+    // Moves models that are hardly asked for together, so that more runners have room for copies of the others.
+    void packColdModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
+    // How many copies of the largest model fit on a runner beside its cold models, were it to hold these and one more, or one fewer.
+    int roomBesideCold(const Runner &runner, const EngineProfile &profile, double addedWeights, TimePoint now) const;
+    bool isCold(const ModelId &model, TimePoint now) const;
+    // Gives what is left of room to the models that are asked for most.
+    void fillRoom(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     RunnerOrder orderLoad(Runner &runner, const EngineModel &model, TimePoint now);
     std::optional<RoutingTarget> evictableAdapter(const Runner &runner, TimePoint now) const;
     std::optional<ModelId> evictableModel(const Runner &runner, const ModelId &inFavourOf, TimePoint now) const;
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -515,6 +515,8 @@
         }
         placeModel(service, profile, *wish.model, now, orders);
     }
+    packColdModels(service, profile, now, orders);
+    fillRoom(service, profile, now, orders);
 }
 
 bool FleetPlacement::placeModel(
@@ -552,7 +554,7 @@
         }
     }
     if (best == nullptr) {
-        return relocateFor(service, profile, model, now, orders);
+        return false;
     }
     if (bestEviction) {
         orders.push_back(order(*best, RunnerOperation::Unload, baseOf(*bestEviction)));
@@ -562,34 +564,87 @@
     return true;
 }
 
-bool FleetPlacement::relocateFor(
-    const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders)
+bool FleetPlacement::isCold(const ModelId &model, TimePoint now) const
 {
+    return copies(model) == 1 && modelWork(model, now) < m_limits.coldShare;
+}
+
+int FleetPlacement::roomBesideCold(const Runner &runner, const EngineProfile &profile, double addedWeights, TimePoint now) const
+{
+    double largest = 1;
+    for (const auto &[id, model] : profile.models) {
+        largest = std::max(largest, model.weights.value);
+    }
+    double cold = addedWeights;
+    for (const RoutingTarget &target : runner.held) {
+        const auto model = profile.models.find(target.model);
+        const bool counts = target.adapter.empty() && model != profile.models.end() && isCold(target.model, now);
+        cold += counts ? model->second.weights.value : 0;
+    }
+    return static_cast<int>(std::floor((profile.weightCapacity.value - cold) / largest));
+}
+
+void FleetPlacement::packColdModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
+{
+    if (loadsUnderWay() >= m_limits.concurrentPreparations) {
+        return;
+    }
     const bool storeOpen = storeAllows(profile, now);
     for (auto &[id, runner] : m_runners) {
-        const double room = profile.weightCapacity.value - usedWeights(runner, profile);
         if (runner.live.service != service || !takesOrders(runner, now) || isBusyWithModel(runner)) {
             continue;
         }
+        const double room = profile.weightCapacity.value - usedWeights(runner, profile);
         for (const auto &[otherId, other] : m_runners) {
-            const bool isSource = otherId != id && other.live.service == service && takesOrders(other, now) && !isBusyWithModel(other)
-                                  && !other.held.contains(baseOf(model.id));
+            const bool isSource = otherId != id && other.live.service == service && !other.live.leaving && !isBusyWithModel(other);
             for (const RoutingTarget &target : isSource ? other.held : std::set<RoutingTarget>{}) {
                 const auto moved = profile.models.find(target.model);
-                const bool isCold = target.adapter.empty() && moved != profile.models.end() && copies(target.model) == 1
-                                    && modelWork(target.model, now) < m_limits.coldShare && !runner.held.contains(target);
-                if (!isCold || moved->second.weights.value > room || (!storeOpen && !loadsWithoutStore(runner, target.model))) {
+                const bool mayMove = target.adapter.empty() && moved != profile.models.end() && isCold(target.model, now);
+                if (!mayMove || moved->second.weights.value > room || (!storeOpen && !loadsWithoutStore(runner, target.model))) {
                     continue;
                 }
-                const double freed = profile.weightCapacity.value - usedWeights(other, profile) + moved->second.weights.value;
-                if (freed >= model.weights.value) {
+                const double weights = moved->second.weights.value;
+                const int before = roomBesideCold(runner, profile, 0, now) + roomBesideCold(other, profile, 0, now);
+                const int after = roomBesideCold(runner, profile, weights, now) + roomBesideCold(other, profile, -weights, now);
+                if (after > before) {
                     orders.push_back(orderLoad(runner, moved->second, now));
-                    return true;
+                    return;
                 }
             }
         }
     }
-    return false;
+}
+
+void FleetPlacement::fillRoom(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
+{
+    const bool storeOpen = storeAllows(profile, now);
+    for (auto &[id, runner] : m_runners) {
+        if (loadsUnderWay() >= m_limits.concurrentPreparations) {
+            return;
+        }
+        if (runner.live.service != service || !takesOrders(runner, now) || isBusyWithModel(runner)) {
+            continue;
+        }
+        const double room = profile.weightCapacity.value - usedWeights(runner, profile);
+        const EngineModel *best = nullptr;
+        double bestNeed = 0;
+        for (const auto &[modelId, model] : profile.models) {
+            const std::uint32_t present = copies(modelId);
+            const bool fits = model.weights.value <= room && !runner.held.contains(baseOf(modelId));
+            if (present == 0 || !fits || (!storeOpen && !loadsWithoutStore(runner, modelId))) {
+                continue;
+            }
+            // Before anything is asked for, the models that the operator placed often are those that will be.
+            const double need = m_demand.empty() ? present - 1 : modelWork(modelId, now) / present;
+            if (need > bestNeed) {
+                best = &model;
+                bestNeed = need;
+            }
+        }
+        if (best != nullptr && bestNeed > m_limits.coldShare) {
+            orders.push_back(orderLoad(runner, *best, now));
+        }
+    }
 }
 
 RunnerOrder FleetPlacement::orderLoad(Runner &runner, const EngineModel &model, TimePoint now)
