--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -73,10 +73,6 @@
     // The part of the prompt that the endpoint probably has to read, as it keeps what it has read lately.
     TokenCount unreadTokens(const EndpointId &endpoint, const EndpointNeed &need) const;
     void onDispatched(const EndpointId &endpoint, const EndpointNeed &need, TimePoint now);
-    void onEventGap(const EndpointId &endpoint, Duration gap, Duration target, TimePoint now)
-    {
-        m_pacer.onEventGap(endpoint, gap, target, now);
-    }
     // Another node has sent a prompt there.
     void onOtherDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now);
     // An exchange ended, well or not.
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -304,11 +304,7 @@
         m_firstByte = now - m_arrivedAt;
         m_gateway.m_metrics.observeFirstToken(*m_firstByte);
     } else {
-        const auto gap = std::chrono::duration_cast<Duration>(now - m_lastEventAt);
-        m_longestGap = std::max(m_longestGap, gap);
-        if (m_route.eventGapTarget > Duration(0)) {
-            m_gateway.m_chooser.onEventGap(m_endpoint, gap, m_route.eventGapTarget, now);
-        }
+        m_longestGap = std::max(m_longestGap, std::chrono::duration_cast<Duration>(now - m_lastEventAt));
     }
     m_lastEventAt = now;
     m_responder->write(std::move(bytes));
