--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -100,6 +100,10 @@
     std::uint32_t concurrentPreparations = 2;
     // The store's loads are counted over this time.
     Duration storeWindow = std::chrono::seconds(5);
+    // Loads beyond the store's pace that one window bears.
+    double storeBurst = 1;
+    // A new leader begins no load from the store for this long, until reports have shown what its predecessor began.
+    Duration takeoverPause = std::chrono::milliseconds(600);
     // The time after which demand counts a third.
     Duration demandMemory = std::chrono::milliseconds(1500);
     Duration reportPeriod = std::chrono::milliseconds(500);
@@ -110,7 +114,7 @@
 class FleetPlacement
 {
 public:
-    // Begins a term of office: what a former leader has ordered shows only in the reports.
+    // Begins a term of office. What a former leader has ordered shows only in the reports.
     FleetPlacement(FleetLimits limits, TimePoint now);
 
     void setDeployment(std::shared_ptr<const Deployment> deployment);
@@ -147,6 +151,8 @@
         std::set<RoutingTarget> vacating;
         // A report showed a load or unload under way that this leader has not ordered.
         bool foreignBusy = false;
+        // An order without an answer that may still be carried out, unless another one comes first.
+        std::optional<RunnerOrder> doubtful;
         // Since when it is not known which orders the runner has accepted.
         std::optional<TimePoint> uncertainSince;
     };
@@ -186,6 +192,9 @@
     bool placeModel(
         const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders);
     // Moves models that are hardly asked for together, so that more runners have room for copies of the others.
+    // Makes sure that an order without an answer cannot be carried out late, by giving it again or another one before it.
+    void settleDoubtful(const ServiceId &service, const EngineProfile &profile, std::vector<RunnerOrder> &orders);
+    double urgency(const ModelId &model, TimePoint now) const;
     void packColdModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     // How many copies of the largest model fit on a runner beside its cold models, were it to hold these and one more, or one fewer.
     int roomBesideCold(const Runner &runner, const EngineProfile &profile, double addedWeights, TimePoint now) const;
@@ -198,6 +207,7 @@
     RunnerOrder order(Runner &runner, RunnerOperation operation, const RoutingTarget &target);
 
     FleetLimits m_limits;
+    TimePoint m_beganAt;
     std::shared_ptr<const Deployment> m_deployment;
     std::map<EndpointId, Runner> m_runners;
     std::map<RoutingTarget, Demand> m_demand;
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -55,9 +55,8 @@
 
 FleetPlacement::FleetPlacement(FleetLimits limits, TimePoint now)
     : m_limits(limits)
+    , m_beganAt(now)
 {
-    // A former leader may have begun loads just now.
-    m_storeLoads.assign(m_limits.concurrentLoads, now);
 }
 
 void FleetPlacement::setDeployment(std::shared_ptr<const Deployment> deployment)
@@ -105,8 +104,15 @@
         takeProgress(runner, report);
         return;
     }
+    const bool wasForeignBusy = runner.foreignBusy;
     runner.foreignBusy = report.busy && runner.loading.empty() && runner.vacating.empty();
+    if (runner.foreignBusy && !wasForeignBusy) {
+        m_storeLoads.push_back(now);
+    }
     std::erase_if(runner.vacating, [&](const RoutingTarget &target) { return !report.held.contains(target); });
+    if (runner.doubtful && report.sequence > runner.doubtful->expected) {
+        runner.doubtful.reset();
+    }
     std::erase_if(runner.appearing,
                   [&](const auto &entry) { return report.held.contains(entry.first) || now >= entry.second + ReportLag; });
     runner.sequence = report.sequence;
@@ -162,6 +168,11 @@
     }
     Runner &runner = found->second;
     runner.orderUnderWay = false;
+    if (outcome == OrderOutcome::Unknown) {
+        runner.doubtful = order;
+    } else if (outcome == OrderOutcome::Accepted) {
+        runner.doubtful.reset();
+    }
     const bool isModel = order.target.adapter.empty();
     const EngineProfile *profile = profileOf(runner);
     if (outcome == OrderOutcome::Accepted || outcome == OrderOutcome::AlreadyDone) {
@@ -230,6 +241,7 @@
     }
     for (const auto &[id, service] : m_deployment->services) {
         if (service.engine) {
+            settleDoubtful(id, *service.engine, orders);
             placeAdapters(id, *service.engine, now, orders);
             placeModels(id, *service.engine, now, orders);
         }
@@ -418,7 +430,8 @@
         m_storeLoads.pop_front();
     }
     const double window = std::chrono::duration<double>(m_limits.storeWindow).count();
-    return static_cast<double>(m_storeLoads.size()) + 1 <= profile.loadsPerSecond * window;
+    const bool isSettled = now - m_beganAt >= m_limits.takeoverPause;
+    return isSettled && static_cast<double>(m_storeLoads.size()) + 1 <= profile.loadsPerSecond * window + m_limits.storeBurst;
 }
 
 bool FleetPlacement::loadsWithoutStore(const Runner &runner, const ModelId &model) const
@@ -501,11 +514,8 @@
     std::vector<Wish> wishes;
     for (const auto &[id, model] : profile.models) {
         const std::uint32_t present = copies(id);
-        const double work = modelWork(id, now);
-        if (present == 0) {
-            wishes.push_back({&model, 1000 + waitingForModel(id) + work});
-        } else if (work / present >= m_limits.busyShare) {
-            wishes.push_back({&model, work / present});
+        if (present == 0 || modelWork(id, now) / present >= m_limits.busyShare) {
+            wishes.push_back({&model, urgency(id, now)});
         }
     }
     std::sort(wishes.begin(), wishes.end(), [](const Wish &left, const Wish &right) { return left.urgency > right.urgency; });
@@ -519,6 +529,40 @@
     fillRoom(service, profile, now, orders);
 }
 
+// Models without a copy come first, those that requests wait for before others; then those whose copies have the most to do.
+double FleetPlacement::urgency(const ModelId &model, TimePoint now) const
+{
+    constexpr double AbsentFirst = 1000;
+    const std::uint32_t present = copies(model);
+    const double work = modelWork(model, now);
+    return present == 0 ? AbsentFirst + waitingForModel(model) + work : work / present;
+}
+
+void FleetPlacement::settleDoubtful(const ServiceId &service, const EngineProfile &profile, std::vector<RunnerOrder> &orders)
+{
+    for (auto &[id, runner] : m_runners) {
+        const bool isFree = runner.report && !runner.foreignBusy && !runner.uncertainSince && !runner.live.leaving && !runner.orderUnderWay;
+        if (runner.live.service != service || !isFree || !runner.doubtful || runner.sequence != runner.doubtful->expected) {
+            continue;
+        }
+        const RunnerOrder doubtful = *runner.doubtful;
+        const bool unloadsModel = doubtful.operation == RunnerOperation::Unload && doubtful.target.adapter.empty();
+        if (!unloadsModel || readyCopies(doubtful.target.model) >= 2) {
+            orders.push_back(order(runner, doubtful.operation, doubtful.target));
+            continue;
+        }
+        // The model is needed again: any other order keeps the late one from being carried out.
+        const auto model = profile.models.find(doubtful.target.model);
+        const RoutingTarget spare{doubtful.target.model, AdapterId{"a1"}};
+        const bool canLoad = model != profile.models.end() && model->second.adapters > 0 && !runner.held.contains(spare)
+                             && usedAdapterSlots(runner) < profile.adapterSlots
+                             && usedWeights(runner, profile) + model->second.adapterWeights.value <= profile.weightCapacity.value;
+        if (canLoad) {
+            orders.push_back(order(runner, RunnerOperation::Load, spare));
+        }
+    }
+}
+
 bool FleetPlacement::placeModel(
     const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders)
 {
