--- a/src/libhemlockhill/placement/fleet_placement_test.cpp
+++ b/src/libhemlockhill/placement/fleet_placement_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace Hemlockhill;
 
@@ -28,7 +29,9 @@
 class Fleet
 {
 public:
-    explicit Fleet(const std::vector<std::set<RoutingTarget>> &held, std::vector<std::string> models = {"m1", "m2", "m3"})
+    explicit Fleet(const std::vector<std::set<RoutingTarget>> &held,
+                   std::vector<std::string> models = {"m1", "m2", "m3"},
+                   const std::map<std::string, double> &weights = {})
         : placement(FleetLimits{}, Start - std::chrono::seconds(30))
     {
         auto deployment = std::make_shared<Deployment>();
@@ -42,7 +45,7 @@
         for (const std::string &name : models) {
             EngineModel described;
             described.id = ModelId{name};
-            described.weights = Megabytes{90};
+            described.weights = Megabytes{weights.contains(name) ? weights.at(name) : 90};
             described.adapterWeights = Megabytes{1};
             described.loadTime = std::chrono::seconds(8);
             engine.models.emplace(described.id, described);
@@ -299,3 +302,25 @@
     }
     BOOST_CHECK_EQUAL(loads, 1);
 }
+
+// Two runners each hold a small model that nobody asks for beside a free half: one of them moves, and a runner comes free for two copies
+// of a large model.
+BOOST_AUTO_TEST_CASE(models_that_nobody_asks_for_are_packed_together)
+{
+    Fleet fleet({{model("s1"), model("s2")}, {model("s3")}, {model("m1")}}, {"m1", "s1", "s2", "s3"}, {{"s1", 60}, {"s2", 60}, {"s3", 60}});
+    bool moved = false;
+    for (const RunnerOrder &order : fleet.orders(OrderOutcome::Accepted)) {
+        moved = moved || (order.operation == RunnerOperation::Load && order.target == model("s3") && order.endpoint == EndpointId{"r0"});
+    }
+    BOOST_CHECK(moved);
+}
+
+// Before anything is asked for, a free place goes to the model that stands on the most runners already.
+BOOST_AUTO_TEST_CASE(room_is_filled_before_demand_comes)
+{
+    Fleet fleet({{model("m1"), model("m2")}, {model("m1"), model("m3")}, {model("m3")}}, {"m1", "m2", "m3"}, {});
+    const auto given = fleet.orders(OrderOutcome::Accepted);
+    BOOST_REQUIRE_EQUAL(given.size(), 1);
+    BOOST_CHECK_EQUAL(given[0].endpoint, EndpointId{"r2"});
+    BOOST_CHECK(given[0].target == model("m1"));
+}
