Open a full or failed disk again instead of stopping the voter for good

Cause: a disk that was full for four seconds left its voter out until the process was started again, so that the next loss would have cost the quorum. Ruled out: unsafe promises; opening reads what is there and writes the last segment again, as a start does. Change: disk_full, sync_failed and input_output are reacted to by opening the folder again every 700 ms.

--- a/src/include/hemlockhill/log_storage.h
+++ b/src/include/hemlockhill/log_storage.h
@@ -36,7 +36,8 @@
 
 // The one reaction to a fault. StopVoter: the voter takes no further part until the process is started again, and says so.
 // RejoinAsLearner: the folder is set aside, and a new one with a new identity is repaired by replication.
-enum class StorageReaction { StopVoter, RejoinAsLearner };
+// Reopen: the voter takes no part until the folder could be opened again, as at a start of the process.
+enum class StorageReaction { StopVoter, RejoinAsLearner, Reopen };
 
 std::string_view toText(StorageFault fault);
 std::string_view toText(StorageReaction reaction);
--- a/src/include/hemlockhill/storage_duty.h
+++ b/src/include/hemlockhill/storage_duty.h
@@ -5,6 +5,8 @@
 #include "hemlockhill/log_storage.h"
 #include "hemlockhill/metrics.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <filesystem>
 #include <functional>
 #include <memory>
@@ -27,7 +29,7 @@
     PersistedMark mark;
 };
 
-// The folder can no longer be used. With RejoinAsLearner a new one has been opened in its place, and StorageOpened follows.
+// The folder cannot be used. StorageOpened follows once it, or with RejoinAsLearner a new one in its place, could be opened.
 struct StorageFailed {
     StorageFault fault;
 };
@@ -40,7 +42,7 @@
     // Called on the storage thread.
     using Outlet = std::function<void(StorageEvent)>;
 
-    StorageDuty(std::filesystem::path folder, Metrics &metrics, Outlet outlet);
+    StorageDuty(std::filesystem::path folder, Metrics &metrics, Outlet outlet, FileHooks hooks = posixFileHooks());
     ~StorageDuty();
     StorageDuty(const StorageDuty &) = delete;
     StorageDuty &operator=(const StorageDuty &) = delete;
@@ -55,13 +57,16 @@
 
 private:
     void open();
+    void reopenLater();
     void syncWritten();
     void fail(const StorageError &error);
 
     std::filesystem::path m_folder;
+    FileHooks m_hooks;
     Metrics &m_metrics;
     Outlet m_outlet;
     Duty m_duty;
+    boost::asio::steady_timer m_reopen;
     std::unique_ptr<LogStorage> m_storage;
     std::optional<PersistedMark> m_writtenMark;
     bool m_syncScheduled = false;
--- a/src/libhemlockhill/control/storage_duty.cpp
+++ b/src/libhemlockhill/control/storage_duty.cpp
@@ -15,6 +15,8 @@
 namespace
 {
 
+// A full or faulty disk is tried again after this time.
+constexpr std::chrono::milliseconds ReopenPause(700);
 constexpr const char *InitialMembershipFile = "initial-membership.json";
 
 void syncPath(const std::filesystem::path &path)
@@ -67,11 +69,13 @@
 
 } // namespace
 
-StorageDuty::StorageDuty(std::filesystem::path folder, Metrics &metrics, Outlet outlet)
+StorageDuty::StorageDuty(std::filesystem::path folder, Metrics &metrics, Outlet outlet, FileHooks hooks)
     : m_folder(std::move(folder))
+    , m_hooks(std::move(hooks))
     , m_metrics(metrics)
     , m_outlet(std::move(outlet))
     , m_duty("storage")
+    , m_reopen(m_duty.context())
 {
 }
 
@@ -94,7 +98,7 @@
 void StorageDuty::open()
 {
     try {
-        m_storage = std::make_unique<LogStorage>(StorageSettings{m_folder, StorageSettings{}.segmentBytes});
+        m_storage = std::make_unique<LogStorage>(StorageSettings{m_folder, StorageSettings{}.segmentBytes}, m_hooks);
         if (m_storage->report().tornBytes > 0) {
             m_metrics.countEvent("torn_tail_cut");
             logEvent(Severity::Warning, "torn tail cut off", {{"bytes", m_storage->report().tornBytes}});
@@ -160,6 +164,10 @@
              "data folder failed",
              {{"fault", toText(error.fault())}, {"reaction", toText(error.reaction())}, {"problem", error.what()}});
     m_outlet(StorageFailed{error.fault()});
+    if (error.reaction() == StorageReaction::Reopen) {
+        reopenLater();
+        return;
+    }
     if (error.reaction() != StorageReaction::RejoinAsLearner) {
         return;
     }
@@ -173,4 +181,14 @@
     }
 }
 
+void StorageDuty::reopenLater()
+{
+    m_reopen.expires_after(ReopenPause);
+    m_reopen.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            open();
+        }
+    });
+}
+
 } // namespace Hemlockhill
--- /dev/null
+++ b/src/libhemlockhill/control/storage_duty_test.cpp
@@ -0,0 +1,91 @@
+// A disk that is full for a while does not end a voter.
+#include "hemlockhill/storage_duty.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <cerrno>
+#include <condition_variable>
+#include <deque>
+#include <filesystem>
+#include <mutex>
+#include <unistd.h>
+
+using namespace Hemlockhill;
+
+namespace
+{
+
+// The events of the storage thread, one after the other.
+class Events
+{
+public:
+    void push(StorageEvent event)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_events.push_back(std::move(event));
+        m_arrived.notify_one();
+    }
+
+    StorageEvent next()
+    {
+        std::unique_lock lock(m_mutex);
+        const bool arrived = m_arrived.wait_for(lock, std::chrono::seconds(20), [this] { return !m_events.empty(); });
+        BOOST_REQUIRE(arrived);
+        StorageEvent event = std::move(m_events.front());
+        m_events.pop_front();
+        return event;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_arrived;
+    std::deque<StorageEvent> m_events;
+};
+
+ConsensusActions entry(std::uint64_t index)
+{
+    ConsensusActions actions;
+    actions.mark = PersistedMark{index};
+    actions.append.push_back({Term{1}, LogIndex{index}, EntryKind::Command, "entry " + std::to_string(index)});
+    return actions;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_voter_goes_on_once_its_full_disk_has_room_again)
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("storage_duty_test-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    std::atomic<bool> isFull{false};
+    FileHooks hooks = posixFileHooks();
+    hooks.write = [&isFull, write = hooks.write](int file, const char *bytes, std::size_t size) -> std::int64_t {
+        if (isFull) {
+            errno = ENOSPC;
+            return -1;
+        }
+        return write(file, bytes, size);
+    };
+    Metrics metrics;
+    Events events;
+    StorageDuty storage(
+        folder, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
+    storage.start();
+    const auto opened = std::get<StorageOpened>(events.next());
+    storage.write(entry(1));
+    BOOST_CHECK(std::get<StorageSynced>(events.next()).mark == PersistedMark{1});
+    isFull = true;
+    storage.write(entry(2));
+    BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::DiskFull);
+    // Tried again while there is still no room.
+    BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::DiskFull);
+    isFull = false;
+    const auto again = std::get<StorageOpened>(events.next());
+    BOOST_CHECK_EQUAL(again.identity, opened.identity);
+    BOOST_REQUIRE_EQUAL(again.restored.entries.size(), 1);
+    BOOST_CHECK_EQUAL(again.restored.entries[0].payload, "entry 1");
+    storage.write(entry(2));
+    BOOST_CHECK(std::get<StorageSynced>(events.next()).mark == PersistedMark{2});
+    storage.stop();
+    std::filesystem::remove_all(folder);
+}
--- a/src/libhemlockhill/storage/storage_types.cpp
+++ b/src/libhemlockhill/storage/storage_types.cpp
@@ -25,13 +25,32 @@
 
 std::string_view toText(StorageReaction reaction)
 {
-    return reaction == StorageReaction::StopVoter ? "stop_voter" : "rejoin_as_learner";
+    switch (reaction) {
+    case StorageReaction::StopVoter:
+        return "stop_voter";
+    case StorageReaction::RejoinAsLearner:
+        return "rejoin_as_learner";
+    case StorageReaction::Reopen:
+        break;
+    }
+    return "reopen";
 }
 
 StorageReaction reactionTo(StorageFault fault)
 {
-    const bool contentLost = fault == StorageFault::Corrupt || fault == StorageFault::FolderLost;
-    return contentLost ? StorageReaction::RejoinAsLearner : StorageReaction::StopVoter;
+    switch (fault) {
+    case StorageFault::Corrupt:
+    case StorageFault::FolderLost:
+        return StorageReaction::RejoinAsLearner;
+    case StorageFault::FolderInUse:
+        return StorageReaction::StopVoter;
+    case StorageFault::DiskFull:
+    case StorageFault::SyncFailed:
+    case StorageFault::InputOutput:
+        break;
+    }
+    // Opening the folder reads what it holds and writes the last segment again, so nothing that was promised rests on a failed sync.
+    return StorageReaction::Reopen;
 }
 
 StorageError::StorageError(StorageFault fault, const std::string &detail)
