--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -193,7 +193,7 @@
         const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders);
     // Moves models that are hardly asked for together, so that more runners have room for copies of the others.
     // Makes sure that an order without an answer cannot be carried out late, by giving it again or another one before it.
-    void settleDoubtful(const ServiceId &service, const EngineProfile &profile, std::vector<RunnerOrder> &orders);
+    void settleDoubtful(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     double urgency(const ModelId &model, TimePoint now) const;
     void packColdModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     // How many copies of the largest model fit on a runner beside its cold models, were it to hold these and one more, or one fewer.
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t MailboxCapacity = 16'384;
 // After a controller could not be asked, so that the others are not asked in a busy loop.
 constexpr Duration FollowPause = std::chrono::milliseconds(150);
-// A leader answers a follower that is up to date after a fifth of the lease; without an answer for this long it counts as lost.
+// Controllers that a follower remembers as those to ask.
 constexpr std::size_t CandidateLimit = 16;
 
 } // namespace
