--- a/src/libhemlockhill/placement/fleet_placement_test.cpp
+++ b/src/libhemlockhill/placement/fleet_placement_test.cpp
@@ -25,12 +25,21 @@
     return {ModelId{id}, AdapterId{name}};
 }
 
+std::vector<std::string> numberedModels(std::size_t count)
+{
+    std::vector<std::string> models(count);
+    for (std::size_t number = 0; number < count; ++number) {
+        models[number] = "m" + std::to_string(number);
+    }
+    return models;
+}
+
 // Runners with room for two models and two adapters each.
 class Fleet
 {
 public:
     explicit Fleet(const std::vector<std::set<RoutingTarget>> &held,
-                   std::vector<std::string> models = {"m1", "m2", "m3"},
+                   const std::vector<std::string> &models = {"m1", "m2", "m3"},
                    const std::map<std::string, double> &weights = {})
         : placement(FleetLimits{}, Start - std::chrono::seconds(30))
     {
@@ -86,7 +95,7 @@
     // The orders that are given now, each answered in this way.
     std::vector<RunnerOrder> orders(OrderOutcome outcome)
     {
-        const std::vector<RunnerOrder> given = placement.decide(now);
+        std::vector<RunnerOrder> given = placement.decide(now);
         for (const RunnerOrder &order : given) {
             placement.onAnswered(order, outcome, now);
         }
@@ -193,10 +202,7 @@
 BOOST_AUTO_TEST_CASE(loads_keep_to_the_pace_of_the_store)
 {
     std::vector<std::set<RoutingTarget>> held(12);
-    std::vector<std::string> models;
-    for (int number = 0; number < 12; ++number) {
-        models.push_back("m" + std::to_string(number));
-    }
+    const std::vector<std::string> models = numberedModels(12);
     Fleet fleet(held, models);
     std::size_t loads = 0;
     for (int step = 0; step < 50; ++step) {
@@ -288,10 +294,7 @@
 BOOST_AUTO_TEST_CASE(loads_that_a_former_leader_began_count_at_the_store)
 {
     std::vector<std::set<RoutingTarget>> held(8);
-    std::vector<std::string> models;
-    for (int number = 0; number < 8; ++number) {
-        models.push_back("m" + std::to_string(number));
-    }
+    const std::vector<std::string> models = numberedModels(8);
     Fleet fleet(held, models);
     for (std::size_t index = 0; index < 5; ++index) {
         fleet.report(index, 1, {}, true);
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -26,6 +26,7 @@
 std::vector<PrefixHash> prefixesOf(const std::vector<PromptPart> &parts)
 {
     std::vector<PrefixHash> prefixes;
+    prefixes.reserve(parts.size());
     for (const PromptPart &part : parts) {
         prefixes.push_back(part.prefix);
     }
