--- a/src/libhemlockhill/node/gateway_test.cpp
+++ b/src/libhemlockhill/node/gateway_test.cpp
@@ -1,6 +1,9 @@
 // The gateway at sockets on loopback: what reaches endpoints and callers when endpoints answer, refuse, lose answers or mix them up.
 #include "hemlockhill/gateway.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <functional>
@@ -80,7 +83,7 @@
                 m_loop,
                 address,
                 HttpServerLimits{},
-                [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) {
+                [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                     ++runs;
                     m_handler(request, responder);
                 },
@@ -121,6 +124,44 @@
         return *whole ? std::optional(*answer) : std::nullopt;
     }
 
+    // Sends bytes as they are, and returns what comes back until the connection ends.
+    std::string sendRaw(const std::string &bytes)
+    {
+        boost::asio::ip::tcp::socket socket(m_loop);
+        socket.connect({boost::asio::ip::make_address(GatewayAddress.host), GatewayAddress.port});
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        std::string answer;
+        bool ended = false;
+        boost::asio::async_read(
+            socket, boost::asio::dynamic_buffer(answer), [&ended](boost::system::error_code, std::size_t) { ended = true; });
+        while (!ended) {
+            m_loop.run_one();
+        }
+        return answer;
+    }
+
+    // Sends a request and leaves once an endpoint has it.
+    void askAndLeave(const std::string &path)
+    {
+        {
+            boost::asio::ip::tcp::socket socket(m_loop);
+            socket.connect({boost::asio::ip::make_address(GatewayAddress.host), GatewayAddress.port});
+            boost::asio::write(socket, boost::asio::buffer("GET " + path + " HTTP/1.1\r\nHost: " + GatewayAddress.text() + "\r\n\r\n"));
+            while (runs == 0) {
+                m_loop.run_one();
+            }
+        }
+    }
+
+    void runUntil(const bool &condition)
+    {
+        while (!condition) {
+            m_loop.run_one();
+        }
+    }
+
+    std::size_t inProgress() const { return m_gateway.requestsInProgress(); }
+
     int runs = 0;
     // What came of the last answer, whole or not.
     std::string partial;
@@ -271,3 +312,33 @@
     BOOST_CHECK_EQUAL(setting.partial, "id: 1\ndata: a\n\n");
     BOOST_CHECK_EQUAL(setting.runs, 1);
 }
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_ends_the_work_at_the_endpoint)
+{
+    std::shared_ptr<HttpResponder> open;
+    bool isCancelled = false;
+    Setting setting(RouteKind::Unsafe, false, [&](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
+        open = responder;
+        responder->onGone = [&isCancelled] { isCancelled = true; };
+    });
+    setting.askAndLeave("/x/1");
+    setting.runUntil(isCancelled);
+    BOOST_CHECK_EQUAL(setting.inProgress(), 0);
+    BOOST_CHECK_EQUAL(setting.runs, 1);
+}
+
+// A request hidden in the body of another one would run under its caller's name.
+BOOST_AUTO_TEST_CASE(ambiguous_framing_is_refused_and_the_connection_closed)
+{
+    Setting setting(RouteKind::Safe, false, [](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+        responder->answer(signedAnswer(request));
+    });
+    const std::string hidden = "GET /x/2 HTTP/1.1\r\nHost: 127.0.0.1:17390\r\n\r\n";
+    for (const char *framing : {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 3\r\nContent-Length: 40\r\n"}) {
+        const std::string answer =
+            setting.sendRaw(std::string("POST /x/1 HTTP/1.1\r\nHost: 127.0.0.1:17390\r\n") + framing + "\r\n0\r\n\r\n" + hidden);
+        BOOST_CHECK(answer.starts_with("HTTP/1.1 400"));
+        BOOST_CHECK_EQUAL(answer.find("served"), std::string::npos);
+        BOOST_CHECK_EQUAL(setting.runs, 0);
+    }
+}
