--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -70,7 +70,7 @@
 
     // Answers go on, each the last on its connection.
     void beginLeaving();
-    // Takes no more requests; those in progress go on.
+    // Takes no more requests, and refuses those that wait; those that endpoints run go on.
     void stopAccepting();
     std::size_t requestsInProgress() const { return m_requests.size(); }
 
@@ -99,6 +99,7 @@
     TimePoint m_directoryAt;
     std::map<std::uint64_t, std::shared_ptr<Request>> m_requests;
     std::uint64_t m_lastRequest = 0;
+    bool m_isStopping = false;
     std::map<ServiceId, RetryBudget> m_budgets;
     FiguresByTarget m_figures;
     boost::random::mt19937_64 m_random;
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -141,7 +141,9 @@
 
 void Gateway::stopAccepting()
 {
+    m_isStopping = true;
     m_server->stopAccepting();
+    serveWaiting();
 }
 
 void Gateway::onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder)
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -155,9 +155,11 @@
     }
 }
 
+// Nothing waits at a node that leaves: its end would cut off who still waits then.
 bool Gateway::Request::hasWaitedTooLong(TimePoint now) const
 {
-    return now - *m_waitingSince >= waitLimit(m_waitingFor) || now >= m_arrivedAt + usefulWait(m_route, m_deadline - m_arrivedAt);
+    return m_gateway.m_isStopping || now - *m_waitingSince >= waitLimit(m_waitingFor)
+           || now >= m_arrivedAt + usefulWait(m_route, m_deadline - m_arrivedAt);
 }
 
 void Gateway::Request::giveUpWaiting()
--- a/src/libhemlockhill/node/gateway_test.cpp
+++ b/src/libhemlockhill/node/gateway_test.cpp
@@ -160,6 +160,13 @@
         }
     }
 
+    void withoutEndpoints() { m_gateway.setDirectory({}); }
+
+    void stopAfter(Duration delay)
+    {
+        m_timers.after(delay, m_loop, [this] { m_gateway.stopAccepting(); });
+    }
+
     std::size_t inProgress() const { return m_gateway.requestsInProgress(); }
 
     int runs = 0;
@@ -327,6 +334,21 @@
     BOOST_CHECK_EQUAL(setting.runs, 1);
 }
 
+// A node is told to stop while a request waits for an endpoint: its caller is told that it has not run, before the node ends.
+BOOST_AUTO_TEST_CASE(a_request_that_waits_is_refused_when_its_node_stops)
+{
+    Setting setting(RouteKind::Safe, false, [](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
+        responder->answer({503, "text/plain", {{"Not-Run", "1"}}, "full"});
+    });
+    setting.withoutEndpoints();
+    setting.stopAfter(std::chrono::milliseconds(50));
+    const TimePoint start = currentTime();
+    const auto answer = setting.ask("/x/1");
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->status, 503);
+    BOOST_CHECK(currentTime() - start < std::chrono::milliseconds(300));
+}
+
 // A request hidden in the body of another one would run under its caller's name.
 BOOST_AUTO_TEST_CASE(ambiguous_framing_is_refused_and_the_connection_closed)
 {
