Stop a node only once its answers are written, and give each session's processes ports of their own

Change: a stopping gateway waits for its connections too; ports given out are remembered. The new tests listen below the sessions' range.

--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -73,6 +73,8 @@
     // Takes no more requests, and refuses those that wait; those that endpoints run go on.
     void stopAccepting();
     std::size_t requestsInProgress() const { return m_requests.size(); }
+    // Whether every answer has been handed over whole and no connection is open.
+    bool isIdle() const;
 
 private:
     class Request;
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -146,6 +146,11 @@
     serveWaiting();
 }
 
+bool Gateway::isIdle() const
+{
+    return m_requests.empty() && m_server->connections() == 0;
+}
+
 void Gateway::onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder)
 {
     RoutedRequestHead head;
--- a/src/libhemlockhill/node/gateway_test.cpp
+++ b/src/libhemlockhill/node/gateway_test.cpp
@@ -2,6 +2,7 @@
 #include "hemlockhill/gateway.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -167,6 +168,26 @@
         m_timers.after(delay, m_loop, [this] { m_gateway.stopAccepting(); });
     }
 
+    // Notes whether the gateway still has an answer to write when its last request has ended.
+    void stopWhenAnswered(bool &wasBusy)
+    {
+        boost::asio::post(m_loop, [this, &wasBusy] {
+            if (runs == 0 || m_gateway.requestsInProgress() > 0) {
+                stopWhenAnswered(wasBusy);
+                return;
+            }
+            wasBusy = !m_gateway.isIdle();
+            m_gateway.stopAccepting();
+        });
+    }
+
+    void runUntilIdle()
+    {
+        while (!m_gateway.isIdle()) {
+            m_loop.run_one();
+        }
+    }
+
     std::size_t inProgress() const { return m_gateway.requestsInProgress(); }
 
     int runs = 0;
@@ -174,8 +195,8 @@
     std::string partial;
 
 private:
-    static inline const Address GatewayAddress{"127.0.0.1", 17'390};
-    static constexpr std::uint16_t FirstEndpointPort = 17'391;
+    static inline const Address GatewayAddress{"127.0.0.1", 9'390};
+    static constexpr std::uint16_t FirstEndpointPort = 9'391;
 
     static GatewaySettings gatewaySettings()
     {
@@ -349,16 +370,29 @@
     BOOST_CHECK(currentTime() - start < std::chrono::milliseconds(300));
 }
 
+// A node that stops once its last request has ended would cut off the end of the answer, which still has to be written.
+BOOST_AUTO_TEST_CASE(a_node_is_idle_only_once_its_answers_are_written)
+{
+    Setting setting(RouteKind::Safe, false, [](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+        responder->answer(signedAnswer(request));
+    });
+    bool wasBusyAfterLastRequest = false;
+    setting.stopWhenAnswered(wasBusyAfterLastRequest);
+    BOOST_CHECK_EQUAL(setting.ask("/x/1").value().status, 200);
+    BOOST_CHECK(wasBusyAfterLastRequest);
+    setting.runUntilIdle();
+}
+
 // A request hidden in the body of another one would run under its caller's name.
 BOOST_AUTO_TEST_CASE(ambiguous_framing_is_refused_and_the_connection_closed)
 {
     Setting setting(RouteKind::Safe, false, [](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
         responder->answer(signedAnswer(request));
     });
-    const std::string hidden = "GET /x/2 HTTP/1.1\r\nHost: 127.0.0.1:17390\r\n\r\n";
+    const std::string hidden = "GET /x/2 HTTP/1.1\r\nHost: 127.0.0.1:9390\r\n\r\n";
     for (const char *framing : {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 3\r\nContent-Length: 40\r\n"}) {
         const std::string answer =
-            setting.sendRaw(std::string("POST /x/1 HTTP/1.1\r\nHost: 127.0.0.1:17390\r\n") + framing + "\r\n0\r\n\r\n" + hidden);
+            setting.sendRaw(std::string("POST /x/1 HTTP/1.1\r\nHost: 127.0.0.1:9390\r\n") + framing + "\r\n0\r\n\r\n" + hidden);
         BOOST_CHECK(answer.starts_with("HTTP/1.1 400"));
         BOOST_CHECK_EQUAL(answer.find("served"), std::string::npos);
         BOOST_CHECK_EQUAL(setting.runs, 0);
--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -26,10 +26,14 @@
 LISTEN_PORTS = (10000, 32768)
 
 
+GIVEN_PORTS = set()
+
+
 def free_ports(count):
     """Ports that were free a moment ago. They lie below the range that the kernel gives to outgoing connections, which would else
     take one before its process listens."""
     ports = []
+    # Also not those given out before, whose processes may not listen yet.
     while len(ports) < count:
         port = random.randrange(*LISTEN_PORTS)
         with socket.socket() as probe:
@@ -38,7 +42,8 @@
                 probe.bind((HOST, port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
             ports.append(port)
     return ports
 
