--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -84,8 +84,6 @@
     // Keeps what is known of the endpoints that are still there; the load that others have put on them is the directory's.
     void onDirectory(const EndpointsById &endpoints);
 
-    std::uint32_t inFlight(const EndpointId &endpoint) const;
-
 private:
     struct Record {
         std::uint32_t inFlight = 0;
--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -181,6 +181,8 @@
     std::set<RoutingTarget> charged(const Runner &runner) const;
     double usedWeights(const Runner &runner, const EngineProfile &profile) const;
     std::uint32_t usedAdapterSlots(const Runner &runner) const;
+    // Whether one more adapter of the model fits, by places and by weight.
+    bool hasAdapterPlace(const Runner &runner, const EngineProfile &profile, const EngineModel &model) const;
     bool takesOrders(const Runner &runner, TimePoint now) const;
     bool isBusyWithModel(const Runner &runner) const;
     std::uint32_t loadsUnderWay() const;
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -61,7 +61,6 @@
     bool leads() const;
     // The leader that this node knows of; empty when unknown.
     VmId leader() const;
-    std::optional<Term> term() const;
     // Gives followers the leader's view of the runners.
     void publishFleet(std::string fleet);
     // Tells the leader this follower's figures now rather than with the next regular report.
@@ -82,6 +81,7 @@
     void onAnswer(const PeerCallAnswered &answer);
     void onFailed(const PeerCallFailed &failure);
     void onFollowReply(const VmId &from, const FollowReply &reply);
+    FollowRequest followRequest() const;
     void callFollow();
     void followNext();
     void learnPeer(const VmId &vm, bool front);
--- a/src/include/hemlockhill/prompt_pacer.h
+++ b/src/include/hemlockhill/prompt_pacer.h
@@ -28,7 +28,6 @@
     // How long a prompt of that size should wait before it goes to that endpoint; zero when it can go now.
     Duration delay(const EndpointId &endpoint, TokenCount prompt, TimePoint now) const;
     void onDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now);
-    void forget(const EndpointId &endpoint) { m_buckets.erase(endpoint); }
 
 private:
     struct Bucket {
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -119,11 +119,6 @@
     return m_controller ? m_controller->leader() : m_leader;
 }
 
-std::optional<Term> GroupMember::term() const
-{
-    return leads() ? std::optional(m_controller->consensus()->term()) : std::nullopt;
-}
-
 void GroupMember::publishFleet(std::string fleet)
 {
     if (m_controller) {
@@ -257,11 +252,16 @@
     if (m_candidates.empty()) {
         return;
     }
+    m_followCall = startCall(m_candidates.front(), followRequest());
+}
+
+FollowRequest GroupMember::followRequest() const
+{
     FollowRequest request;
     request.figures = m_hooks.ownFigures();
     request.deployment = m_inForce;
     request.fleetDigest = m_fleetDigest;
-    m_followCall = startCall(m_candidates.front(), request);
+    return request;
 }
 
 void GroupMember::reportFigures()
@@ -269,11 +269,7 @@
     if (m_controller || m_leader.empty()) {
         return;
     }
-    FollowRequest request;
-    request.figures = m_hooks.ownFigures();
-    request.deployment = m_inForce;
-    request.fleetDigest = m_fleetDigest;
-    startCall(m_leader, request);
+    startCall(m_leader, followRequest());
 }
 
 // The present candidate goes to the end, unless the one in front is new.
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -4,7 +4,6 @@
 #include "gateway_request.h"
 #include "hemlockhill/log.h"
 #include "hemlockhill/refusal_answer.h"
-#include "runtime/json_text.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -344,8 +344,7 @@
         ++m_history.possibleRuns;
         m_gateway.m_chooser.onFailed(m_endpoint, currentTime());
         leaveEndpoint();
-        const bool mayRetry = m_gateway.budgetOf(m_need.service).available() >= 1;
-        if (nextStep(m_route, m_history, timeLeft(), mayRetry) == NextStep::TryAnother) {
+        if (stepAfterFailure() == NextStep::TryAnother) {
             follow(NextStep::TryAnother, Reason::EndpointRefused);
             return;
         }
@@ -391,8 +390,13 @@
               {"possibly_ran", possiblyRan},
               {"exchange", m_history.exchanges}});
     leaveEndpoint();
+    follow(stepAfterFailure(), reason);
+}
+
+NextStep Gateway::Request::stepAfterFailure()
+{
     const bool mayRetry = m_gateway.budgetOf(m_need.service).available() >= 1;
-    follow(nextStep(m_route, m_history, timeLeft(), mayRetry), reason);
+    return nextStep(m_route, m_history, timeLeft(), mayRetry);
 }
 
 void Gateway::Request::follow(NextStep step, Reason reason)
--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -59,8 +59,7 @@
             if (!runner.held.contains(baseOf(target.model)) || !takesOrders(runner, now)) {
                 continue;
             }
-            const bool isFull = usedAdapterSlots(runner) >= profile.adapterSlots
-                                || usedWeights(runner, profile) + model->second.adapterWeights.value > profile.weightCapacity.value;
+            const bool isFull = !hasAdapterPlace(runner, profile, model->second);
             if (isFull && !evictableAdapter(runner, now)) {
                 continue;
             }
@@ -75,9 +74,7 @@
         if (best == nullptr || holders >= wanted) {
             continue;
         }
-        const bool hasPlace = usedAdapterSlots(*best) < profile.adapterSlots
-                              && usedWeights(*best, profile) + model->second.adapterWeights.value <= profile.weightCapacity.value;
-        if (hasPlace) {
+        if (hasAdapterPlace(*best, profile, model->second)) {
             orders.push_back(order(*best, RunnerOperation::Load, target));
         } else if (holders == 0) {
             orders.push_back(order(*best, RunnerOperation::Unload, *evictableAdapter(*best, now)));
@@ -150,8 +147,7 @@
         const auto model = profile.models.find(doubtful.target.model);
         const RoutingTarget spare{doubtful.target.model, AdapterId{"a1"}};
         const bool canLoad = model != profile.models.end() && model->second.adapters > 0 && !runner.held.contains(spare)
-                             && usedAdapterSlots(runner) < profile.adapterSlots
-                             && usedWeights(runner, profile) + model->second.adapterWeights.value <= profile.weightCapacity.value;
+                             && hasAdapterPlace(runner, profile, model->second);
         if (canLoad) {
             orders.push_back(order(runner, RunnerOperation::Load, spare));
         }
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -382,6 +382,12 @@
         std::count_if(all.begin(), all.end(), [](const RoutingTarget &target) { return !target.adapter.empty(); }));
 }
 
+bool FleetPlacement::hasAdapterPlace(const Runner &runner, const EngineProfile &profile, const EngineModel &model) const
+{
+    const bool hasSlot = usedAdapterSlots(runner) < profile.adapterSlots;
+    return hasSlot && usedWeights(runner, profile) + model.adapterWeights.value <= profile.weightCapacity.value;
+}
+
 bool FleetPlacement::takesOrders(const Runner &runner, TimePoint now) const
 {
     return runner.report && !runner.foreignBusy && !runner.uncertainSince && !runner.live.leaving && !runner.orderUnderWay
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -196,10 +196,4 @@
     }
 }
 
-std::uint32_t EndpointChooser::inFlight(const EndpointId &endpoint) const
-{
-    const auto found = m_records.find(endpoint);
-    return found == m_records.end() ? 0 : found->second.inFlight;
-}
-
 } // namespace Hemlockhill
--- a/src/libhemlockhill/routing/endpoint_directory.cpp
+++ b/src/libhemlockhill/routing/endpoint_directory.cpp
@@ -1,7 +1,7 @@
 // The text of the directory of endpoints.
 #include "hemlockhill/endpoint_directory.h"
 
-#include "runtime/json_text.h"
+#include "hemlockhill/failure.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
