Pack cold models three to a runner, and weigh what an eviction costs the copies that remain

Eight copies are left for the models in demand, whose work is 9 to 10 runners' time, while four runners with two cold models each stand idle. Absent models pushed out copies in demand (at 5 s a model went from four copies to two with its demand rising).

Change: a cold model goes where it costs the least room for large ones; one or two light cold models move where that frees room, and idle copies make way for them; an eviction costs what the copies that remain get more to do.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -105,6 +105,8 @@
     std::uint32_t spareAdapterSlots = 1;
     // Pause between two searches for models to pack together.
     Duration packingPeriod = std::chrono::milliseconds(500);
+    // Room that was made for a model to be packed is kept for it for this long.
+    Duration packingReservation = std::chrono::milliseconds(2500);
     // The store's loads are counted over this time.
     Duration storeWindow = std::chrono::seconds(5);
     // Loads beyond the store's pace that one window bears.
@@ -166,6 +168,7 @@
         std::optional<RunnerOrder> doubtful;
         // Since when it is not known which orders the runner has accepted.
         std::optional<TimePoint> uncertainSince;
+        TimePoint reservedUntil;
         // What takes room as of the survey.
         double usedWeights = 0;
         std::uint32_t usedAdapterSlots = 0;
@@ -183,6 +186,23 @@
     };
     using Survey = std::map<ModelId, ModelState>;
 
+    // The only copy of a model that is hardly asked for, and how many copies of large models more fit on its runner without it.
+    struct ColdCopy {
+        const Runner *runner;
+        const EngineModel *model;
+        double gain;
+    };
+
+    // The next order that packs cold models together on a runner.
+    struct PackingStep {
+        Runner *runner;
+        const EngineModel *model;
+        // Set where an idle copy has to go first.
+        std::optional<ModelId> evicted;
+        // Copies of large models that fit in the fleet beyond those that fit now, once the models have moved.
+        double gain;
+    };
+
     // What is asked of a target, as moving averages.
     struct Demand {
         // Requests a second.
@@ -223,7 +243,15 @@
     double urgency(const ModelId &model) const;
     // Moves models that are hardly asked for together, so that more runners have room for copies of the others.
     void packColdModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
+    std::vector<ColdCopy> movableColdCopies(const ServiceId &service, const EngineProfile &profile) const;
+    std::optional<PackingStep> packingStep(
+        Runner &runner, const EngineProfile &profile, const std::vector<ColdCopy> &movable, bool storeOpen) const;
     bool isCold(const ModelId &model) const;
+    double coldWeights(const Runner &runner, const EngineProfile &profile) const;
+    // Copies of the largest model that no longer fit beside the runner's cold models once it holds that much more of these.
+    double lostRoom(const Runner &runner, const EngineProfile &profile, double weights) const;
+    // What each copy of a model would have to do with one copy less.
+    double workWithout(const ModelId &model) const;
     // Gives what is left of room to the models that are asked for most.
     void fillRoom(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     RunnerOrder orderLoad(Runner &runner, const EngineModel &model, TimePoint now);
--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -15,6 +15,26 @@
 
 // An adapter that is asked for less often than this may make room for another.
 constexpr double IdleAdapterRate = 0.5;
+// What speaks against a runner for one more copy of a model, as a share of a runner's time.
+constexpr double StoreLoadCost = 0.5;
+constexpr double EvictionCost = 0.1;
+// For each copy of a large model that then no longer fits beside the runner's cold models.
+constexpr double PackingCost = 0.3;
+
+double largestWeights(const EngineProfile &profile)
+{
+    double largest = 1;
+    for (const auto &[id, model] : profile.models) {
+        largest = std::max(largest, model.weights.value);
+    }
+    return largest;
+}
+
+// How many copies of the largest model fit on a runner beside others of that weight.
+double roomBeside(const EngineProfile &profile, double weights)
+{
+    return std::floor((profile.weightCapacity.value - weights) / largestWeights(profile));
+}
 
 } // namespace
 
@@ -193,6 +213,7 @@
     double bestCost = 0;
     std::optional<ModelId> bestEviction;
     const bool storeOpen = storeAllows(profile, now);
+    const bool isAsked = stateOf(model.id).work >= m_limits.coldShare;
     for (auto &[id, runner] : m_runners) {
         const bool isCandidate = runner.live.service == service && takesOrders(runner, now) && !isBusyWithModel(runner)
                                  && !runner.held.contains(baseOf(model.id));
@@ -212,8 +233,10 @@
                 continue;
             }
         }
-        // As a share of the runner's time: a slow load costs what it delays.
-        const double cost = runnerWork(runner) + (withoutStore ? 0 : 0.5) + (fits ? 0 : 0.1);
+        // As a share of a runner's time: a slow load costs what it delays, and the copies that remain of an evicted model get more to do.
+        const double evictionCost = fits ? 0 : EvictionCost + workWithout(*eviction);
+        const double packingCost = isAsked ? 0 : PackingCost * lostRoom(runner, profile, model.weights.value);
+        const double cost = runnerWork(runner) + (withoutStore ? 0 : StoreLoadCost) + evictionCost + packingCost;
         if (best == nullptr || cost < bestCost) {
             best = &runner;
             bestCost = cost;
@@ -237,56 +260,128 @@
     return state.copies == 1 && state.work < m_limits.coldShare;
 }
 
-void FleetPlacement::packColdModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
+double FleetPlacement::workWithout(const ModelId &model) const
 {
-    if (!mayPrepare() || now - m_packedAt < m_limits.packingPeriod) {
-        return;
-    }
-    m_packedAt = now;
-    const bool storeOpen = storeAllows(profile, now);
-    double largest = 1;
-    for (const auto &[id, model] : profile.models) {
-        largest = std::max(largest, model.weights.value);
+    const ModelState &state = stateOf(model);
+    return state.work / std::max(1U, state.readyCopies - 1);
+}
+
+double FleetPlacement::coldWeights(const Runner &runner, const EngineProfile &profile) const
+{
+    double weights = 0;
+    for (const RoutingTarget &target : runner.held) {
+        const auto model = profile.models.find(target.model);
+        const bool counts = target.adapter.empty() && model != profile.models.end() && isCold(target.model);
+        weights += counts ? model->second.weights.value : 0;
     }
-    struct ColdRunner {
-        Runner *runner;
-        double weights = 0;
-        std::vector<const EngineModel *> models;
-    };
-    std::vector<ColdRunner> all;
-    for (auto &[id, runner] : m_runners) {
+    return weights;
+}
+
+double FleetPlacement::lostRoom(const Runner &runner, const EngineProfile &profile, double weights) const
+{
+    const double cold = coldWeights(runner, profile);
+    return roomBeside(profile, cold) - roomBeside(profile, cold + weights);
+}
+
+std::vector<FleetPlacement::ColdCopy> FleetPlacement::movableColdCopies(const ServiceId &service, const EngineProfile &profile) const
+{
+    std::vector<ColdCopy> copies;
+    for (const auto &[id, runner] : m_runners) {
         if (runner.live.service != service || runner.live.leaving || isBusyWithModel(runner)) {
             continue;
         }
-        ColdRunner cold{&runner, 0, {}};
+        const double cold = coldWeights(runner, profile);
         for (const RoutingTarget &target : runner.held) {
             const auto model = profile.models.find(target.model);
-            if (target.adapter.empty() && model != profile.models.end() && isCold(target.model)) {
-                cold.weights += model->second.weights.value;
-                cold.models.push_back(&model->second);
+            if (!target.adapter.empty() || model == profile.models.end() || !isCold(target.model)) {
+                continue;
+            }
+            const double gain = roomBeside(profile, cold - model->second.weights.value) - roomBeside(profile, cold);
+            if (gain > 0) {
+                copies.push_back({&runner, &model->second, gain});
             }
         }
-        all.push_back(std::move(cold));
     }
-    // How many copies of the largest model fit beside cold models of that weight.
-    const auto roomBeside = [&](double weights) { return std::floor((profile.weightCapacity.value - weights) / largest); };
-    for (const ColdRunner &to : all) {
-        const double room = profile.weightCapacity.value - to.runner->usedWeights;
-        if (!takesOrders(*to.runner, now)) {
+    std::sort(copies.begin(), copies.end(), [](const ColdCopy &left, const ColdCopy &right) {
+        return left.model->weights.value < right.model->weights.value;
+    });
+    return copies;
+}
+
+// One or two of the lightest cold models that could move to the runner, such that more copies of large models fit in the fleet.
+std::optional<FleetPlacement::PackingStep> FleetPlacement::packingStep(
+    Runner &runner, const EngineProfile &profile, const std::vector<ColdCopy> &movable, bool storeOpen) const
+{
+    const double cold = coldWeights(runner, profile);
+    double room = profile.weightCapacity.value - runner.usedWeights;
+    std::optional<ModelId> evicted;
+    for (const RoutingTarget &target : runner.held) {
+        const ModelState &state = stateOf(target.model);
+        const bool isIdleCopy = target.adapter.empty() && state.readyCopies >= 2 && workWithout(target.model) < m_limits.coldShare;
+        const auto model = profile.models.find(target.model);
+        if (!evicted && isIdleCopy && model != profile.models.end()) {
+            evicted = target.model;
+            room += model->second.weights.value;
+        }
+    }
+    PackingStep step{&runner, nullptr, std::nullopt, 0};
+    double added = 0;
+    double gain = 0;
+    const Runner *firstSource = nullptr;
+    for (const ColdCopy &copy : movable) {
+        const bool isOther = copy.runner != &runner && copy.runner != firstSource;
+        const double weights = added + copy.model->weights.value;
+        if (!isOther || weights > room || (!storeOpen && !loadsWithoutStore(runner, copy.model->id))) {
             continue;
         }
-        for (const ColdRunner &from : all) {
-            for (const EngineModel *moved : &from == &to ? std::vector<const EngineModel *>{} : from.models) {
-                const double weights = moved->weights.value;
-                const bool gains = roomBeside(to.weights + weights) + roomBeside(from.weights - weights)
-                                   > roomBeside(to.weights) + roomBeside(from.weights);
-                if (weights <= room && gains && (storeOpen || loadsWithoutStore(*to.runner, moved->id))) {
-                    orders.push_back(orderLoad(*to.runner, *moved, now));
-                    return;
-                }
-            }
+        const bool isFirst = step.model == nullptr;
+        step.model = isFirst ? copy.model : step.model;
+        added = weights;
+        gain += copy.gain;
+        step.gain = gain - (roomBeside(profile, cold) - roomBeside(profile, cold + added));
+        if (step.gain > 0 || !isFirst) {
+            break;
         }
+        firstSource = copy.runner;
+    }
+    if (step.model == nullptr || step.gain <= 0) {
+        return std::nullopt;
+    }
+    if (step.model->weights.value > profile.weightCapacity.value - runner.usedWeights) {
+        step.evicted = evicted;
     }
+    return step;
+}
+
+void FleetPlacement::packColdModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
+{
+    if (!mayPrepare() || now - m_packedAt < m_limits.packingPeriod) {
+        return;
+    }
+    m_packedAt = now;
+    const bool storeOpen = storeAllows(profile, now);
+    const std::vector<ColdCopy> movable = movableColdCopies(service, profile);
+    std::optional<PackingStep> best;
+    for (auto &[id, runner] : m_runners) {
+        if (runner.live.service != service || !takesOrders(runner, now) || isBusyWithModel(runner)) {
+            continue;
+        }
+        const auto step = packingStep(runner, profile, movable, storeOpen);
+        const bool isBetter = step && (!best || step->gain > best->gain || (step->gain == best->gain && best->evicted && !step->evicted));
+        if (isBetter) {
+            best = step;
+        }
+    }
+    if (!best) {
+        return;
+    }
+    if (best->evicted) {
+        orders.push_back(order(*best->runner, RunnerOperation::Unload, baseOf(*best->evicted)));
+        best->runner->reservedUntil = now + m_limits.packingReservation;
+        return;
+    }
+    best->runner->reservedUntil = TimePoint{};
+    orders.push_back(orderLoad(*best->runner, *best->model, now));
 }
 
 void FleetPlacement::fillRoom(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
@@ -307,7 +402,7 @@
         if (!mayPrepare()) {
             return;
         }
-        if (runner.live.service != service || !takesOrders(runner, now) || isBusyWithModel(runner)) {
+        if (runner.live.service != service || !takesOrders(runner, now) || isBusyWithModel(runner) || now < runner.reservedUntil) {
             continue;
         }
         const double room = profile.weightCapacity.value - runner.usedWeights;
