Soak the real programs with random faults and check the promises while they run

A soak of the gateway's processes against stand-ins of the platform in its own process: nodes are killed, paused, stopped, reloaded, their folders lost or torn; endpoints crash and come back as others; proxies delay, cut one way, refuse, reset and silence connections. Callers over kept connections, the endpoints' ledger and an operator check that nothing runs twice, no refusal is untrue, answers and events are whole and one's own, no accepted config is lost or read older, planned stops cut nothing off, and all is served again in the end.

Not covered: clocks (no way to turn a process's clock from outside), full disks.

--- /dev/null
+++ b/testsuite/soak/nodes.py
@@ -0,0 +1,119 @@
+"""The real program as separate processes, and the faults that signals and their folders bring about."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import time
+
+from wire import call
+
+BUILD = pathlib.Path(os.environ.get("HEMLOCKHILL_BUILD", pathlib.Path(__file__).resolve().parents[2] / "build/release"))
+PROGRAM = BUILD / "src/hemlockhill/hemlockhill"
+CALLERS, READINESS, CONTROL, INTERNAL = 8149, 8141, 8144, 7380
+GRACE_S = 8
+
+
+class Node:
+    """One process: an entry node, or a controller when it has a folder."""
+
+    def __init__(self, name, ip, zone, folder, seeds, list_address, controller, ledger):
+        self.name, self.ip, self.ledger = name, ip, ledger
+        self.data = folder / f"{name}-data" if controller else None
+        self.file = folder / f"{name}.json"
+        self.log = folder / f"{name}.log"
+        self.settings = {
+            "node": name,
+            "ip": ip,
+            "region": "soak",
+            "data_centre": zone,
+            "first_internal_port": INTERNAL,
+            "last_internal_port": INTERNAL + 10,
+            "seeds": ",".join(f"{seed}:{CONTROL}" for seed in seeds),
+            "first_start": True,
+            "list": list_address,
+            "grace": f"{GRACE_S}s",
+        }
+        if controller:
+            self.settings |= {"control": f"{ip}:{CONTROL}", "data_folder": str(self.data)}
+        else:
+            self.settings |= {"callers": f"{ip}:{CALLERS}", "readiness": f"{ip}:{READINESS}"}
+        self.process = None
+        self.expected_end = False
+        self.busy = asyncio.Lock()
+        # Time of the last start, kill, pause or thaw; planned stops apart.
+        self.disturbed_at = time.monotonic()
+        self.stopped_at = 0.0
+
+    async def start(self):
+        if self.data:
+            self.data.mkdir(exist_ok=True)
+        self.file.write_text(json.dumps(self.settings))
+        self.expected_end = False
+        with open(self.log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                str(PROGRAM), "gateway", "--settings", str(self.file), stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log
+            )
+        self.settings["first_start"] = False
+        self.watcher = asyncio.create_task(self.watch(self.process))
+
+    async def watch(self, process):
+        code = await process.wait()
+        if process is self.process and not self.expected_end:
+            self.ledger.blame("EXIT", f"{self.name} ended by itself with {code}")
+
+    def running(self):
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number):
+        if self.running():
+            self.process.send_signal(number)
+
+    async def kill(self):
+        self.expected_end = True
+        self.disturbed_at = time.monotonic()
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
+    async def pause(self, seconds):
+        self.disturbed_at = time.monotonic()
+        self.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.signal(signal.SIGCONT)
+        self.disturbed_at = time.monotonic()
+
+    async def stop(self):
+        """A planned stop; the process must end by itself within the grace time."""
+        self.expected_end = True
+        self.stopped_at = time.monotonic()
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), GRACE_S)
+        except TimeoutError:
+            self.ledger.blame("GRACE", f"{self.name} runs on {GRACE_S} s after SIGTERM")
+            await self.kill()
+
+    def reload(self, seeds):
+        self.settings["seeds"] = ",".join(f"{seed}:{CONTROL}" for seed in seeds)
+        self.file.write_text(json.dumps(self.settings))
+        self.signal(signal.SIGHUP)
+
+    def wipe(self):
+        shutil.rmtree(self.data, ignore_errors=True)
+
+    def tear(self):
+        """Leaves what a write that was cut off by a loss of power leaves at the end of the newest file."""
+        files = [file for file in self.data.rglob("*") if file.is_file()]
+        if files:
+            newest = max(files, key=lambda file: file.stat().st_mtime_ns)
+            with open(newest, "ab") as tail:
+                tail.write(random.randbytes(random.randrange(1, 40)))
+
+    async def ready(self):
+        try:
+            return (await call(self.ip, READINESS, "GET", "/api/readyz", timeout_s=1)).status == 200
+        except (OSError, TimeoutError, ValueError):
+            return False
--- /dev/null
+++ b/testsuite/soak/wire.py
@@ -0,0 +1,96 @@
+"""HTTP/1.1 as the soak's callers and stand-ins speak it."""
+
+import asyncio
+import dataclasses
+
+HEAD_LIMIT = 65536
+
+
+@dataclasses.dataclass
+class Message:
+    """A request or an answer; first holds the words of its first line."""
+
+    first: list
+    headers: dict
+    body: bytes = b""
+
+    def header(self, name):
+        return self.headers.get(name, "")
+
+    @property
+    def path(self):
+        return self.first[1]
+
+    @property
+    def status(self):
+        return int(self.first[1])
+
+
+async def read_head(reader):
+    """The head of the next message, or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError as error:
+        if error.partial:
+            raise
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    return Message(lines[0].split(" ", 2), headers)
+
+
+async def read_chunk(reader):
+    """The next chunk of a body; empty at its end."""
+    size = int((await reader.readline()).strip(), 16)
+    data = await reader.readexactly(size)
+    await reader.readexactly(2)
+    return data
+
+
+async def read_body(reader, message):
+    if message.header("transfer-encoding") == "chunked":
+        while chunk := await read_chunk(reader):
+            message.body += chunk
+    else:
+        message.body = await reader.readexactly(int(message.header("content-length") or 0))
+
+
+async def read_request(reader):
+    message = await read_head(reader)
+    if message is not None:
+        await read_body(reader, message)
+    return message
+
+
+async def write_answer(writer, status, headers, body):
+    """Writes an answer; without a body only the head of a chunked one."""
+    length = "Transfer-Encoding: chunked" if body is None else f"Content-Length: {len(body)}"
+    lines = [f"HTTP/1.1 {status} Soak", length, *(f"{name}: {value}" for name, value in headers.items())]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + (body or b""))
+    await writer.drain()
+
+
+async def call(host, port, method, path, headers=None, body=b"", timeout_s=3):
+    """One exchange on a connection of its own. Raises OSError or TimeoutError."""
+
+    async def exchange():
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", f"Content-Length: {len(body)}"]
+            lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            answer = await read_head(reader)
+            if answer is None:
+                raise ConnectionResetError("no answer")
+            await read_body(reader, answer)
+            return answer
+        except asyncio.IncompleteReadError as error:
+            raise ConnectionResetError("cut off") from error
+        finally:
+            writer.close()
+
+    return await asyncio.wait_for(exchange(), timeout_s)
