--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -89,17 +89,11 @@
     double reliefPart = 0.8;
     // A model that takes less of a runner's time may be moved elsewhere to make room.
     double coldShare = 0.08;
-    // A model whose copies take more than this part of a runner's time each may take the place of one that nobody has asked for during
-    // this time and whose weights stay on the runner's disk or in its memory, from where it is back within two seconds.
-    double pressedShare = 0.9;
-    Duration releaseAfter = std::chrono::seconds(5);
     // Room is filled ahead of demand by models of which one copy takes more than this.
     double fillShare = 0.25;
-    // What a runner reads of prompts.
+    // What a runner reads of prompts, and the tokens that it generates for all requests of a full batch together.
     double promptTokensPerSecond = 25'800;
-    // A step of a runner's batch, which makes one token for each of its requests, and what each of them adds to it.
-    std::chrono::duration<double> stepTime = std::chrono::microseconds(8'200);
-    std::chrono::duration<double> stepTimePerRequest = std::chrono::microseconds(70);
+    double outputTokensPerSecond = 5'000;
     // Requests a second for one adapter on one runner, from which on it is loaded on another one too.
     double busyAdapterRate = 1.5;
     // Models being loaded at one time: so many, or this part of the runners where that is more.
@@ -107,13 +101,12 @@
     double loadingPart = 0.5;
     // Of these, loads that only prepare for demand to come.
     std::uint32_t concurrentPreparations = 2;
-    double preparingPart = 1.0 / 3;
+    double preparingPart = 1.0 / 6;
     // Adapters loaded at one time before anything asks for them, and places of each runner that are kept free of these.
     std::uint32_t concurrentAdapterPreparations = 8;
     std::uint32_t spareAdapterSlots = 1;
-    // Pause between two searches for models to pack together, and for how many runners each search begins one move.
+    // Pause between two searches for models to pack together.
     Duration packingPeriod = std::chrono::milliseconds(500);
-    std::size_t runnersPerMove = 16;
     // Room that was made for a model to be packed is kept for it for this long.
     Duration packingReservation = std::chrono::milliseconds(2500);
     // The store's loads are counted over this time.
@@ -224,8 +217,6 @@
     const EngineProfile *profileOf(const Runner &runner) const;
     double rateOf(const RoutingTarget &target, TimePoint now) const;
     double fading(const Demand &demand, TimePoint now) const;
-    // The tokens that a full batch of a runner of the model makes in a second.
-    double outputRate(const ModelId &model) const;
     // Takes stock of models and runners once, so that a decision's cost grows with their number and not with its square.
     void survey(TimePoint now);
     const ModelState &stateOf(const ModelId &model) const;
@@ -257,7 +248,6 @@
     std::vector<ColdCopy> movableColdCopies(const ServiceId &service, const EngineProfile &profile) const;
     std::optional<PackingStep>
     packingStep(Runner &runner, const EngineProfile &profile, const std::vector<ColdCopy> &movable, bool storeOpen) const;
-    std::optional<PackingStep> bestPackingStep(const ServiceId &service, const EngineProfile &profile, bool storeOpen, TimePoint now);
     bool isCold(const ModelId &model) const;
     double coldWeights(const Runner &runner, const EngineProfile &profile) const;
     // Copies of the largest model that no longer fit beside the runner's cold models once it holds that much more of these.
@@ -268,11 +258,7 @@
     void fillRoom(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     RunnerOrder orderLoad(Runner &runner, const EngineModel &model, TimePoint now);
     std::optional<RoutingTarget> evictableAdapter(const Runner &runner, TimePoint now) const;
-    std::optional<ModelId> evictableModel(const Runner &runner, const ModelId &inFavourOf, TimePoint now) const;
-    // The only copy of a model that nobody asks for and that the runner can load again without the store.
-    std::optional<ModelId> releasableModel(const Runner &runner, TimePoint now) const;
-    // Whether callers wait for the model, or its copies have more to do than they can.
-    bool isPressed(const ModelId &model) const;
+    std::optional<ModelId> evictableModel(const Runner &runner, const ModelId &inFavourOf) const;
     RunnerOrder order(Runner &runner, RunnerOperation operation, const RoutingTarget &target);
 
     FleetLimits m_limits;
@@ -280,7 +266,6 @@
     std::shared_ptr<const Deployment> m_deployment;
     std::map<EndpointId, Runner> m_runners;
     std::map<RoutingTarget, Demand> m_demand;
-    std::map<ModelId, TimePoint> m_askedAt;
     std::map<VmId, std::map<RoutingTarget, std::uint32_t>> m_waiting;
     std::deque<TimePoint> m_storeLoads;
     Survey m_survey;
--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -179,12 +179,7 @@
 {
     constexpr double AbsentFirst = 1000;
     const ModelState &state = stateOf(model);
-    if (state.copies > 0) {
-        return state.work / state.copies;
-    }
-    // One that nobody asks for takes what room the others leave.
-    const bool isAsked = state.waiting > 0 || state.work >= m_limits.coldShare;
-    return isAsked ? AbsentFirst + state.waiting + state.work : 0;
+    return state.copies == 0 ? AbsentFirst + state.waiting + state.work : state.work / state.copies;
 }
 
 void FleetPlacement::settleDoubtful(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
@@ -229,7 +224,7 @@
         const bool fits = runner.usedWeights + model.weights.value <= profile.weightCapacity.value;
         std::optional<ModelId> eviction;
         if (!fits) {
-            eviction = evictableModel(runner, model.id, now);
+            eviction = evictableModel(runner, model.id);
             const auto evicted = eviction ? profile.models.find(*eviction) : profile.models.end();
             const bool makesRoom =
                 evicted != profile.models.end()
@@ -358,9 +353,13 @@
     return step;
 }
 
-std::optional<FleetPlacement::PackingStep> FleetPlacement::bestPackingStep(
-    const ServiceId &service, const EngineProfile &profile, bool storeOpen, TimePoint now)
+void FleetPlacement::packColdModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
 {
+    if (!mayPrepare() || now - m_packedAt < m_limits.packingPeriod) {
+        return;
+    }
+    m_packedAt = now;
+    const bool storeOpen = storeAllows(profile, now);
     const std::vector<ColdCopy> movable = movableColdCopies(service, profile);
     std::optional<PackingStep> best;
     for (auto &[id, runner] : m_runners) {
@@ -373,28 +372,16 @@
             best = step;
         }
     }
-    return best;
-}
-
-void FleetPlacement::packColdModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
-{
-    if (now - m_packedAt < m_limits.packingPeriod) {
+    if (!best) {
         return;
     }
-    m_packedAt = now;
-    for (std::size_t move = 0; move <= m_runners.size() / m_limits.runnersPerMove && mayPrepare(); ++move) {
-        const auto step = bestPackingStep(service, profile, storeAllows(profile, now), now);
-        if (!step) {
-            return;
-        }
-        if (step->evicted) {
-            orders.push_back(order(*step->runner, RunnerOperation::Unload, baseOf(*step->evicted)));
-            step->runner->reservedUntil = now + m_limits.packingReservation;
-        } else {
-            step->runner->reservedUntil = TimePoint{};
-            orders.push_back(orderLoad(*step->runner, *step->model, now));
-        }
+    if (best->evicted) {
+        orders.push_back(order(*best->runner, RunnerOperation::Unload, baseOf(*best->evicted)));
+        best->runner->reservedUntil = now + m_limits.packingReservation;
+        return;
     }
+    best->runner->reservedUntil = TimePoint{};
+    orders.push_back(orderLoad(*best->runner, *best->model, now));
 }
 
 void FleetPlacement::fillRoom(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
@@ -444,49 +431,28 @@
     return order(runner, RunnerOperation::Load, baseOf(model.id));
 }
 
-bool FleetPlacement::isPressed(const ModelId &model) const
+// A copy may go when others remain that can carry what is asked of the model.
+std::optional<ModelId> FleetPlacement::evictableModel(const Runner &runner, const ModelId &inFavourOf) const
 {
-    const ModelState &state = stateOf(model);
-    return state.copies == 0 ? state.waiting > 0 : state.work / state.copies >= m_limits.pressedShare;
-}
-
-std::optional<ModelId> FleetPlacement::releasableModel(const Runner &runner, TimePoint now) const
-{
-    for (const RoutingTarget &target : runner.held) {
-        const ModelState &state = stateOf(target.model);
-        const auto asked = m_askedAt.find(target.model);
-        const TimePoint quietSince = asked == m_askedAt.end() ? m_beganAt : std::max(m_beganAt, asked->second);
-        const bool isLast = target.adapter.empty() && state.copies == 1 && state.readyCopies == 1;
-        if (isLast && state.waiting == 0 && now - quietSince >= m_limits.releaseAfter && loadsWithoutStore(runner, target.model)) {
-            return target.model;
-        }
-    }
-    return std::nullopt;
-}
-
-// A copy may go when others remain that can carry what is asked of the model, and the last one when nobody asks for it.
-std::optional<ModelId> FleetPlacement::evictableModel(const Runner &runner, const ModelId &inFavourOf, TimePoint now) const
-{
-    if (isPressed(inFavourOf)) {
-        if (const auto released = releasableModel(runner, now)) {
-            return released;
-        }
-    }
     std::optional<ModelId> idlest;
-    const ModelState &favoured = stateOf(inFavourOf);
-    const bool isAbsent = favoured.copies == 0;
-    // Where the model has copies already, one more must relieve them. One that nobody asks for takes the place of idle copies only.
-    const double absentBound = isPressed(inFavourOf) ? std::numeric_limits<double>::max() : m_limits.coldShare;
-    const double bound = isAbsent ? absentBound : m_limits.reliefPart * favoured.work / favoured.copies;
-    if (!isAbsent && favoured.work / (favoured.copies + 1) > bound) {
+    const std::uint32_t favoured = stateOf(inFavourOf).copies;
+    const bool isAbsent = favoured == 0;
+    const double wanted = stateOf(inFavourOf).work;
+    // Where the model has copies already, one more must relieve them.
+    const double bound = isAbsent ? std::numeric_limits<double>::max() : m_limits.reliefPart * wanted / favoured;
+    if (!isAbsent && wanted / (favoured + 1) > bound) {
         return std::nullopt;
     }
     double idlestShare = bound;
     for (const RoutingTarget &target : runner.held) {
         const std::uint32_t present = target.adapter.empty() ? stateOf(target.model).readyCopies : 0;
-        if (present >= 2 && workWithout(target.model) < idlestShare) {
+        if (present < 2) {
+            continue;
+        }
+        const double share = stateOf(target.model).work / (present - 1);
+        if (share < idlestShare) {
             idlest = target.model;
-            idlestShare = workWithout(target.model);
+            idlestShare = share;
         }
     }
     return idlest;
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -141,7 +141,6 @@
     waiting.clear();
     const double memory = std::chrono::duration<double>(m_limits.demandMemory).count();
     for (const auto &[target, figure] : figures) {
-        m_askedAt[target.model] = now;
         if (figure.waiting > 0) {
             waiting[target] = figure.waiting;
         }
@@ -149,7 +148,7 @@
             Demand &demand = m_demand[target];
             const double left = fading(demand, now);
             const double work = static_cast<double>(figure.promptTokens) / m_limits.promptTokensPerSecond
-                                + static_cast<double>(figure.expectedTokens) / outputRate(target.model);
+                                + static_cast<double>(figure.expectedTokens) / m_limits.outputTokensPerSecond;
             demand.rate = demand.rate * left + figure.arrivals / memory;
             demand.work = demand.work * left + work / memory;
             demand.at = now;
@@ -157,17 +156,6 @@
     }
 }
 
-double FleetPlacement::outputRate(const ModelId &model) const
-{
-    double slots = 1;
-    for (const auto &[id, service] : m_deployment ? m_deployment->services : std::map<ServiceId, RoutedService>{}) {
-        if (service.engine && service.engine->models.contains(model)) {
-            slots = service.engine->slots;
-        }
-    }
-    return slots / (m_limits.stepTime.count() + slots * m_limits.stepTimePerRequest.count());
-}
-
 void FleetPlacement::onAnswered(const RunnerOrder &order, OrderOutcome outcome, TimePoint now)
 {
     const auto found = m_runners.find(order.endpoint);
