--- a/src/libhemlockhill/deployment/deployment_test.cpp
+++ b/src/libhemlockhill/deployment/deployment_test.cpp
@@ -44,9 +44,10 @@
     DeploymentDocument document{DeploymentVersion{27}, "{"};
     for (int route = 0; route < 1280; ++route) {
         const std::string number = std::to_string(route * 7919 % 100'000);
-        document.text +=
-            R"({"name":"r-)" + number + R"(","host":"ficu95.example","prefix":"/lohu)" + number
-            + R"(/","type":"streaming","timeout_ms":15000,"target_latency_ms":500,"priority":1,"service":"huvo11a","max_attempts":1},)";
+        document.text.append(R"({"name":"r-)").append(number);
+        document.text.append(R"(","host":"ficu95.example","prefix":"/lohu)").append(number);
+        document.text.append(R"(/","type":"streaming","timeout_ms":15000,"target_latency_ms":500,"priority":1,)");
+        document.text.append(R"("service":"huvo11a","max_attempts":1},)");
     }
     const std::string packed = pack(document);
     BOOST_CHECK_LE(packed.size() * 67 * 8, 170'000'000 / 2);
--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -110,10 +110,11 @@
                                      std::vector<RunnerOrder> &orders)
 {
     std::uint32_t given = 0;
-    for (const auto &[id, model] : profile.models) {
-        const std::vector<Runner *> &holders = stateOf(id).holders;
+    for (const auto &entry : profile.models) {
+        const EngineModel &model = entry.second;
+        const std::vector<Runner *> &holders = stateOf(model.id).holders;
         for (std::uint32_t number = 1; number <= model.adapters && !holders.empty(); ++number) {
-            const RoutingTarget target{id, AdapterId{"a" + std::to_string(number)}};
+            const RoutingTarget target{model.id, AdapterId{"a" + std::to_string(number)}};
             Runner *best = nullptr;
             const bool isThere = std::any_of(holders.begin(), holders.end(), [&](Runner *runner) {
                 const bool hasPlace = runner->usedAdapterSlots + m_limits.spareAdapterSlots < profile.adapterSlots
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -328,9 +328,9 @@
 
 const FleetPlacement::ModelState &FleetPlacement::stateOf(const ModelId &model) const
 {
-    static const ModelState Nothing;
+    static const ModelState unknown;
     const auto found = m_survey.find(model);
-    return found == m_survey.end() ? Nothing : found->second;
+    return found == m_survey.end() ? unknown : found->second;
 }
 
 double FleetPlacement::runnerWork(const Runner &runner) const
--- a/src/libhemlockhill/routing/directory_history.cpp
+++ b/src/libhemlockhill/routing/directory_history.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 DirectoryHistory::DirectoryHistory(Term term)
-    : m_first(term.value << TermShift)
+    : m_first{term.value << TermShift}
     , m_revision(m_first)
 {
 }
