Say once what a copy less would cost, and drop a check that its list has made already

evictableModel wrote workWithout() again, and fillRoom compared with the least need a second time although its list holds only models above it. Left for the issue: largestWeights() is worked out at each roomBeside(), FollowReply::directory repeats the revision that its changes bear.

--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -414,7 +414,7 @@
                 best = model;
             }
         }
-        if (best != nullptr && needOf(best->id) > m_limits.fillShare) {
+        if (best != nullptr) {
             orders.push_back(orderLoad(runner, *best, now));
         }
     }
@@ -450,7 +450,7 @@
         if (present < 2) {
             continue;
         }
-        const double share = stateOf(target.model).work / (present - 1);
+        const double share = workWithout(target.model);
         if (share < idlestShare) {
             idlest = target.model;
             idlestShare = share;
