Read large HTTP bodies in large pieces

What callers saw: requests reached endpoints more than 4 s after the list had shown that they leave (DRAIN); configs were acknowledged late or not at all.

Cause: Beast reads as many bytes as fit into its buffer, which stays at 512 bytes unless something reserves more (4 kB in the server). A page of the list has 24 kB, so the list of 145 endpoints took 141 reads, and each waited for its turn on the loop.

Why this works: the body's length is known after the head, so the buffer takes 16 kB (server: 64 kB) and a page takes two or three passes. The server also parses what it has before it reads, which saves a pass for a request that arrived whole.

Ruled out: the list answering late (15 ms on an idle loop).

The test read 126 pieces before, 12 are allowed.

--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <optional>
@@ -266,6 +267,10 @@
         return;
     }
     m_readBuffer.resize(BodyReadBytes);
+    // Beast reads as many bytes at once as fit into the buffer, which otherwise stays at its initial 512 bytes.
+    if (const auto length = m_parser->content_length()) {
+        m_connection->buffer.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*length, BodyReadBytes)));
+    }
     readBody();
 }
 
--- /dev/null
+++ b/src/libhemlockhill/net/http_exchange_test.cpp
@@ -0,0 +1,64 @@
+// Tests exchanges over loopback sockets: how large answers are read.
+#include "hemlockhill/http_exchange.h"
+
+#include "hemlockhill/http_server.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Hemlockhill;
+
+namespace
+{
+
+const Address Server{"127.0.0.1", 9'397};
+
+struct ExchangeResult {
+    std::size_t bytes = 0;
+    std::size_t pieces = 0;
+    std::optional<ExchangeFailure> failure;
+};
+
+// Sends one request to a server with the given handler.
+ExchangeResult exchange(boost::asio::io_context &loop, const HttpHandler &handler, const ExchangeTimeouts &timeouts)
+{
+    HttpServer server(loop, Server, HttpServerLimits{}, handler, [](Reason) {});
+    ConnectionPool pool(loop, 1);
+    ExchangeResult result;
+    bool done = false;
+    ExchangeHooks hooks;
+    hooks.onBody = [&](const std::string &bytes) {
+        result.bytes += bytes.size();
+        ++result.pieces;
+    };
+    hooks.onEnd = [&] { done = true; };
+    hooks.onFailed = [&](const ExchangeFailure &failure) {
+        result.failure = failure;
+        done = true;
+    };
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/";
+    pool.start(Server, request, timeouts, ConnectionChoice::FreshOnly, std::move(hooks));
+    while (!done) {
+        loop.run_one();
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against pages of the endpoint list that take seconds to read on a busy node, since every piece waits for its turn on the loop.
+BOOST_AUTO_TEST_CASE(large_answer_is_read_in_few_pieces)
+{
+    constexpr std::size_t Size = 64'000;
+    boost::asio::io_context loop(1);
+    const ExchangeResult result = exchange(
+        loop,
+        [](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
+            responder->answer({200, "text/plain", {}, std::string(Size, 'x')});
+        },
+        ExchangeTimeouts{});
+    BOOST_CHECK(!result.failure);
+    BOOST_CHECK_EQUAL(result.bytes, Size);
+    BOOST_CHECK_LE(result.pieces, 12);
+}
--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -30,6 +31,8 @@
 using boost::system::error_code;
 
 constexpr std::size_t FirstReadBytes = 4096;
+// Maximum number of bytes of a large body read at once.
+constexpr std::size_t BodyReadBytes = 65'536;
 constexpr int ListenBacklog = 1024;
 // Delay after a failed accept, for instance when the process is out of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryDelay(20);
@@ -281,6 +284,17 @@
 void HttpServer::Listener::Session::readRequest()
 {
     expireAfter(m_listener->limits().request);
+    m_parser->eager(true);
+    error_code error;
+    m_buffer.consume(m_parser->put(m_buffer.data(), error));
+    if (m_parser->is_done() || (error && error != http::error::need_more)) {
+        onRequest(error);
+        return;
+    }
+    // Beast reads as many bytes at once as fit into the buffer.
+    if (m_parser->is_header_done() && m_parser->content_length()) {
+        m_buffer.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*m_parser->content_length(), BodyReadBytes)));
+    }
     http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) { self->onRequest(error); });
 }
 
