Limit an exchange with the platform as a whole, not only each of its silences

A reading of the list that took 6.3 s ended as success, since no silence in it lasted 900 ms.

Cause: connect, first byte and pause between bytes had timeouts, the exchange had none, nor had the reading of all pages.

ExchangeTimeouts has completeBefore, which shortens every other timeout.

The test: an answer that drips a byte every 20 ms was read to its end before.

--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -29,6 +29,8 @@
     Duration betweenBytes = std::chrono::seconds(2);
     // If set, the exchange fails without sending anything when it cannot start sending before this time.
     std::optional<TimePoint> sendBefore = std::nullopt;
+    // If set, the exchange times out at this time even if bytes still arrive.
+    std::optional<TimePoint> completeBefore = std::nullopt;
     // Whether an orderly close of the connection ends a response that has neither a length nor chunked encoding. Such a response is
     // indistinguishable from one truncated by a process that exits cleanly, so set this only for endpoints known to end responses this way.
     bool closeEndsAnswer = false;
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -143,7 +143,7 @@
     void fail(error_code error);
     void failWith(Reason reason);
     Duration firstByteTimeout() const { return m_connection->reused ? m_timeouts.reusedFirstByte : m_timeouts.firstByte; }
-    void expireAfter(Duration delay) { m_connection->stream.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(delay)); }
+    void expireAfter(Duration delay);
 
     std::shared_ptr<Idle> m_idle;
     Address m_address;
@@ -159,6 +159,15 @@
     bool m_ended = false;
 };
 
+void ConnectionPool::Exchange::expireAfter(Duration delay)
+{
+    if (m_timeouts.completeBefore) {
+        const auto left = std::chrono::duration_cast<Duration>(*m_timeouts.completeBefore - currentTime());
+        delay = std::clamp(left, Duration(0), delay);
+    }
+    m_connection->stream.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(delay));
+}
+
 void ConnectionPool::Exchange::start(const HttpRequest &request, ConnectionChoice choice)
 {
     m_request.method_string(request.method);
--- a/src/libhemlockhill/net/http_exchange_test.cpp
+++ b/src/libhemlockhill/net/http_exchange_test.cpp
@@ -1,10 +1,13 @@
-// Tests exchanges over loopback sockets: how large answers are read.
+// Tests exchanges over loopback sockets: how large answers are read, and the limit on a whole exchange.
 #include "hemlockhill/http_exchange.h"
 
 #include "hemlockhill/http_server.h"
+#include "hemlockhill/timer_service.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <utility>
+
 using namespace Hemlockhill;
 
 namespace
@@ -62,3 +65,31 @@
     BOOST_CHECK_EQUAL(result.bytes, Size);
     BOOST_CHECK_LE(result.pieces, 12);
 }
+
+// Guards against answers that arrive in pieces without end, each within the timeout between two pieces.
+BOOST_AUTO_TEST_CASE(slow_answer_is_cut_at_the_limit_of_the_exchange)
+{
+    boost::asio::io_context loop(1);
+    TimerService timers;
+    std::shared_ptr<HttpResponder> open;
+    int pieces = 0;
+    timers.every(std::chrono::milliseconds(20), loop, [&] {
+        if (open && ++pieces < 100) {
+            open->write("x");
+        } else if (open) {
+            std::exchange(open, nullptr)->end();
+        }
+    });
+    ExchangeTimeouts timeouts;
+    timeouts.completeBefore = currentTime() + std::chrono::milliseconds(200);
+    const ExchangeResult result = exchange(
+        loop,
+        [&open](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
+            open = responder;
+            responder->begin({200, "text/plain", {}, {}});
+        },
+        timeouts);
+    timers.stop();
+    BOOST_REQUIRE(result.failure);
+    BOOST_CHECK(result.failure->reason == Reason::EndpointSilent);
+}
