Bound the age of the endpoint list that a dispatch relies on

What callers saw: requests to endpoints that had been leaving for more than 4 s. The nodes that sent them had heard the leader 6 to 290 ms before.

Cause: a node took the arrival of the leader's message for the age of its knowledge. The message rested on a reading of the list that was seconds old, and nothing told the node. A node read the list itself only when it heard no leader at all.

Change: the leader publishes its directory with the time at which the list behind it was requested, and each follow reply says how old that was when the follower's request arrived (negative if read while the request was held). The follower counts from when it sent the request, so clocks are not compared and an error makes the list look older. If the list does not answer the node either, it goes on with what it knows, as callers are better served so.

The node no longer asks for the whole directory after its own reading: 67 nodes asking an overloaded leader for it would have made things worse.

A request's log line has listing_age_ms, the age at its dispatch, in place of directory_age_ms. In a mixed build a leader without the field counts as fresh, as before.

--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -65,8 +65,9 @@
 
     // Adds a controller that was discovered at run time. Only controllers in the settings can take part in creating the group.
     void addPeer(const PeerSettings &peer);
-    // Sets the endpoint directory that followers receive together with the declared state. No effect unless this controller leads.
-    void publishDirectory(const EndpointsById &endpoints, TimePoint now);
+    // Sets the endpoint directory that followers receive together with the declared state. It agrees with the endpoint list that was
+    // requested at listedAt. No effect unless this controller leads.
+    void publishDirectory(const EndpointsById &endpoints, TimePoint listedAt, TimePoint now);
 
     // Must be called at least once per heartbeat interval.
     void tick(TimePoint now);
@@ -102,6 +103,7 @@
         VmId node;
         FollowRequest request;
         FollowAnswer answer;
+        TimePoint receivedAt;
         TimePoint answerAt;
     };
 
@@ -118,7 +120,7 @@
     void abandonProposals();
     void answerAcceptedCommands(TimePoint now);
     void answerHeldFollows(TimePoint now, bool all);
-    FollowReply followReply(const FollowRequest &request, TimePoint now) const;
+    FollowReply followReply(const FollowRequest &request, TimePoint receivedAt, TimePoint now) const;
     void maintainMembership(TimePoint now);
     void changeMembership(MembershipChangeKind kind, const VoterId &voter, TimePoint now);
     std::optional<VoterId> silentVoter(const VoterMembership &membership, TimePoint now) const;
@@ -161,6 +163,8 @@
     std::map<VmId, TimePoint> m_followedAt;
     // Present while this controller leads.
     std::optional<DirectoryHistory> m_directory;
+    // Time at which the endpoint list was requested that the directory agrees with.
+    TimePoint m_listedAt;
     LogIndex m_applied;
     LogIndex m_compacted;
     std::optional<LeaseRegister> m_leases;
--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -33,6 +33,8 @@
 
 // Why no endpoint was selected.
 enum class NoEndpointReason {
+    // The node's knowledge of the endpoints is too old: any of them may have begun to leave.
+    DirectoryOutdated,
     // The service has no endpoint that accepts requests.
     NoEndpoint,
     // No endpoint has loaded the model or is loading it.
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "hemlockhill/deployment.h"
+#include "hemlockhill/directory_view.h"
 #include "hemlockhill/dispatch_notices.h"
 #include "hemlockhill/endpoint_choice.h"
 #include "hemlockhill/endpoint_directory.h"
@@ -30,6 +31,7 @@
     // Maximum number of open connections from callers.
     std::uint32_t connectionLimit = 3000;
     RetryBudgetLimits retries;
+    DirectoryAgeLimits directoryAge;
 };
 
 // Demand for one model, or one adapter on it, since the previous report.
@@ -68,12 +70,20 @@
     void start();
     // Replaces the routes and limits. Requests in progress keep the deployment with which they started. Call after start().
     void setDeployment(std::shared_ptr<const Deployment> deployment);
-    // Replaces the endpoints to which requests can be dispatched.
-    void setDirectory(EndpointsById endpoints);
+    // The leader's directory has changed. It agrees with an endpoint list that was requested at listedAt.
+    void onLeaderDirectory(EndpointsById endpoints, TimePoint listedAt);
+    // The leader's directory has not changed, but agrees with a list that was requested at listedAt.
+    void onLeaderListing(TimePoint listedAt);
+    // This node has read the endpoint list, which it requested at listedAt.
+    void onOwnListing(EndpointsById listing, TimePoint listedAt);
+    // This node has tried to read the endpoint list, and the list did not answer.
+    void onListUnavailable();
+    // Whether the owner should read the endpoint list, because the leader's is outdated.
+    bool needsListing() const;
     // Returns the demand since the previous call and resets the counters.
     DemandByTarget takeTargetDemand();
     bool hasDeployment() const { return m_deployment != nullptr; }
-    bool hasEndpoints() const { return !m_endpoints.empty(); }
+    bool hasEndpoints() const { return !m_directory.endpoints().empty(); }
 
     // Closes each connection after the next answer. Requests are still accepted.
     void beginDraining();
@@ -90,6 +100,7 @@
     void onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
     void refuse(HttpResponder &responder, Reason reason, const RoutedRequestHead &head, std::string detail);
     void dispatchWaiting();
+    void onDirectoryChanged();
     // Whether requests for the model are already waiting for capacity.
     bool isQueued(const ServiceId &service, const ModelId &model) const;
     void notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt);
@@ -106,8 +117,7 @@
     EndpointChooser m_chooser;
     std::unique_ptr<HttpServer> m_server;
     std::shared_ptr<const Deployment> m_deployment;
-    EndpointsById m_endpoints;
-    TimePoint m_directoryAt;
+    DirectoryView m_directory;
     std::map<std::uint64_t, std::shared_ptr<Request>> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
     bool m_isStopping = false;
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -28,8 +28,11 @@
 struct GroupMemberHooks {
     // A document with a higher version than any earlier one was committed.
     std::function<void(const DeploymentDocument &document)> deploymentCommitted;
-    // A follower received changes to the leader's endpoint directory.
-    std::function<void(const EndpointsById &endpoints)> directoryChanged;
+    // A follower received changes to the leader's endpoint directory. The directory agrees with the endpoint list that was requested at
+    // listedAt.
+    std::function<void(const EndpointsById &endpoints, TimePoint listedAt)> directoryChanged;
+    // The leader's directory has not changed, and agrees with a more recent endpoint list.
+    std::function<void(TimePoint listedAt)> directoryConfirmed;
     // The set of nodes that follow the same leader, including this one, has changed.
     std::function<void(const std::vector<VmId> &followers)> followersChanged;
     // This node became the leader in this term, or stopped leading if empty.
@@ -62,16 +65,13 @@
     bool leads() const;
     // Known leader; empty if unknown.
     VmId leader() const;
-    // Sets the endpoint directory that followers receive. No effect unless this node leads.
-    void publishDirectory(const EndpointsById &endpoints);
+    // Sets the endpoint directory that followers receive. It agrees with the endpoint list that was requested at listedAt. No effect unless
+    // this node leads.
+    void publishDirectory(const EndpointsById &endpoints, TimePoint listedAt);
     // Number of nodes that follow this leader or, on a follower, the same leader.
     std::size_t followers() const;
     // Sends this follower's statistics to the leader immediately instead of with the next follow request.
     void reportFigures();
-    // Time of the last reply of a leader to this follower.
-    TimePoint lastLeaderReplyAt() const { return m_lastLeaderReplyAt; }
-    // Drops the endpoint directory, so that the next reply of the leader contains all of it.
-    void resetDirectory() { m_directory.invalidate(); }
     // Adds a controller that was added to the settings at run time.
     void addSeed(const VmId &vm) { addCandidate(vm, false); }
     // Starts to transfer leadership to another controller. Returns true if this node does not lead, or has no successor.
@@ -83,9 +83,10 @@
     void onCall(const IncomingCall &call);
     void onAnswer(const PeerCallAnswered &answer);
     void onFailed(const PeerCallFailed &failure);
-    void onFollowReply(const VmId &from, const FollowReply &reply);
+    void onFollowReply(const VmId &from, const FollowReply &reply, TimePoint sentAt);
     void applyDocument(const FollowReply &reply);
-    void applyDirectoryChanges(const FollowReply &reply);
+    void applyDirectoryChanges(const FollowReply &reply, TimePoint sentAt);
+    CallId startFollowCall(const VmId &to);
     FollowRequest followRequest() const;
     void sendFollowRequest();
     void tryNextCandidate();
@@ -108,12 +109,13 @@
     // Controllers that a follower may send follow requests to, the next one first.
     std::deque<VmId> m_candidates;
     VmId m_leader;
-    TimePoint m_lastLeaderReplyAt;
     DeploymentVersion m_deploymentVersion;
     DirectoryReplica m_directory;
     std::vector<VmId> m_followers;
     // Pending long-poll follow call. Calls of reportFigures() are not tracked.
     std::optional<CallId> m_followCall;
+    // Times at which the pending follow calls, including those of reportFigures(), were sent.
+    std::map<CallId, TimePoint> m_followCallsSentAt;
     std::uint64_t m_lastCall = 0;
 };
 
--- a/src/include/hemlockhill/peer_messages.h
+++ b/src/include/hemlockhill/peer_messages.h
@@ -76,6 +76,10 @@
     // Revision of the leader's endpoint directory, and the changes in it since the node's revision.
     DirectoryRevision directory;
     std::string directoryChanges;
+    // Age of the endpoint list that the directory is based on, at the time when the leader received the request. Negative if the list was
+    // requested while the leader held the request. The follower adds it to the time since it sent the request, which needs no clocks in
+    // common.
+    Duration listingAge{0};
     // All controllers known to the leader.
     std::vector<VmId> controllers;
     // Nodes that have recently sent a FollowRequest to the leader.
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -360,7 +360,7 @@
     m_acceptedCommands = std::move(waiting);
 }
 
-FollowReply Controller::followReply(const FollowRequest &request, TimePoint now) const
+FollowReply Controller::followReply(const FollowRequest &request, TimePoint receivedAt, TimePoint now) const
 {
     if (!leads(now)) {
         FollowReply reply;
@@ -376,9 +376,12 @@
     if (request.deployment < m_state.deployment().current().version) {
         reply.deployment = packedDeployment();
     }
-    if (m_directory && request.directory != m_directory->revision()) {
+    if (m_directory) {
         reply.directory = m_directory->revision();
-        reply.directoryChanges = m_directory->changesSince(request.directory);
+        reply.listingAge = receivedAt - m_listedAt;
+        if (request.directory != m_directory->revision()) {
+            reply.directoryChanges = m_directory->changesSince(request.directory);
+        }
     }
     reply.controllers = controllers();
     reply.followers = followers(now);
@@ -398,7 +401,7 @@
 void Controller::follow(const VmId &node, const FollowRequest &request, FollowAnswer answer, TimePoint now)
 {
     if (!leads(now)) {
-        answer(followReply(request, now));
+        answer(followReply(request, now, now));
         return;
     }
     m_leases->recordReport(node, request.confirmed, now);
@@ -408,9 +411,9 @@
         request.known == m_history.revision() && request.confirmed == m_history.revision() && request.quarantineDigest == m_quarantineDigest
         && (!m_directory || request.directory == m_directory->revision()) && request.deployment >= m_state.deployment().current().version;
     if (isCurrent) {
-        m_heldFollows.push_back({node, request, std::move(answer), now + m_times.lease / FollowHoldLeaseDivisor});
+        m_heldFollows.push_back({node, request, std::move(answer), now, now + m_times.lease / FollowHoldLeaseDivisor});
     } else {
-        answer(followReply(request, now));
+        answer(followReply(request, now, now));
     }
     answerAcceptedCommands(now);
 }
@@ -420,7 +423,7 @@
     std::vector<HeldFollow> held;
     for (HeldFollow &follow : std::exchange(m_heldFollows, {})) {
         if (all || now >= follow.answerAt) {
-            follow.answer(followReply(follow.request, now));
+            follow.answer(followReply(follow.request, follow.receivedAt, now));
         } else {
             held.push_back(std::move(follow));
         }
@@ -473,7 +476,7 @@
     m_settings.peers.others.push_back(peer);
 }
 
-void Controller::publishDirectory(const EndpointsById &endpoints, TimePoint now)
+void Controller::publishDirectory(const EndpointsById &endpoints, TimePoint listedAt, TimePoint now)
 {
     if (!leads(now)) {
         return;
@@ -481,6 +484,7 @@
     if (!m_directory) {
         m_directory.emplace(m_consensus->term());
     }
+    m_listedAt = listedAt;
     if (m_directory->update(endpoints)) {
         answerHeldFollows(now, true);
     }
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -119,10 +119,10 @@
     return m_controller ? m_controller->leader() : m_leader;
 }
 
-void GroupMember::publishDirectory(const EndpointsById &endpoints)
+void GroupMember::publishDirectory(const EndpointsById &endpoints, TimePoint listedAt)
 {
     if (m_controller) {
-        m_controller->publishDirectory(endpoints, currentTime());
+        m_controller->publishDirectory(endpoints, listedAt, currentTime());
     }
 }
 
@@ -198,7 +198,8 @@
         return;
     }
     if (const auto *follow = std::get_if<FollowReply>(&answer.reply)) {
-        onFollowReply(answer.from, *follow);
+        const auto sent = m_followCallsSentAt.extract(answer.call);
+        onFollowReply(answer.from, *follow, sent.empty() ? TimePoint{} : sent.mapped());
         if (m_followCall == answer.call) {
             m_followCall.reset();
             if (follow->leading) {
@@ -212,6 +213,7 @@
 
 void GroupMember::onFailed(const PeerCallFailed &failure)
 {
+    m_followCallsSentAt.erase(failure.call);
     if (m_followCall != failure.call) {
         return;
     }
@@ -223,7 +225,7 @@
     tryNextCandidate();
 }
 
-void GroupMember::onFollowReply(const VmId &from, const FollowReply &reply)
+void GroupMember::onFollowReply(const VmId &from, const FollowReply &reply, TimePoint sentAt)
 {
     if (!reply.leading) {
         if (!reply.leader.empty()) {
@@ -231,7 +233,6 @@
         }
         return;
     }
-    m_lastLeaderReplyAt = currentTime();
     if (m_leader != from) {
         m_leader = from;
         logEvent(Severity::Info, "leader found", {{"leader", m_leader.value}, {"deployment", m_deploymentVersion.value}});
@@ -246,7 +247,7 @@
     if (!reply.deployment.empty()) {
         applyDocument(reply);
     }
-    applyDirectoryChanges(reply);
+    applyDirectoryChanges(reply, sentAt);
 }
 
 void GroupMember::applyDocument(const FollowReply &reply)
@@ -259,14 +260,14 @@
     }
 }
 
-void GroupMember::applyDirectoryChanges(const FollowReply &reply)
+void GroupMember::applyDirectoryChanges(const FollowReply &reply, TimePoint sentAt)
 {
-    if (reply.directoryChanges.empty()) {
-        return;
-    }
+    const TimePoint listedAt = sentAt - reply.listingAge;
     try {
-        if (m_directory.apply(reply.directoryChanges)) {
-            m_hooks.directoryChanged(m_directory.endpoints());
+        if (!reply.directoryChanges.empty() && m_directory.apply(reply.directoryChanges)) {
+            m_hooks.directoryChanged(m_directory.endpoints(), listedAt);
+        } else if (reply.directory != DirectoryRevision{} && reply.directory == m_directory.revision()) {
+            m_hooks.directoryConfirmed(listedAt);
         }
     } catch (const DecodeError &error) {
         m_directory.invalidate();
@@ -279,7 +280,14 @@
     if (m_candidates.empty()) {
         return;
     }
-    m_followCall = startCall(m_candidates.front(), followRequest());
+    m_followCall = startFollowCall(m_candidates.front());
+}
+
+CallId GroupMember::startFollowCall(const VmId &to)
+{
+    const CallId id = startCall(to, followRequest());
+    m_followCallsSentAt[id] = currentTime();
+    return id;
 }
 
 FollowRequest GroupMember::followRequest() const
@@ -296,7 +304,7 @@
     if (m_controller || m_leader.empty()) {
         return;
     }
-    startCall(m_leader, followRequest());
+    startFollowCall(m_leader);
 }
 
 // Moves the current candidate to the end of the list and sends a follow request to the next one after a delay.
--- a/src/libhemlockhill/control/open_group_test.cpp
+++ b/src/libhemlockhill/control/open_group_test.cpp
@@ -223,6 +223,7 @@
 
     bool runs(std::size_t node) const { return m_vms[node].controller != nullptr; }
     std::size_t size() const { return m_vms.size(); }
+    Controller &controllerOf(std::size_t node) { return *m_vms[node].controller; }
 
     TimePoint now;
     std::uint64_t steps = 0;
@@ -298,6 +299,39 @@
     region.checkInvariants();
 }
 
+// Guards against a follower that takes the arrival of a reply for the time at which the endpoint list was written.
+BOOST_AUTO_TEST_CASE(follow_reply_says_how_old_the_endpoint_list_is)
+{
+    constexpr Duration ListAge = std::chrono::milliseconds(900);
+    constexpr Duration HoldTime = std::chrono::milliseconds(30);
+    SimulatedRegion region(3, 7);
+    startAll(region);
+    region.run(std::chrono::seconds(5));
+    BOOST_REQUIRE(region.leader());
+    Controller &leader = region.controllerOf(*region.leader());
+    EndpointsById endpoints{{EndpointId{"e1"}, LiveEndpoint{EndpointId{"e1"}}}};
+    leader.publishDirectory(endpoints, region.now - ListAge, region.now);
+
+    std::vector<FollowReply> replies;
+    const auto keep = [&replies](FollowReply reply) { replies.push_back(std::move(reply)); };
+    FollowRequest request;
+    leader.follow(VmId{"node"}, request, keep, region.now);
+    BOOST_REQUIRE_EQUAL(replies.size(), 1);
+    BOOST_CHECK(replies[0].listingAge == ListAge);
+
+    // A held request is answered with a list that was requested after the request arrived.
+    request.directory = replies[0].directory;
+    request.confirmed = replies[0].revision;
+    request.known = replies[0].revision;
+    request.deployment = DeploymentVersion{1'000};
+    leader.follow(VmId{"node"}, request, keep, region.now);
+    BOOST_REQUIRE_EQUAL(replies.size(), 1);
+    endpoints.begin()->second.leaving = true;
+    leader.publishDirectory(endpoints, region.now + HoldTime, region.now + HoldTime);
+    BOOST_REQUIRE_EQUAL(replies.size(), 2);
+    BOOST_CHECK(replies[1].listingAge == -HoldTime);
+}
+
 BOOST_AUTO_TEST_CASE(controller_with_empty_disk_creates_no_second_group)
 {
     SimulatedRegion region(3, 4);
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -87,6 +87,7 @@
     , m_dialect(std::move(dialect))
     , m_pool(loop, m_settings.idleConnections)
     , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen))
+    , m_directory(m_settings.directoryAge)
     , m_randomEngine(randomSeed(m_settings.listen))
 {
 }
@@ -113,11 +114,36 @@
     m_server->setLimits(serverLimits(m_deployment->limits, m_settings.connectionLimit));
 }
 
-void Gateway::setDirectory(EndpointsById endpoints)
+void Gateway::onLeaderDirectory(EndpointsById endpoints, TimePoint listedAt)
 {
-    m_endpoints = std::move(endpoints);
-    m_directoryAt = currentTime();
-    m_chooser.onDirectory(m_endpoints);
+    m_directory.onLeaderDirectory(std::move(endpoints), listedAt);
+    onDirectoryChanged();
+}
+
+void Gateway::onLeaderListing(TimePoint listedAt)
+{
+    m_directory.onLeaderListing(listedAt);
+}
+
+void Gateway::onOwnListing(EndpointsById listing, TimePoint listedAt)
+{
+    m_directory.onOwnListing(std::move(listing), listedAt);
+    onDirectoryChanged();
+}
+
+void Gateway::onListUnavailable()
+{
+    m_directory.onListUnavailable(currentTime());
+}
+
+bool Gateway::needsListing() const
+{
+    return m_directory.needsListing(currentTime());
+}
+
+void Gateway::onDirectoryChanged()
+{
+    m_chooser.onDirectory(m_directory.endpoints());
     dispatchWaiting();
 }
 
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -114,7 +114,11 @@
         return;
     }
     const TimePoint now = currentTime();
-    const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_endpoints, m_requirements, now);
+    if (!m_gateway.m_directory.mayDispatch(now)) {
+        wait(NoEndpointReason::DirectoryOutdated);
+        return;
+    }
+    const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_directory.endpoints(), m_requirements, now);
     if (choice.endpoint) {
         if (m_waitingSince) {
             m_waited += now - *m_waitingSince;
@@ -185,8 +189,10 @@
 
 void Gateway::Request::send(const EndpointId &endpoint)
 {
-    const LiveEndpoint &live = m_gateway.m_endpoints.at(endpoint);
+    const TimePoint now = currentTime();
+    const LiveEndpoint &live = m_gateway.m_directory.endpoints().at(endpoint);
     m_endpoint = endpoint;
+    m_listingAge = now - m_gateway.m_directory.listedAt();
     m_requirements.avoided.insert(endpoint);
     ++m_history.exchanges;
     ++m_currentExchange;
@@ -195,7 +201,7 @@
     m_body.clear();
     m_resume.dropPartial();
     const TokenCount unread = m_gateway.m_chooser.uncachedTokens(endpoint, m_requirements);
-    m_gateway.m_chooser.onDispatched(endpoint, m_requirements, currentTime());
+    m_gateway.m_chooser.onDispatched(endpoint, m_requirements, now);
     m_gateway.notifyOtherNodes(endpoint, m_requirements.target.model.empty() ? TokenCount{0} : unread);
     ForwardOptions options;
     options.endpoint = endpoint;
@@ -213,6 +219,7 @@
     timeouts.reusedFirstByte = timeLeft();
     timeouts.betweenBytes = m_route.kind == RouteKind::Streaming ? callerStreamTimeout(m_route) + SilenceMargin : timeLeft();
     timeouts.closeEndsAnswer = true;
+    timeouts.sendBefore = m_gateway.m_directory.sendBefore(currentTime());
     return timeouts;
 }
 
@@ -521,7 +528,7 @@
                                {"total_ms", milliseconds(now - m_arrivedAt)},
                                {"time_left_ms", milliseconds(m_deadline - now)},
                                {"deployment", m_deployment->version.value},
-                               {"directory_age_ms", milliseconds(now - m_gateway.m_directoryAt)}};
+                               {"listing_age_ms", milliseconds(m_listingAge)}};
     if (!m_head.target.model.empty()) {
         fields["model"] = m_head.target.model.value;
         fields["adapter"] = m_head.target.adapter.value;
--- a/src/libhemlockhill/node/gateway_test.cpp
+++ b/src/libhemlockhill/node/gateway_test.cpp
@@ -57,7 +57,8 @@
 public:
     using Handler = std::function<void(const HttpRequest &, const std::shared_ptr<HttpResponder> &)>;
 
-    GatewayFixture(RouteKind kind, bool resumable, Handler handler)
+    // The endpoints are known from a list that was requested at the given time before.
+    GatewayFixture(RouteKind kind, bool resumable, Handler handler, Duration listingAge = Duration(0))
         : m_gateway(m_loop, gatewaySettings(), m_timers, m_metrics, plainDialect())
         , m_pool(m_loop, 4)
         , m_handler(std::move(handler))
@@ -96,7 +97,7 @@
             endpoint.slots = 4;
             endpoints.emplace(endpoint.id, endpoint);
         }
-        m_gateway.setDirectory(std::move(endpoints));
+        m_gateway.onLeaderDirectory(std::move(endpoints), currentTime() - listingAge);
     }
 
     // Returns the answer to one request; empty if the connection ends before the answer is complete.
@@ -161,7 +162,8 @@
         }
     }
 
-    void removeEndpoints() { m_gateway.setDirectory({}); }
+    void reportListUnavailable() { m_gateway.onListUnavailable(); }
+    void removeEndpoints() { m_gateway.onLeaderDirectory({}, currentTime()); }
 
     void stopAfter(Duration delay)
     {
@@ -385,6 +387,22 @@
     fixture.runUntilIdle();
 }
 
+// Guards against requests to an endpoint that began to leave after the node's list of endpoints was written.
+BOOST_AUTO_TEST_CASE(a_request_is_not_sent_to_endpoints_of_an_outdated_list)
+{
+    GatewayFixture fixture(
+        RouteKind::Safe,
+        false,
+        [](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) { responder->answer(signedAnswer(request)); },
+        std::chrono::seconds(10));
+    const auto refused = fixture.exchange("/x/1");
+    BOOST_REQUIRE(refused);
+    BOOST_CHECK_EQUAL(refused->status, 503);
+    BOOST_CHECK_EQUAL(fixture.runs, 0);
+    fixture.reportListUnavailable();
+    BOOST_CHECK_EQUAL(fixture.exchange("/x/1").value().status, 200);
+}
+
 // Request smuggling: a request hidden in the body of another one would run with the identity of that request's caller.
 BOOST_AUTO_TEST_CASE(ambiguous_message_framing_is_refused_and_the_connection_closed)
 {
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -140,6 +140,8 @@
   controllers @11 :List(Text);
   # Nodes that have recently sent a FollowRequest to the leader.
   followers @12 :List(Text);
+  # Age of the endpoint list that the directory is based on, when the leader received the request: negative if the list was requested later.
+  listingAgeUs @13 :Int64;
 }
 
 struct DispatchNotice {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -292,7 +292,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b03c630585afb38c, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(b03c630585afb38c, 6, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2093,6 +2093,8 @@
   inline bool hasFollowers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getFollowers() const;
 
+  inline  ::int64_t getListingAgeUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2195,6 +2197,9 @@
   inline void adoptFollowers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownFollowers();
 
+  inline  ::int64_t getListingAgeUs();
+  inline void setListingAgeUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5713,6 +5718,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t FollowReply::Reader::getListingAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FollowReply::Builder::getListingAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setListingAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DispatchNotice::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libhemlockhill/peers/peer_codec.cpp
+++ b/src/libhemlockhill/peers/peer_codec.cpp
@@ -294,6 +294,7 @@
     builder.setDeployment(dataOf(reply.deployment));
     builder.setDirectoryRevision(reply.directory.value);
     builder.setDirectoryChanges(dataOf(reply.directoryChanges));
+    builder.setListingAgeUs(std::chrono::duration_cast<std::chrono::microseconds>(reply.listingAge).count());
     auto controllers = builder.initControllers(static_cast<unsigned>(reply.controllers.size()));
     for (unsigned position = 0; position < reply.controllers.size(); ++position) {
         controllers.set(position, reply.controllers[position].value);
@@ -320,6 +321,7 @@
     reply.deployment = bytesOf(reader.getDeployment());
     reply.directory = DirectoryRevision{reader.getDirectoryRevision()};
     reply.directoryChanges = bytesOf(reader.getDirectoryChanges());
+    reply.listingAge = std::chrono::microseconds(reader.getListingAgeUs());
     for (const auto controller : reader.getControllers()) {
         reply.controllers.push_back(VmId{textOf(controller)});
     }
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -42,6 +42,8 @@
 std::string_view toText(NoEndpointReason reason)
 {
     switch (reason) {
+    case NoEndpointReason::DirectoryOutdated:
+        return "directory_outdated";
     case NoEndpointReason::NoEndpoint:
         return "no_endpoint";
     case NoEndpointReason::ModelAbsent:
