Run a late periodic timer once

What callers saw: nothing by itself; it makes an overloaded node later still.

Cause: the timer thread posted each period's call whether or not the loop had run the one before. After a delay of 1 s a loop had 50 ticks of 20 ms to run, and each of them stands before the reads of the list and the configs.

A periodic subscription is posted again only when its last call has begun. The test counted 20 calls before, one is expected.

--- a/src/include/hemlockhill/timer_service.h
+++ b/src/include/hemlockhill/timer_service.h
@@ -5,10 +5,12 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <thread>
 #include <utility>
@@ -36,7 +38,8 @@
 
     // Runs the callback once after the delay, on the given loop.
     SubscriptionId after(Duration delay, boost::asio::io_context &loop, Callback callback);
-    // Runs the callback once per period, first after one period, on the given loop.
+    // Runs the callback once per period, first after one period, on the given loop. While the loop has not yet run the previous call,
+    // further ones are skipped, so that a busy loop does not fall further behind.
     SubscriptionId every(Duration period, boost::asio::io_context &loop, Callback callback);
     // Has no effect if the subscription has already ended.
     void cancel(SubscriptionId id);
@@ -50,8 +53,12 @@
         Callback callback;
         Duration period;
         TimePoint due;
+        // Whether a call is posted to the loop that has not run yet.
+        std::shared_ptr<std::atomic<bool>> isPosted;
     };
 
+    static void post(const Subscription &subscription);
+
     SubscriptionId subscribe(Duration delay, Duration period, boost::asio::io_context &loop, Callback callback);
     void run();
     void fireDue(TimePoint now);
--- a/src/libhemlockhill/runtime/timer_service.cpp
+++ b/src/libhemlockhill/runtime/timer_service.cpp
@@ -38,7 +38,7 @@
     const std::lock_guard lock(m_mutex);
     const SubscriptionId id{++m_lastId};
     const TimePoint due = currentTime() + delay;
-    m_subscriptions.emplace(id, Subscription{&loop, std::move(callback), period, due});
+    m_subscriptions.emplace(id, Subscription{&loop, std::move(callback), period, due, std::make_shared<std::atomic<bool>>(false)});
     const auto position = m_due.emplace(due, id);
     // The thread sleeps until the earliest deadline, so it needs waking only when that changes.
     if (position == m_due.begin()) {
@@ -92,6 +92,17 @@
     }
 }
 
+void TimerService::post(const Subscription &subscription)
+{
+    if (subscription.isPosted->exchange(true)) {
+        return;
+    }
+    boost::asio::post(*subscription.loop, [callback = subscription.callback, isPosted = subscription.isPosted] {
+        isPosted->store(false);
+        callback();
+    });
+}
+
 void TimerService::fireDue(TimePoint now)
 {
     while (!m_due.empty() && m_due.begin()->first <= now) {
@@ -99,7 +110,7 @@
         m_due.erase(m_due.begin());
         const auto found = m_subscriptions.find(id);
         Subscription &subscription = found->second;
-        boost::asio::post(*subscription.loop, subscription.callback);
+        post(subscription);
         if (subscription.period == Duration::zero()) {
             m_subscriptions.erase(found);
             continue;
