Spare the leader of a large fleet work that it repeats

Change: a due report brings its address; memory in use is summed without a set; adapters are looked for only where one fits; endpoints are compared in place. The list of 67 followers goes with a reply only if the follower's digest of it differs, as with the quarantine record, and is built once a tick.

Decisions and their order are the same; the tests of placement, directory and the budget of a decision cover them.

--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -75,8 +75,8 @@
     bool resign(TimePoint now);
 
     bool leads(TimePoint now) const;
-    // Nodes that have sent a follow request within the last 5 s.
-    std::vector<VmId> followers(TimePoint now) const;
+    // Nodes that have sent a follow request within the last 5 s, as of the last tick.
+    const std::vector<VmId> &followers() const { return m_followers; }
     // VM of the known leader; empty if unknown.
     VmId leader() const;
     const Consensus *consensus() const { return m_consensus ? &*m_consensus : nullptr; }
@@ -121,6 +121,7 @@
     void answerAcceptedCommands(TimePoint now);
     void answerHeldFollows(TimePoint now, bool all);
     FollowReply followReply(const FollowRequest &request, TimePoint receivedAt, TimePoint now) const;
+    void updateFollowers(TimePoint now);
     void maintainMembership(TimePoint now);
     void changeMembership(MembershipChangeKind kind, const VoterId &voter, TimePoint now);
     std::optional<VoterId> silentVoter(const VoterMembership &membership, TimePoint now) const;
@@ -161,6 +162,8 @@
     std::string m_quarantine;
     StateDigest m_quarantineDigest;
     std::map<VmId, TimePoint> m_followedAt;
+    std::vector<VmId> m_followers;
+    StateDigest m_followersDigest;
     // Present while this controller leads.
     std::optional<DirectoryHistory> m_directory;
     // Time at which the endpoint list was requested that the directory agrees with.
--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -83,6 +83,12 @@
 
 std::string_view toText(OrderOutcome outcome);
 
+// A runner whose report is due.
+struct DueReport {
+    EndpointId endpoint;
+    Address address;
+};
+
 // Thresholds and rate limits of fleet placement.
 struct FleetLimits {
     // Utilization of a runner by one copy of a model, as a ratio of its time, above which another copy is worth a load.
@@ -148,7 +154,7 @@
     void onAnswered(const RunnerOrder &order, OrderOutcome outcome, TimePoint now);
 
     // Runners whose report must be requested now; marks them as requested.
-    std::vector<EndpointId> reportsDue(TimePoint now);
+    std::vector<DueReport> reportsDue(TimePoint now);
     // Orders to send now, at most one for each runner. The outcome of each must be passed to onAnswered().
     std::vector<RunnerOrder> decide(TimePoint now);
     // Load of the models that have demand.
@@ -231,8 +237,10 @@
     const ModelState &stateOf(const ModelId &model) const;
     double runnerWork(const Runner &runner) const;
     void applyStaleReport(Runner &runner, const RunnerReport &report) const;
-    std::set<RoutingTarget> occupyingTargets(const Runner &runner) const;
     void updateUsage(Runner &runner) const;
+    // Whether an adapter can be loaded on the runner ahead of demand.
+    bool takesPreload(
+        const Runner &runner, const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now) const;
     // Whether one more adapter of the model fits, by adapter slots and by memory.
     bool adapterFits(const Runner &runner, const EngineProfile &profile, const EngineModel &model) const;
     bool takesOrders(const Runner &runner, TimePoint now) const;
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -112,6 +112,7 @@
     DeploymentVersion m_deploymentVersion;
     DirectoryReplica m_directory;
     std::vector<VmId> m_followers;
+    StateDigest m_followersDigest;
     // Pending long-poll follow call. Calls of reportFigures() are not tracked.
     std::optional<CallId> m_followCall;
     // Times at which the pending follow calls, including those of reportFigures(), were sent.
--- a/src/include/hemlockhill/peer_messages.h
+++ b/src/include/hemlockhill/peer_messages.h
@@ -54,6 +54,8 @@
     DeploymentVersion deployment;
     // Revision of the endpoint directory that the node holds.
     DirectoryRevision directory;
+    // Digest of the list of followers that the node holds.
+    StateDigest followersDigest;
 };
 
 // The changes since the revisions named in a FollowRequest.
@@ -82,7 +84,9 @@
     Duration listingAge{0};
     // All controllers known to the leader.
     std::vector<VmId> controllers;
-    // Nodes that have recently sent a FollowRequest to the leader.
+    // Digest of the leader's list of followers, the nodes that have recently sent it a FollowRequest, and the list itself if the node's
+    // digest differs.
+    StateDigest followersDigest;
     std::vector<VmId> followers;
 };
 
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -384,7 +384,10 @@
         }
     }
     reply.controllers = controllers();
-    reply.followers = followers(now);
+    reply.followersDigest = m_followersDigest;
+    if (request.followersDigest != m_followersDigest) {
+        reply.followers = m_followers;
+    }
     return reply;
 }
 
@@ -405,7 +408,9 @@
         return;
     }
     m_leases->recordReport(node, request.confirmed, now);
-    m_followedAt[node] = now;
+    if (m_followedAt.insert_or_assign(node, now).second) {
+        updateFollowers(now);
+    }
     // A node that has the current state but has not confirmed it is answered immediately, so that it can confirm.
     const bool isCurrent =
         request.known == m_history.revision() && request.confirmed == m_history.revision() && request.quarantineDigest == m_quarantineDigest
@@ -467,6 +472,7 @@
         m_consensus->tick(now);
         executeActions(now);
     }
+    updateFollowers(now);
     answerHeldFollows(now, false);
     reportGauges(now);
 }
@@ -507,15 +513,17 @@
     return vms;
 }
 
-std::vector<VmId> Controller::followers(TimePoint now) const
+void Controller::updateFollowers(TimePoint now)
 {
-    std::vector<VmId> vms;
+    std::erase_if(m_followedAt, [now](const auto &entry) { return now - entry.second >= FollowerTimeout; });
+    std::vector<VmId> followers;
+    std::string names;
     for (const auto &[vm, followedAt] : m_followedAt) {
-        if (now - followedAt < FollowerTimeout) {
-            vms.push_back(vm);
-        }
+        followers.push_back(vm);
+        names += vm.value + '\n';
     }
-    return vms;
+    m_followers = std::move(followers);
+    m_followersDigest = StateDigest{XXH3_64bits(names.data(), names.size())};
 }
 
 // Returns a voter to remove because its VM has presumably been lost for good: it would count towards the quorum size forever. Empty if the
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -128,7 +128,7 @@
 
 std::size_t GroupMember::followers() const
 {
-    return m_controller ? m_controller->followers(currentTime()).size() : m_followers.size();
+    return m_controller ? m_controller->followers().size() : m_followers.size();
 }
 
 bool GroupMember::resign()
@@ -240,7 +240,10 @@
     for (const VmId &controller : reply.controllers) {
         addCandidate(controller, false);
     }
-    if (reply.followers != m_followers) {
+    if (!reply.followers.empty()) {
+        m_followersDigest = reply.followersDigest;
+    }
+    if (!reply.followers.empty() && reply.followers != m_followers) {
         m_followers = reply.followers;
         m_hooks.followersChanged(m_followers);
     }
@@ -296,6 +299,7 @@
     request.figures = m_hooks.collectFigures();
     request.deployment = m_deploymentVersion;
     request.directory = m_directory.revision();
+    request.followersDigest = m_followersDigest;
     return request;
 }
 
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -117,6 +117,8 @@
   # Version of the deployment that it has in force, and revision of the endpoint directory that it holds.
   deploymentVersion @5 :UInt64;
   directoryRevision @6 :UInt64;
+  # Digest of the list of followers that it holds.
+  followersDigest @7 :UInt64;
 }
 
 struct FollowReply {
@@ -138,10 +140,12 @@
   directoryChanges @10 :Data;
   # All controllers known to the leader.
   controllers @11 :List(Text);
-  # Nodes that have recently sent a FollowRequest to the leader.
+  # Nodes that have recently sent a FollowRequest to the leader; empty if the node's list has the same digest.
   followers @12 :List(Text);
   # Age of the endpoint list that the directory is based on, when the leader received the request: negative if the list was requested later.
   listingAgeUs @13 :Int64;
+  # Digest of the leader's list of followers.
+  followersDigest @14 :UInt64;
 }
 
 struct DispatchNotice {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -277,7 +277,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fdf497fe4a97a6be, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fdf497fe4a97a6be, 7, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -292,7 +292,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b03c630585afb38c, 6, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(b03c630585afb38c, 7, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1963,6 +1963,8 @@
 
   inline  ::uint64_t getDirectoryRevision() const;
 
+  inline  ::uint64_t getFollowersDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2016,6 +2018,9 @@
   inline  ::uint64_t getDirectoryRevision();
   inline void setDirectoryRevision( ::uint64_t value);
 
+  inline  ::uint64_t getFollowersDigest();
+  inline void setFollowersDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2095,6 +2100,8 @@
 
   inline  ::int64_t getListingAgeUs() const;
 
+  inline  ::uint64_t getFollowersDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2200,6 +2207,9 @@
   inline  ::int64_t getListingAgeUs();
   inline void setListingAgeUs( ::int64_t value);
 
+  inline  ::uint64_t getFollowersDigest();
+  inline void setFollowersDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5364,6 +5374,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FollowRequest::Reader::getFollowersDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowRequest::Builder::getFollowersDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setFollowersDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FollowReply::Reader::getLeading() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5732,6 +5756,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FollowReply::Reader::getFollowersDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowReply::Builder::getFollowersDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setFollowersDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DispatchNotice::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libhemlockhill/peers/peer_codec.cpp
+++ b/src/libhemlockhill/peers/peer_codec.cpp
@@ -265,6 +265,7 @@
     builder.setQuarantineDigest(request.quarantineDigest.value);
     builder.setDeploymentVersion(request.deployment.value);
     builder.setDirectoryRevision(request.directory.value);
+    builder.setFollowersDigest(request.followersDigest.value);
 }
 
 FollowRequest read(Wire::FollowRequest::Reader reader)
@@ -275,7 +276,8 @@
             textOf(reader.getFigures()),
             StateDigest{reader.getQuarantineDigest()},
             DeploymentVersion{reader.getDeploymentVersion()},
-            DirectoryRevision{reader.getDirectoryRevision()}};
+            DirectoryRevision{reader.getDirectoryRevision()},
+            StateDigest{reader.getFollowersDigest()}};
 }
 
 void write(Wire::FollowReply::Builder builder, const FollowReply &reply)
@@ -295,6 +297,7 @@
     builder.setDirectoryRevision(reply.directory.value);
     builder.setDirectoryChanges(dataOf(reply.directoryChanges));
     builder.setListingAgeUs(std::chrono::duration_cast<std::chrono::microseconds>(reply.listingAge).count());
+    builder.setFollowersDigest(reply.followersDigest.value);
     auto controllers = builder.initControllers(static_cast<unsigned>(reply.controllers.size()));
     for (unsigned position = 0; position < reply.controllers.size(); ++position) {
         controllers.set(position, reply.controllers[position].value);
@@ -322,6 +325,7 @@
     reply.directory = DirectoryRevision{reader.getDirectoryRevision()};
     reply.directoryChanges = bytesOf(reader.getDirectoryChanges());
     reply.listingAge = std::chrono::microseconds(reader.getListingAgeUs());
+    reply.followersDigest = StateDigest{reader.getFollowersDigest()};
     for (const auto controller : reader.getControllers()) {
         reply.controllers.push_back(VmId{textOf(controller)});
     }
--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -104,6 +104,14 @@
     }
 }
 
+bool FleetPlacement::takesPreload(
+    const Runner &runner, const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now) const
+{
+    const bool hasPlace =
+        runner.usedAdapterSlots + m_limits.spareAdapterSlots < profile.adapterSlots && adapterFits(runner, profile, model);
+    return hasPlace && runner.live.service == service && takesOrders(runner, now) && !isBusyWithModel(runner);
+}
+
 void FleetPlacement::preloadAdapters(const ServiceId &service,
                                      const EngineProfile &profile,
                                      TimePoint now,
@@ -113,19 +121,22 @@
     for (const auto &entry : profile.models) {
         const EngineModel &model = entry.second;
         const std::vector<Runner *> &holders = stateOf(model.id).holders;
-        for (std::uint32_t number = 1; number <= model.adapters && !holders.empty(); ++number) {
-            const RoutingTarget target{model.id, AdapterId{"a" + std::to_string(number)}};
+        for (std::uint32_t number = 1; number <= model.adapters; ++number) {
             Runner *best = nullptr;
-            const bool isThere = std::any_of(holders.begin(), holders.end(), [&](Runner *runner) {
-                const bool hasPlace =
-                    runner->usedAdapterSlots + m_limits.spareAdapterSlots < profile.adapterSlots && adapterFits(*runner, profile, model);
-                const bool takes = runner->live.service == service && takesOrders(*runner, now) && !isBusyWithModel(*runner);
-                if (hasPlace && takes && (best == nullptr || runner->usedAdapterSlots < best->usedAdapterSlots)) {
+            for (Runner *runner : holders) {
+                const bool isEmptier = best == nullptr || runner->usedAdapterSlots < best->usedAdapterSlots;
+                if (isEmptier && takesPreload(*runner, service, profile, model, now)) {
                     best = runner;
                 }
+            }
+            if (best == nullptr) {
+                break;
+            }
+            const RoutingTarget target{model.id, AdapterId{"a" + std::to_string(number)}};
+            const bool isThere = std::any_of(holders.begin(), holders.end(), [&target](const Runner *runner) {
                 return runner->held.contains(target) || runner->loadingAdapters.contains(target) || runner->unloading.contains(target);
             });
-            if (isThere || best == nullptr) {
+            if (isThere) {
                 continue;
             }
             orders.push_back(order(*best, RunnerOperation::Load, target));
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -215,9 +215,9 @@
     runner.reportRequestedAt = now + OutcomeReportDelay - m_limits.reportPeriod;
 }
 
-std::vector<EndpointId> FleetPlacement::reportsDue(TimePoint now)
+std::vector<DueReport> FleetPlacement::reportsDue(TimePoint now)
 {
-    std::vector<EndpointId> due;
+    std::vector<DueReport> due;
     const Duration regular = std::max<Duration>(m_limits.reportPeriod, m_limits.reportPeriodPerRunner * m_runners.size());
     // Limited, so that the answers do not arrive all at once.
     const std::size_t limit = BaseReportsPerCall + m_runners.size() / RunnersPerReport;
@@ -227,7 +227,7 @@
         const Duration period = expectsLoad ? m_limits.reportPeriod / 3 : isAwaited ? m_limits.reportPeriod : regular;
         if (due.size() < limit && profileOf(runner) != nullptr && now - runner.reportRequestedAt >= period) {
             runner.reportRequestedAt = now;
-            due.push_back(id);
+            due.push_back({id, runner.live.address});
         }
     }
     return due;
@@ -346,23 +346,7 @@
     return work;
 }
 
-// Everything that occupies memory on the runner, or may do so before a report shows it.
-std::set<RoutingTarget> FleetPlacement::occupyingTargets(const Runner &runner) const
-{
-    std::set<RoutingTarget> targets = runner.held;
-    targets.insert(runner.unloading.begin(), runner.unloading.end());
-    if (!runner.loading.empty()) {
-        targets.insert(baseOf(runner.loading));
-    }
-    for (const auto &[target, readyAt] : runner.loadingAdapters) {
-        targets.insert(target);
-    }
-    if (runner.report) {
-        targets.insert(runner.report->pending.begin(), runner.report->pending.end());
-    }
-    return targets;
-}
-
+// Sums up everything that occupies memory on the runner, or may do so before a report shows it.
 void FleetPlacement::updateUsage(Runner &runner) const
 {
     runner.usedWeights = 0;
@@ -371,12 +355,38 @@
     if (profile == nullptr) {
         return;
     }
-    for (const RoutingTarget &target : occupyingTargets(runner)) {
+    const auto add = [&](const RoutingTarget &target) {
         runner.usedAdapterSlots += target.adapter.empty() ? 0 : 1;
         const auto model = profile->models.find(target.model);
         if (model != profile->models.end()) {
             runner.usedWeights += target.adapter.empty() ? model->second.weights.value : model->second.adapterWeights.value;
         }
+    };
+    const auto isCounted = [&](const RoutingTarget &target) { return runner.held.contains(target) || runner.unloading.contains(target); };
+    for (const RoutingTarget &target : runner.held) {
+        add(target);
+    }
+    for (const RoutingTarget &target : runner.unloading) {
+        if (!runner.held.contains(target)) {
+            add(target);
+        }
+    }
+    if (!runner.loading.empty() && !isCounted(baseOf(runner.loading))) {
+        add(baseOf(runner.loading));
+    }
+    for (const auto &[target, readyAt] : runner.loadingAdapters) {
+        if (!isCounted(target)) {
+            add(target);
+        }
+    }
+    if (!runner.report) {
+        return;
+    }
+    for (const RoutingTarget &target : runner.report->pending) {
+        const bool isLoading = runner.loadingAdapters.contains(target) || target == baseOf(runner.loading);
+        if (!isCounted(target) && !isLoading) {
+            add(target);
+        }
     }
 }
 
--- a/src/libhemlockhill/routing/directory_history.cpp
+++ b/src/libhemlockhill/routing/directory_history.cpp
@@ -8,6 +8,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <tuple>
 #include <utility>
 
 namespace Hemlockhill
@@ -23,10 +24,20 @@
 constexpr std::size_t EncodedChangesLimit = 8;
 
 // Compares endpoints without the remaining load time, which changes with the passage of time alone.
-bool isSameExceptLoadTime(const LiveEndpoint &left, LiveEndpoint right)
+bool isSameExceptLoadTime(const LiveEndpoint &left, const LiveEndpoint &right)
 {
-    right.loadingLeft = left.loadingLeft;
-    return left == right;
+    const auto fields = [](const LiveEndpoint &endpoint) {
+        return std::tie(endpoint.id,
+                        endpoint.incarnation,
+                        endpoint.service,
+                        endpoint.address,
+                        endpoint.dataCentre,
+                        endpoint.slots,
+                        endpoint.leaving,
+                        endpoint.held,
+                        endpoint.loading);
+    };
+    return fields(left) == fields(right);
 }
 
 } // namespace
