Slow down what can wait while the leader's loop is late

Cause: reports, decisions and publications were paced by the size of the fleet alone. When a trouble adds work, they take the time that configs and the list need.

The list keeps its rate, since its age limits what followers may do, and reports that show the outcome of an order are not delayed.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -153,8 +153,9 @@
     // Records the outcome of an order. Ignored if the runner has another incarnation by now.
     void onAnswered(const RunnerOrder &order, OrderOutcome outcome, TimePoint now);
 
-    // Runners whose report must be requested now; marks them as requested.
-    std::vector<DueReport> reportsDue(TimePoint now);
+    // Runners whose report must be requested now; marks them as requested. The slowdown, 1 or more, multiplies the regular period; reports
+    // that show the outcome of an order are not delayed.
+    std::vector<DueReport> reportsDue(TimePoint now, double slowdown = 1);
     // Orders to send now, at most one for each runner. The outcome of each must be passed to onAnswered().
     std::vector<RunnerOrder> decide(TimePoint now);
     // Load of the models that have demand.
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -215,10 +215,11 @@
     runner.reportRequestedAt = now + OutcomeReportDelay - m_limits.reportPeriod;
 }
 
-std::vector<DueReport> FleetPlacement::reportsDue(TimePoint now)
+std::vector<DueReport> FleetPlacement::reportsDue(TimePoint now, double slowdown)
 {
     std::vector<DueReport> due;
-    const Duration regular = std::max<Duration>(m_limits.reportPeriod, m_limits.reportPeriodPerRunner * m_runners.size());
+    const Duration unhurried = std::max<Duration>(m_limits.reportPeriod, m_limits.reportPeriodPerRunner * m_runners.size());
+    const auto regular = std::chrono::duration_cast<Duration>(unhurried * slowdown);
     // Limited, so that the answers do not arrive all at once.
     const std::size_t limit = BaseReportsPerCall + m_runners.size() / RunnersPerReport;
     for (auto &[id, runner] : m_runners) {
--- a/src/libhemlockhill/placement/fleet_placement_test.cpp
+++ b/src/libhemlockhill/placement/fleet_placement_test.cpp
@@ -401,6 +401,21 @@
     BOOST_CHECK_LE(requested, 140 * 6);
 }
 
+// Guards against a leader that spends its processor time on reports while configs and the endpoint list wait.
+BOOST_AUTO_TEST_CASE(reports_become_less_frequent_on_an_overloaded_leader)
+{
+    constexpr double Slowdown = 4;
+    Fleet fleet(std::vector<std::set<RoutingTarget>>(140, {model("m1")}));
+    std::size_t requested = 0;
+    for (int tick = 0; tick < 400; ++tick) {
+        fleet.now += std::chrono::milliseconds(20);
+        requested += fleet.placement.reportsDue(fleet.now, Slowdown).size();
+    }
+    // Each runner once per 4 s.
+    BOOST_CHECK_GE(requested, 140);
+    BOOST_CHECK_LE(requested, 140 * 3);
+}
+
 // All memory is in use: three cold models are on one runner each, next to idle copies of another model. Three of them fit on one runner;
 // packing them there leaves the two other runners with memory for two copies of large models each.
 BOOST_AUTO_TEST_CASE(idle_copies_are_evicted_to_pack_cold_models)
