Send a session's declarations until they are accepted

Cause: declare() sent its statements once and ignored ctl's exit code. A node that has not been elected within the 3 s for which it looks for a leader refuses them truthfully as not run (no_quorum), and nothing was declared afterwards.

declare() uses Session.script, which resends the whole script until it is accepted; operation ids make that idempotent, and any other refusal ends the session with its text, where it was ignored before. So the sessions check more, not less. The late election itself was not reproduced.

--- a/testsuite/request_callers.py
+++ b/testsuite/request_callers.py
@@ -61,7 +61,7 @@
     """Declares one model on the runners and waits until every runner has served a request."""
     statements = [f"declare endpoint {runner.name} address {runner.address} in ktm-1 memory 80GB" for runner in runners]
     statements += [f"declare service {service}", f"declare model {MODEL} version v1 weights 12GB kv 2GB service {service.split()[0]}"]
-    session.ctl(node, *statements, quiet=True)
+    session.script(node, statements)
     wait_until(node.ready, "the node to be ready")
     wait_until(lambda: all_have_served(session, node, runners), "every runner to serve")
 
