--- a/src/include/hemlockhill/directory_view.h
+++ b/src/include/hemlockhill/directory_view.h
@@ -28,6 +28,7 @@
 // Derives the limits from the time within which an endpoint that leaves must stop receiving requests.
 DirectoryAgeLimits directoryAgeLimits(Duration drainTime);
 
+// Combines the leader's directory with this node's own listings, and decides whether they are recent enough to rely on.
 class DirectoryView
 {
 public:
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -86,6 +86,7 @@
     void onFollowReply(const VmId &from, const FollowReply &reply, TimePoint sentAt);
     void applyDocument(const FollowReply &reply);
     void applyDirectoryChanges(const FollowReply &reply, TimePoint sentAt);
+    // Sends a follow request and records the time.
     CallId startFollowCall(const VmId &to);
     FollowRequest followRequest() const;
     void sendFollowRequest();
--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -284,6 +284,7 @@
 void HttpServer::Listener::Session::readRequest()
 {
     expireAfter(m_listener->limits().request);
+    // A request that has already arrived completely needs no further iteration of the event loop.
     m_parser->eager(true);
     error_code error;
     m_buffer.consume(m_parser->put(m_buffer.data(), error));
