Log how an answer was framed and whether a stream ended within an event

What the logs could not tell: a request that ended "whole" gave no hint of whether its endpoint had marked the end of the answer by a length, by chunks or only by closing the connection, nor of where in a stream the end came. So an answer cut off by a crash looked like any other.

The line "request ended" has framing, answer_bytes, events and inside_event. Event boundaries are found by EventBoundaryTracker for every stream; until now only resumable ones were looked at, and only with lines that end with LF: a resumable stream with CRLF was buffered to its end. ResumableEventBuffer is EventForwarder now, which both kinds of stream pass through.

No decision changes, but for streams with CR or CRLF, which are forwarded event by event as they arrive (events_are_recognised_with_every_kind_of_line_end).

--- a/src/include/hemlockhill/event_stream.h
+++ b/src/include/hemlockhill/event_stream.h
@@ -3,6 +3,7 @@
 
 #include "hemlockhill/world.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,6 +33,28 @@
     std::string m_pending;
 };
 
+// Finds the boundaries of events in a byte stream whose lines end with LF, CR or CRLF. Buffers nothing.
+class EventBoundaryTracker
+{
+public:
+    // Returns how many of the bytes precede the event that is still incomplete: all of them if none is.
+    std::size_t feed(std::string_view bytes);
+    // Whether the bytes so far end within an event.
+    bool isInsideEvent() const { return m_insideEvent; }
+    // Number of complete events so far.
+    std::uint64_t completeEvents() const { return m_completeEvents; }
+    // Discards the incomplete event.
+    void discardIncomplete();
+
+private:
+    void endLine();
+
+    bool m_insideEvent = false;
+    bool m_insideLine = false;
+    bool m_afterCarriageReturn = false;
+    std::uint64_t m_completeEvents = 0;
+};
+
 // True when the event's data is a JSON object or empty. Anything else was corrupted in transit.
 bool isWellFormed(const StreamEvent &event);
 
--- a/src/include/hemlockhill/http.h
+++ b/src/include/hemlockhill/http.h
@@ -38,4 +38,16 @@
 // The value of the first header with this name (case-insensitive), or an empty view.
 std::string_view findHeader(const std::vector<HttpHeader> &headers, std::string_view name);
 
+// How the end of a response body is marked (RFC 9112, section 6.3).
+enum class BodyFraming {
+    Length,
+    Chunked,
+    // By the close of the connection. A truncated body looks the same as a complete one.
+    UntilClose
+};
+
+// The framing that the headers of a response declare.
+BodyFraming bodyFraming(const std::vector<HttpHeader> &headers);
+std::string_view toText(BodyFraming framing);
+
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/routed_attempt.h
+++ b/src/include/hemlockhill/routed_attempt.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "hemlockhill/deployment.h"
+#include "hemlockhill/event_stream.h"
 #include "hemlockhill/world.h"
 
 #include <cstdint>
@@ -40,22 +41,39 @@
 // budget allows another exchange.
 RetryDecision decideRetry(const Route &route, const AttemptHistory &history, Duration timeLeft, bool mayRetry);
 
-// Forwards the complete events of a stream and buffers the bytes of an incomplete one, so that the stream can be resumed at another
-// endpoint.
-class ResumableEventBuffer
+// When the bytes of an incomplete event are forwarded.
+enum class PartialEvents {
+    // As they arrive.
+    Forwarded,
+    // Once the event is complete, so that the stream can be resumed at another endpoint.
+    Buffered
+};
+
+// Tracks the events of a stream on their way from an endpoint to the caller.
+class EventForwarder
 {
 public:
-    // Appends bytes and returns the buffered data up to the end of the last complete event.
-    std::string feed(std::string_view bytes);
-    // Id of the last forwarded event that has one. Empty before the first.
+    explicit EventForwarder(PartialEvents partialEvents)
+        : m_partialEvents(partialEvents)
+    {
+    }
+
+    // Takes bytes of the endpoint and returns what is to be forwarded now.
+    std::string feed(std::string bytes);
+    // Id of the last forwarded event that has one, if incomplete events are buffered. Empty before the first.
     const std::string &lastEventId() const { return m_lastEventId; }
     // Discards the incomplete event, before the stream resumes at another endpoint.
-    void dropPartial() { m_partial.clear(); }
-    bool hasPartial() const { return !m_partial.empty(); }
-    // Returns and clears the incomplete event, at the end of a complete response.
+    void dropPartial();
+    // Whether the bytes so far end within an event.
+    bool isInsideEvent() const { return m_boundary.isInsideEvent(); }
+    // Number of complete events so far.
+    std::uint64_t completeEvents() const { return m_boundary.completeEvents(); }
+    // Returns and clears the buffered bytes, at the end of a complete response.
     std::string takePartial();
 
 private:
+    PartialEvents m_partialEvents;
+    EventBoundaryTracker m_boundary;
     std::string m_partial;
     std::string m_lastEventId;
 };
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -73,6 +73,7 @@
     , m_responder(std::move(responder))
     , m_arrivedAt(currentTime())
     , m_deadline(m_arrivedAt + std::min(route.timeout, m_head.callerDeadline.value_or(route.timeout)))
+    , m_events(route.resumable ? PartialEvents::Buffered : PartialEvents::Forwarded)
 {
     m_requirements.service = std::move(service);
     m_requirements.target = m_head.target;
@@ -199,14 +200,15 @@
     m_status = 0;
     m_headers.clear();
     m_body.clear();
-    m_resume.dropPartial();
+    m_answerBytes = 0;
+    m_events.dropPartial();
     const TokenCount unread = m_gateway.m_chooser.uncachedTokens(endpoint, m_requirements);
     m_gateway.m_chooser.onDispatched(endpoint, m_requirements, now);
     m_gateway.notifyOtherNodes(endpoint, m_requirements.target.model.empty() ? TokenCount{0} : unread);
     ForwardOptions options;
     options.endpoint = endpoint;
     options.timeLeft = timeLeft();
-    options.resumeAfter = m_resume.lastEventId().empty() ? m_head.lastEventId : m_resume.lastEventId();
+    options.resumeAfter = m_events.lastEventId().empty() ? m_head.lastEventId : m_events.lastEventId();
     m_exchange = m_gateway.m_pool.start(
         live.address, m_gateway.m_dialect.forward(m_request, options), exchangeTimeouts(), ConnectionChoice::PreferIdle, exchangeHooks());
 }
@@ -286,6 +288,7 @@
 
 void Gateway::Request::onBody(std::string bytes)
 {
+    m_answerBytes += bytes.size();
     if (m_streaming) {
         forwardEvents(std::move(bytes));
         return;
@@ -300,9 +303,7 @@
 
 void Gateway::Request::forwardEvents(std::string bytes)
 {
-    if (m_route.resumable) {
-        bytes = m_resume.feed(bytes);
-    }
+    bytes = m_events.feed(std::move(bytes));
     if (bytes.empty()) {
         return;
     }
@@ -336,8 +337,8 @@
 void Gateway::Request::onEnd()
 {
     if (m_streaming) {
-        if (m_resume.hasPartial()) {
-            m_responder->write(m_resume.takePartial());
+        if (m_events.isInsideEvent()) {
+            m_responder->write(m_events.takePartial());
         }
         m_gateway.m_chooser.onSucceeded(m_endpoint);
         releaseEndpoint();
@@ -533,8 +534,14 @@
         fields["model"] = m_head.target.model.value;
         fields["adapter"] = m_head.target.adapter.value;
     }
+    if (m_status != 0) {
+        fields["framing"] = toText(bodyFraming(m_headers));
+        fields["answer_bytes"] = m_answerBytes;
+    }
     if (m_streaming) {
         fields["longest_gap_ms"] = milliseconds(m_longestGap);
+        fields["events"] = m_events.completeEvents();
+        fields["inside_event"] = m_events.isInsideEvent();
     }
     if (m_firstByte) {
         fields["first_byte_ms"] = milliseconds(*m_firstByte);
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -97,8 +97,9 @@
     unsigned m_status = 0;
     std::vector<HttpHeader> m_headers;
     std::string m_body;
+    std::uint64_t m_answerBytes = 0;
     bool m_streaming = false;
-    ResumableEventBuffer m_resume;
+    EventForwarder m_events;
     std::optional<Duration> m_firstByte;
     // Timing of the events written to the caller.
     TimePoint m_lastEventAt;
--- a/src/libhemlockhill/request/event_stream.cpp
+++ b/src/libhemlockhill/request/event_stream.cpp
@@ -54,6 +54,43 @@
     return events;
 }
 
+std::size_t EventBoundaryTracker::feed(std::string_view bytes)
+{
+    std::size_t complete = 0;
+    for (std::size_t index = 0; index < bytes.size(); ++index) {
+        const char byte = bytes[index];
+        const bool endsPreviousLine = byte == '\n' && m_afterCarriageReturn;
+        m_afterCarriageReturn = byte == '\r';
+        if (byte != '\n' && byte != '\r') {
+            m_insideLine = true;
+            m_insideEvent = true;
+        } else if (!endsPreviousLine) {
+            endLine();
+        }
+        if (!m_insideEvent) {
+            complete = index + 1;
+        }
+    }
+    return complete;
+}
+
+// A blank line ends an event.
+void EventBoundaryTracker::endLine()
+{
+    if (m_insideEvent && !m_insideLine) {
+        m_insideEvent = false;
+        ++m_completeEvents;
+    }
+    m_insideLine = false;
+}
+
+void EventBoundaryTracker::discardIncomplete()
+{
+    m_insideEvent = false;
+    m_insideLine = false;
+    m_afterCarriageReturn = false;
+}
+
 bool isWellFormed(const StreamEvent &event)
 {
     boost::json::error_code error;
--- a/src/libhemlockhill/request/routed_attempt.cpp
+++ b/src/libhemlockhill/request/routed_attempt.cpp
@@ -11,7 +11,6 @@
 
 // Minimum remaining time for a retry; with less, it would only add load to an endpoint.
 constexpr Duration MinimumRetryTime = std::chrono::milliseconds(30);
-constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view IdField = "id:";
 
 // Returns the id of the last event that has one, or an empty string.
@@ -56,22 +55,31 @@
     return history.possibleRuns == 0 ? RetryDecision::Refuse : RetryDecision::Fail;
 }
 
-std::string ResumableEventBuffer::feed(std::string_view bytes)
+std::string EventForwarder::feed(std::string bytes)
 {
-    m_partial += bytes;
-    const std::size_t end = m_partial.rfind(EventEnd);
-    if (end == std::string::npos) {
+    const std::size_t complete = m_boundary.feed(bytes);
+    if (m_partialEvents == PartialEvents::Forwarded) {
+        return bytes;
+    }
+    if (complete == 0) {
+        m_partial += bytes;
         return {};
     }
-    std::string complete = m_partial.substr(0, end + EventEnd.size());
-    m_partial.erase(0, complete.size());
-    if (std::string id = lastEventIdIn(complete); !id.empty()) {
+    std::string forwarded = std::exchange(m_partial, bytes.substr(complete));
+    forwarded.append(bytes, 0, complete);
+    if (std::string id = lastEventIdIn(forwarded); !id.empty()) {
         m_lastEventId = std::move(id);
     }
-    return complete;
+    return forwarded;
+}
+
+void EventForwarder::dropPartial()
+{
+    m_partial.clear();
+    m_boundary.discardIncomplete();
 }
 
-std::string ResumableEventBuffer::takePartial()
+std::string EventForwarder::takePartial()
 {
     return std::exchange(m_partial, {});
 }
--- a/src/libhemlockhill/request/routed_attempt_test.cpp
+++ b/src/libhemlockhill/request/routed_attempt_test.cpp
@@ -53,22 +53,47 @@
 
 BOOST_AUTO_TEST_CASE(complete_events_are_forwarded_and_the_last_id_is_recorded)
 {
-    ResumableEventBuffer point;
-    BOOST_CHECK_EQUAL(point.feed("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
-    BOOST_CHECK_EQUAL(point.lastEventId(), "1");
-    BOOST_CHECK(point.hasPartial());
-    BOOST_CHECK_EQUAL(point.feed("ta: b\n\n"), "id: 2\ndata: b\n\n");
-    BOOST_CHECK_EQUAL(point.lastEventId(), "2");
-    BOOST_CHECK(!point.hasPartial());
-    BOOST_CHECK_EQUAL(point.feed("id: 3\n"), "");
-    point.dropPartial();
-    BOOST_CHECK_EQUAL(point.feed("id: 3\ndata: c\n\n"), "id: 3\ndata: c\n\n");
-    BOOST_CHECK_EQUAL(point.lastEventId(), "3");
+    EventForwarder forwarder(PartialEvents::Buffered);
+    BOOST_CHECK_EQUAL(forwarder.feed("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    BOOST_CHECK_EQUAL(forwarder.lastEventId(), "1");
+    BOOST_CHECK(forwarder.isInsideEvent());
+    BOOST_CHECK_EQUAL(forwarder.feed("ta: b\n\n"), "id: 2\ndata: b\n\n");
+    BOOST_CHECK_EQUAL(forwarder.lastEventId(), "2");
+    BOOST_CHECK(!forwarder.isInsideEvent());
+    BOOST_CHECK_EQUAL(forwarder.feed("id: 3\n"), "");
+    forwarder.dropPartial();
+    BOOST_CHECK_EQUAL(forwarder.feed("id: 3\ndata: c\n\n"), "id: 3\ndata: c\n\n");
+    BOOST_CHECK_EQUAL(forwarder.lastEventId(), "3");
 }
 
 BOOST_AUTO_TEST_CASE(event_may_start_with_another_field)
 {
-    ResumableEventBuffer point;
-    point.feed("x-version: 2\nid:14\r\ndata: a\n\n");
-    BOOST_CHECK_EQUAL(point.lastEventId(), "14");
+    EventForwarder forwarder(PartialEvents::Buffered);
+    forwarder.feed("x-version: 2\nid:14\r\ndata: a\n\n");
+    BOOST_CHECK_EQUAL(forwarder.lastEventId(), "14");
+}
+
+// Guards against buffering a whole stream whose lines do not end with a single line feed.
+BOOST_AUTO_TEST_CASE(events_are_recognised_with_every_kind_of_line_end)
+{
+    for (const std::string lineEnd : {"\n", "\r\n", "\r"}) {
+        EventForwarder forwarder(PartialEvents::Buffered);
+        const std::string event = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd;
+        std::string forwarded;
+        for (const char byte : event + event + "id: 2") {
+            forwarded += forwarder.feed(std::string(1, byte));
+        }
+        BOOST_CHECK_EQUAL(forwarded, event + event);
+        BOOST_CHECK_EQUAL(forwarder.completeEvents(), 2);
+        BOOST_CHECK(forwarder.isInsideEvent());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(incomplete_events_are_forwarded_as_they_arrive_unless_they_are_buffered)
+{
+    EventForwarder forwarder(PartialEvents::Forwarded);
+    BOOST_CHECK_EQUAL(forwarder.feed("id: 1\nda"), "id: 1\nda");
+    BOOST_CHECK(forwarder.isInsideEvent());
+    BOOST_CHECK_EQUAL(forwarder.feed("ta: a\n\n"), "ta: a\n\n");
+    BOOST_CHECK(!forwarder.isInsideEvent());
 }
