--- /dev/null
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -0,0 +1,242 @@
+// Test support: a gateway between one caller and two endpoints on loopback sockets, all on one event loop.
+#pragma once
+
+#include "hemlockhill/gateway.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Hemlockhill::Testing
+{
+
+inline const ServiceId Register{"register"};
+
+// The headers with which the requests and answers of these tests are marked.
+inline RequestDialect plainDialect()
+{
+    RequestDialect dialect;
+    dialect.readRequest = [](const HttpRequest &request) {
+        RoutedRequestHead head;
+        head.id = RequestId{std::string(request.header("Id"))};
+        return head;
+    };
+    dialect.forward = [](const HttpRequest &request, const ForwardOptions &options) {
+        HttpRequest forwarded = request;
+        forwarded.headers.push_back({"Resume-After", options.resumeAfter});
+        return forwarded;
+    };
+    dialect.readAnswer = [](unsigned, const std::vector<HttpHeader> &headers) {
+        EndpointAnswerHead head;
+        head.id = RequestId{std::string(findHeader(headers, "Id"))};
+        head.notRun = !findHeader(headers, "Not-Run").empty();
+        head.isSigned = !findHeader(headers, "Signature").empty();
+        head.isEventStream = findHeader(headers, "Content-Type") == "text/event-stream";
+        return head;
+    };
+    dialect.answerHeaders = [](const std::vector<HttpHeader> &headers) {
+        return std::vector<HttpHeader>{{"Signature", std::string(findHeader(headers, "Signature"))}};
+    };
+    return dialect;
+}
+
+inline HttpResponse signedAnswer(const HttpRequest &request, unsigned status = 200)
+{
+    return {status, "text/plain", {{"Id", std::string(request.header("Id"))}, {"Signature", "s"}}, "served"};
+}
+
+// What a gateway fixture serves.
+struct GatewayScenario {
+    RouteKind kind = RouteKind::Safe;
+    bool resumable = false;
+    // The endpoints are known from a list that was requested this long before.
+    Duration listingAge{0};
+    // The gateway listens on this port and its endpoints on the next two. Test programs run side by side, each on its own ports.
+    std::uint16_t firstPort = 9'390;
+};
+
+class GatewayFixture
+{
+public:
+    using Handler = std::function<void(const HttpRequest &, const std::shared_ptr<HttpResponder> &)>;
+    // Starts an endpoint that lives as long as the returned object.
+    using EndpointFactory = std::function<std::shared_ptr<void>(boost::asio::io_context &loop, const Address &address)>;
+
+    GatewayFixture(RouteKind kind, bool resumable, Handler handler, Duration listingAge = Duration(0))
+        : GatewayFixture(GatewayScenario{kind, resumable, listingAge}, serverFactory(std::move(handler)))
+    {
+    }
+
+    GatewayFixture(const GatewayScenario &scenario, const EndpointFactory &startEndpoint)
+        : m_address{"127.0.0.1", scenario.firstPort}
+        , m_gateway(m_loop, gatewaySettings(m_address), m_timers, m_metrics, plainDialect())
+        , m_pool(m_loop, 4)
+    {
+        m_gateway.start();
+        auto deployment = std::make_shared<Deployment>();
+        Route route;
+        route.id = RouteId{"r"};
+        route.host = m_address.text();
+        route.pathPrefix = "/x/";
+        route.kind = scenario.kind;
+        route.resumable = scenario.resumable;
+        route.attemptLimit = 2;
+        route.timeout = std::chrono::seconds(2);
+        route.latencyTarget = std::chrono::milliseconds(300);
+        route.weightedServices = {{Register, 1}};
+        deployment->routes = {route};
+        deployment->services.emplace(Register, RoutedService{Register});
+        m_gateway.setDeployment(deployment);
+        EndpointsById endpoints;
+        for (std::uint16_t index = 0; index < 2; ++index) {
+            const Address address{"127.0.0.1", static_cast<std::uint16_t>(scenario.firstPort + 1 + index)};
+            m_endpoints.push_back(startEndpoint(m_loop, address));
+            LiveEndpoint endpoint;
+            endpoint.id = EndpointId{"e" + std::to_string(index)};
+            endpoint.service = Register;
+            endpoint.address = address;
+            endpoint.slots = 4;
+            endpoints.emplace(endpoint.id, endpoint);
+        }
+        m_gateway.onLeaderDirectory(std::move(endpoints), currentTime() - scenario.listingAge);
+    }
+
+    // Returns the answer to one request; empty if the connection ends before the answer is complete.
+    std::optional<HttpResponse> exchange(const std::string &path)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = path;
+        request.headers = {{"Id", "request-1"}};
+        request.body = "chassis 11";
+        auto answer = std::make_shared<HttpResponse>();
+        std::optional<bool> complete;
+        ExchangeHooks hooks;
+        hooks.onHead = [answer](unsigned status, const std::vector<HttpHeader> &headers) {
+            answer->status = status;
+            answer->headers = headers;
+        };
+        hooks.onBody = [answer](const std::string &bytes) { answer->body += bytes; };
+        hooks.onEnd = [&complete] { complete = true; };
+        hooks.onFailed = [&complete](const ExchangeFailure &) { complete = false; };
+        m_pool.start(m_address, request, ExchangeTimeouts{}, ConnectionChoice::FreshOnly, std::move(hooks));
+        while (!complete) {
+            m_loop.run_one();
+        }
+        partial = answer->body;
+        return *complete ? std::optional(*answer) : std::nullopt;
+    }
+
+    // Sends raw bytes and returns everything received until the connection is closed.
+    std::string sendRaw(const std::string &bytes)
+    {
+        boost::asio::ip::tcp::socket socket(m_loop);
+        socket.connect({boost::asio::ip::make_address(m_address.host), m_address.port});
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        std::string answer;
+        bool ended = false;
+        boost::asio::async_read(
+            socket, boost::asio::dynamic_buffer(answer), [&ended](boost::system::error_code, std::size_t) { ended = true; });
+        while (!ended) {
+            m_loop.run_one();
+        }
+        return answer;
+    }
+
+    // Sends a request and disconnects once an endpoint has received it.
+    void sendAndDisconnect(const std::string &path)
+    {
+        {
+            boost::asio::ip::tcp::socket socket(m_loop);
+            socket.connect({boost::asio::ip::make_address(m_address.host), m_address.port});
+            boost::asio::write(socket, boost::asio::buffer("GET " + path + " HTTP/1.1\r\nHost: " + m_address.text() + "\r\n\r\n"));
+            while (runs == 0) {
+                m_loop.run_one();
+            }
+        }
+    }
+
+    void runUntil(const bool &condition)
+    {
+        while (!condition) {
+            m_loop.run_one();
+        }
+    }
+
+    void reportListUnavailable() { m_gateway.onListUnavailable(); }
+    void removeEndpoints() { m_gateway.onLeaderDirectory({}, currentTime()); }
+
+    void stopAfter(Duration delay)
+    {
+        m_timers.after(delay, m_loop, [this] { m_gateway.stopAccepting(); });
+    }
+
+    // Stops the gateway once its last request has ended, and stores whether it still had to write an answer then.
+    void stopWhenAnswered(bool &wasWriting)
+    {
+        boost::asio::post(m_loop, [this, &wasWriting] {
+            if (runs == 0 || m_gateway.requestsInProgress() > 0) {
+                stopWhenAnswered(wasWriting);
+                return;
+            }
+            wasWriting = !m_gateway.isIdle();
+            m_gateway.stopAccepting();
+        });
+    }
+
+    void runUntilIdle()
+    {
+        while (!m_gateway.isIdle()) {
+            m_loop.run_one();
+        }
+    }
+
+    std::size_t inProgress() const { return m_gateway.requestsInProgress(); }
+
+    int runs = 0;
+    // The body received for the last request, complete or not.
+    std::string partial;
+
+private:
+    static GatewaySettings gatewaySettings(const Address &listen)
+    {
+        GatewaySettings settings;
+        settings.listen = listen;
+        return settings;
+    }
+
+    // Endpoints that frame their answers and pass requests to the handler.
+    EndpointFactory serverFactory(Handler handler)
+    {
+        return [this, handler = std::move(handler)](boost::asio::io_context &loop, const Address &address) {
+            return std::make_shared<HttpServer>(
+                loop,
+                address,
+                HttpServerLimits{},
+                [this, handler](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                    ++runs;
+                    handler(request, responder);
+                },
+                [](Reason) {});
+        };
+    }
+
+    Address m_address;
+
+    boost::asio::io_context m_loop{1};
+    TimerService m_timers;
+    Metrics m_metrics;
+    Gateway m_gateway;
+    ConnectionPool m_pool;
+    std::vector<std::shared_ptr<void>> m_endpoints;
+};
+
+} // namespace Hemlockhill::Testing
