Deliver the events received before a stream breaks off

What callers saw: when the end of a broken-off stream arrived together with events, the caller lost these events, or had a closed connection and no answer.

Cause: HttpResponder::abort() closed the connection at once, with the bytes that were queued in the same pass of the loop.

Why this works: a streamed response that is aborted writes what is queued, without the last chunk, and closes its connection then; the timeout of a write bounds how long that takes. A response that has not begun closes at once, as before.

--- a/src/include/hemlockhill/http_server.h
+++ b/src/include/hemlockhill/http_server.h
@@ -40,7 +40,8 @@
     virtual void begin(HttpResponse head) = 0;
     virtual void write(std::string bytes) = 0;
     virtual void end() = 0;
-    // Closes the connection without the last chunk, so that the client can detect the truncated response.
+    // Closes the connection without the last chunk, after what has been passed to write(), so that the client can detect the truncated
+    // response.
     virtual void abort() = 0;
     // Bytes that were passed to write() but not yet written to the socket.
     virtual std::size_t pendingBytes() const = 0;
--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -168,6 +168,8 @@
     bool m_flushPosted = false;
     bool m_writeInProgress = false;
     bool m_endQueued = false;
+    // Whether the connection is closed without the end of the body, once what is queued has been written.
+    bool m_closeAfterWrites = false;
     std::optional<http::response<http::string_body>> m_fullResponse;
 };
 
@@ -424,6 +426,11 @@
 
 void HttpServer::Listener::Session::abort()
 {
+    if (m_phase == Phase::Streaming && (m_writeInProgress || !m_queued.empty())) {
+        m_closeAfterWrites = true;
+        flush();
+        return;
+    }
     if (m_phase == Phase::Answering || m_phase == Phase::Streaming) {
         close();
     }
@@ -487,6 +494,10 @@
         finishAnswer();
         return;
     }
+    if (m_closeAfterWrites && m_queued.empty()) {
+        close();
+        return;
+    }
     flush();
     if (m_queued.empty() && !m_flushPosted) {
         const auto responder = m_responder.lock();
--- a/src/libhemlockhill/node/gateway_test.cpp
+++ b/src/libhemlockhill/node/gateway_test.cpp
@@ -133,6 +133,20 @@
     BOOST_CHECK_EQUAL(fixture.runs, 1);
 }
 
+// Guards against losing events that were received before a stream broke off.
+BOOST_AUTO_TEST_CASE(events_received_before_a_stream_breaks_off_reach_the_caller)
+{
+    GatewayFixture fixture(RouteKind::Streaming, false, [](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+        HttpResponse head = signedAnswer(request);
+        head.contentType = "text/event-stream";
+        responder->begin(head);
+        responder->write("id: 1\ndata: a\n\n");
+        responder->abort();
+    });
+    BOOST_CHECK(!fixture.exchange("/x/1"));
+    BOOST_CHECK_EQUAL(fixture.partial, "id: 1\ndata: a\n\n");
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_disconnect_cancels_the_request_at_the_endpoint)
 {
     std::shared_ptr<HttpResponder> open;
