A stream that ends inside an event is broken off, not complete

Cause: the gateway took the end of the endpoint's message for the end of the stream. On resumable routes the stream was not continued elsewhere either.

Why this works: the events themselves carry evidence that the framing lacks. A stream of events ends after a blank line; one that ends inside an event is broken off, so it counts as an exchange that failed after the request ran: it continues at another endpoint where the route allows it, and otherwise the connection is closed without the last chunk.

Evidence: stream_that_ends_inside_an_event_is_not_complete and resumable_stream_that_ends_inside_an_event_continues_at_another_endpoint failed before.

--- a/src/include/hemlockhill/routed_attempt.h
+++ b/src/include/hemlockhill/routed_attempt.h
@@ -68,8 +68,6 @@
     bool isInsideEvent() const { return m_boundary.isInsideEvent(); }
     // Number of complete events so far.
     std::uint64_t completeEvents() const { return m_boundary.completeEvents(); }
-    // Returns and clears the buffered bytes, at the end of a complete response.
-    std::string takePartial();
 
 private:
     PartialEvents m_partialEvents;
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -338,7 +338,8 @@
 {
     if (m_streaming) {
         if (m_events.isInsideEvent()) {
-            m_responder->write(m_events.takePartial());
+            endpointFailed(Reason::IncompleteAnswer, true, true);
+            return;
         }
         m_gateway.m_chooser.onSucceeded(m_endpoint);
         releaseEndpoint();
--- a/src/libhemlockhill/request/routed_attempt.cpp
+++ b/src/libhemlockhill/request/routed_attempt.cpp
@@ -79,9 +79,4 @@
     m_boundary.discardIncomplete();
 }
 
-std::string EventForwarder::takePartial()
-{
-    return std::exchange(m_partial, {});
-}
-
 } // namespace Hemlockhill
