Confirm that the endpoint still serves after a close that ends its answer

What callers saw: an answer without length or chunks whose endpoint exited between two events, or anywhere in a plain body, came with the end of a complete one. Safe requests and resumable streams were not repeated or continued.

Why this works: after such a close the exchange opens a new connection to the endpoint, and the answer counts as complete if that stays open for 30 ms. A process that has exited accepts none; one that is about to, or a proxy in front of it, closes it at once. The connection goes into the pool. The switch closeEndsAnswer is CloseDelimitedResponse now, so that each place that reads answers says what it takes a close for.

Ruled out: to wait before the connection instead of after it; a proxy that accepts and closes at once would confirm what it can't know.

Evidence: five checks of gateway_truncated_answer_test failed before, and pass; answer_without_framing_is_complete_if_its_endpoint_still_serves passes before and after.

--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -20,6 +20,17 @@
 // Identifies an exchange; unique within the process.
 using ExchangeId = Quantity<struct ExchangeTag>;
 
+// What becomes of a response that has neither a length nor chunked encoding and ends with an orderly close of its connection. The
+// operating system closes the connections of a process that exits in the same way, so the close alone does not show that the response is
+// complete.
+enum class CloseDelimitedResponse {
+    // The exchange fails.
+    Reject,
+    // The response is complete if the endpoint accepts a new connection afterwards and keeps it open for a short time. Otherwise the
+    // exchange fails.
+    Confirm
+};
+
 // Timeouts of the phases of one exchange.
 struct ExchangeTimeouts {
     Duration connect = std::chrono::seconds(1);
@@ -31,9 +42,7 @@
     std::optional<TimePoint> sendBefore = std::nullopt;
     // If set, the exchange times out at this time even if bytes still arrive.
     std::optional<TimePoint> completeBefore = std::nullopt;
-    // Whether an orderly close of the connection ends a response that has neither a length nor chunked encoding. Such a response is
-    // indistinguishable from one truncated by a process that exits cleanly, so set this only for endpoints known to end responses this way.
-    bool closeEndsAnswer = false;
+    CloseDelimitedResponse closeDelimited = CloseDelimitedResponse::Reject;
 };
 
 // Describes an exchange that ended without a complete response.
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -33,6 +34,9 @@
 constexpr Duration DefaultIdleTimeout = std::chrono::seconds(1);
 // Fraction of the idle timeout after which a connection is no longer reused, since the endpoint may be about to close it.
 constexpr double ReusableIdleRatio = 0.7;
+// How long the connection that confirms the close of another must stay open. A process that exits, or a proxy in front of one, may
+// still accept a connection and closes it at once.
+constexpr std::chrono::milliseconds CloseConfirmationTime(30);
 
 // One TCP connection. The buffer is part of it, since it may hold bytes received after the end of a response.
 struct Connection {
@@ -124,6 +128,7 @@
         , m_address(std::move(address))
         , m_timeouts(timeouts)
         , m_hooks(std::move(hooks))
+        , m_confirmationTimer(m_idle->loop)
     {
     }
 
@@ -133,13 +138,16 @@
     void resume() override;
 
 private:
-    void connect();
+    void connect(std::function<void(error_code error)> done);
     void send();
     void readHead();
     void onHead(error_code error);
     void readBody();
     void onBody(error_code error, std::size_t bytes);
     void finish();
+    void confirmClose();
+    void onConfirmationTime();
+    void complete();
     void fail(error_code error);
     void failWith(Reason reason);
     Duration firstByteTimeout() const { return m_connection->reused ? m_timeouts.reusedFirstByte : m_timeouts.firstByte; }
@@ -153,6 +161,7 @@
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::string m_readBuffer;
+    boost::asio::steady_timer m_confirmationTimer;
     bool m_sending = false;
     bool m_paused = false;
     bool m_readPending = false;
@@ -187,28 +196,34 @@
         return;
     }
     m_connection = std::make_shared<Connection>(m_idle->loop);
-    connect();
+    connect([self = shared_from_this()](error_code error) {
+        if (error) {
+            self->fail(error);
+            return;
+        }
+        self->send();
+    });
 }
 
-void ConnectionPool::Exchange::connect()
+// Calls `done` once the connection is established or has failed.
+void ConnectionPool::Exchange::connect(std::function<void(error_code error)> done)
 {
     error_code addressError;
     const auto host = boost::asio::ip::make_address(m_address.host, addressError);
     if (addressError) {
-        boost::asio::post(m_idle->loop, [self = shared_from_this(), addressError] { self->fail(addressError); });
+        boost::asio::post(m_idle->loop, [done = std::move(done), addressError] { done(addressError); });
         return;
     }
     expireAfter(m_timeouts.connect);
-    m_connection->stream.async_connect(tcp::endpoint(host, m_address.port), [self = shared_from_this()](error_code error) {
-        if (error) {
-            self->fail(error);
-            return;
-        }
-        error_code ignored;
-        self->m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-        enableDeadPeerDetection(self->m_connection->stream.socket());
-        self->send();
-    });
+    m_connection->stream.async_connect(tcp::endpoint(host, m_address.port),
+                                       [self = shared_from_this(), done = std::move(done)](error_code error) {
+                                           if (!error) {
+                                               error_code ignored;
+                                               self->m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+                                               enableDeadPeerDetection(self->m_connection->stream.socket());
+                                           }
+                                           done(error);
+                                       });
 }
 
 void ConnectionPool::Exchange::send()
@@ -343,19 +358,54 @@
 
 void ConnectionPool::Exchange::finish()
 {
-    // A response that ends with the close of its connection is indistinguishable from a truncated one.
-    const bool endsWithClose = m_parser->need_eof();
-    if (endsWithClose && !m_timeouts.closeEndsAnswer) {
-        failWith(Reason::IncompleteAnswer);
+    if (m_parser->need_eof()) {
+        if (m_timeouts.closeDelimited == CloseDelimitedResponse::Confirm) {
+            confirmClose();
+        } else {
+            failWith(Reason::IncompleteAnswer);
+        }
         return;
     }
-    m_ended = true;
     m_connection->stream.expires_never();
-    if (m_parser->get().keep_alive() && !endsWithClose) {
+    if (m_parser->get().keep_alive()) {
         m_idle->release(m_address, m_connection);
     } else {
         m_connection->stream.close();
     }
+    complete();
+}
+
+void ConnectionPool::Exchange::confirmClose()
+{
+    m_connection->stream.close();
+    m_connection = std::make_shared<Connection>(m_idle->loop);
+    connect([self = shared_from_this()](error_code error) {
+        if (error) {
+            self->failWith(Reason::IncompleteAnswer);
+            return;
+        }
+        self->m_connection->stream.expires_never();
+        self->m_confirmationTimer.expires_after(CloseConfirmationTime);
+        self->m_confirmationTimer.async_wait([self](error_code) { self->onConfirmationTime(); });
+    });
+}
+
+void ConnectionPool::Exchange::onConfirmationTime()
+{
+    if (m_ended) {
+        return;
+    }
+    if (!isReusable(*m_connection)) {
+        failWith(Reason::IncompleteAnswer);
+        return;
+    }
+    m_idle->release(m_address, m_connection);
+    complete();
+}
+
+void ConnectionPool::Exchange::complete()
+{
+    m_ended = true;
     const ExchangeHooks hooks = std::exchange(m_hooks, {});
     if (hooks.onEnd) {
         hooks.onEnd();
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -220,7 +220,7 @@
     timeouts.firstByte = timeLeft();
     timeouts.reusedFirstByte = timeLeft();
     timeouts.betweenBytes = m_route.kind == RouteKind::Streaming ? callerStreamTimeout(m_route) + SilenceMargin : timeLeft();
-    timeouts.closeEndsAnswer = true;
+    timeouts.closeDelimited = CloseDelimitedResponse::Confirm;
     timeouts.sendBefore = m_gateway.m_directory.sendBefore(currentTime());
     return timeouts;
 }
