Continue a started stream only with another stream of events

What callers saw: a resumable stream that broke off was continued at another endpoint; if that answered with an error or with a body of another kind, the body came in place of the missing events, and the stream ended as complete.

Cause: once a response had started, whatever the next endpoint sent was taken for its rest: the flag for a streamed response outlived the exchange. A large plain answer on a resumable route passed the same way, and would have been repeated from its beginning behind what the caller already had; so would a stream whose events carry no id.

Why this works: whether an answer is a stream of events is a property of each exchange. Behind a started response only such an answer is accepted; any other counts as an exchange that failed after the request ran. AttemptHistory says whether what the caller has can be continued, in place of a flag that it has something.

--- a/src/include/hemlockhill/routed_attempt.h
+++ b/src/include/hemlockhill/routed_attempt.h
@@ -12,14 +12,22 @@
 namespace Hemlockhill
 {
 
+// What part of the response the caller has received.
+enum class ResponseProgress {
+    Nothing,
+    // Events, after the last of which another endpoint can resume the stream if the route allows it.
+    ResumableEvents,
+    // Bytes that only the endpoint that sent them can continue.
+    UnresumableBytes
+};
+
 // Exchanges of one caller's request so far.
 struct AttemptHistory {
     // Number of exchanges.
     std::uint32_t exchanges = 0;
     // Number of exchanges after which the endpoint may have begun to run the request.
     std::uint32_t possibleRuns = 0;
-    // True when part of the response has been sent to the caller.
-    bool responseStarted = false;
+    ResponseProgress response = ResponseProgress::Nothing;
 };
 
 // How a request proceeds after a failed exchange.
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -262,12 +262,19 @@
         endpointFailed(Reason::IncompleteAnswer, true, true);
         return;
     }
+    m_isEventStream = isSuccess(status) && answer.isEventStream;
+    if (hasResponseStarted() && !m_isEventStream) {
+        // The rest of a stream must come from another stream of events.
+        m_exchange->cancel();
+        endpointFailed(Reason::EndpointRefused, true, status >= FirstServerError);
+        return;
+    }
     m_status = status;
     m_headers = headers;
     if (!m_firstByte) {
         m_firstByte = currentTime() - m_arrivedAt;
     }
-    if (isSuccess(status) && answer.isEventStream) {
+    if (m_isEventStream) {
         beginStream();
     }
 }
@@ -275,10 +282,10 @@
 void Gateway::Request::beginStream()
 {
     m_streaming = true;
-    if (m_history.responseStarted) {
+    if (hasResponseStarted()) {
         return;
     }
-    m_history.responseStarted = true;
+    m_history.response = m_isEventStream ? ResponseProgress::ResumableEvents : ResponseProgress::UnresumableBytes;
     HttpResponse head;
     head.status = m_status;
     head.contentType.clear();
@@ -289,12 +296,12 @@
 void Gateway::Request::onBody(std::string bytes)
 {
     m_answerBytes += bytes.size();
-    if (m_streaming) {
+    if (m_isEventStream) {
         forwardEvents(std::move(bytes));
         return;
     }
     m_body += bytes;
-    if (m_body.size() > BufferedAnswerLimitBytes) {
+    if (m_streaming || m_body.size() > BufferedAnswerLimitBytes) {
         beginStream();
         m_responder->write(std::exchange(m_body, {}));
         applyBackpressure();
@@ -315,6 +322,9 @@
         m_longestGap = std::max(m_longestGap, std::chrono::duration_cast<Duration>(now - m_lastEventAt));
     }
     m_lastEventAt = now;
+    if (m_events.lastEventId().empty()) {
+        m_history.response = ResponseProgress::UnresumableBytes;
+    }
     m_responder->write(std::move(bytes));
     applyBackpressure();
 }
@@ -444,7 +454,7 @@
     m_exchange->cancel();
     ++m_history.possibleRuns;
     releaseEndpoint();
-    if (m_history.responseStarted) {
+    if (hasResponseStarted()) {
         performStep(RetryDecision::Abort, Reason::DeadlineExceeded);
     } else {
         fail(Reason::DeadlineExceeded);
@@ -539,7 +549,7 @@
         fields["framing"] = toText(bodyFraming(m_headers));
         fields["answer_bytes"] = m_answerBytes;
     }
-    if (m_streaming) {
+    if (m_isEventStream) {
         fields["longest_gap_ms"] = milliseconds(m_longestGap);
         fields["events"] = m_events.completeEvents();
         fields["inside_event"] = m_events.isInsideEvent();
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -53,6 +53,7 @@
     void onExchangeFailed(const ExchangeFailure &failure);
     void onDeadline();
     void onCallerGone();
+    bool hasResponseStarted() const { return m_history.response != ResponseProgress::Nothing; }
     void beginStream();
     void forwardEvents(std::string bytes);
     void applyBackpressure();
@@ -98,6 +99,8 @@
     std::vector<HttpHeader> m_headers;
     std::string m_body;
     std::uint64_t m_answerBytes = 0;
+    bool m_isEventStream = false;
+    // Whether the answer is forwarded as it arrives.
     bool m_streaming = false;
     EventForwarder m_events;
     std::optional<Duration> m_firstByte;
--- a/src/libhemlockhill/node/gateway_truncated_answer_test.cpp
+++ b/src/libhemlockhill/node/gateway_truncated_answer_test.cpp
@@ -172,3 +172,23 @@
         BOOST_CHECK_EQUAL(runs, 2);
     }
 }
+
+// Guards against an answer of another kind that ends a stream as if it were complete, with its body in place of the missing events.
+BOOST_AUTO_TEST_CASE(stream_is_not_continued_by_an_answer_of_another_kind)
+{
+    const std::string head = "Id: request-1\r\nSignature: s\r\nContent-Type: text/plain\r\nContent-Length: ";
+    for (const std::string &other : {"HTTP/1.1 500 Internal Server Error\r\n" + head + "0\r\n\r\n",
+                                     "HTTP/1.1 500 Internal Server Error\r\n" + head + "8\r\n\r\nfailed\n\n",
+                                     "HTTP/1.1 200 OK\r\n" + head + "8\r\n\r\nserved\n\n"}) {
+        int runs = 0;
+        GatewayFixture fixture(scenario(RouteKind::Streaming, true),
+                               rawEndpoints(runs,
+                                            {streamBytes(Framing::ChunkedWithoutEnd, events(1, 3)), ConnectionEnd::Close, {}},
+                                            [&other](const RawEndpoint::Request &) {
+                                                return RawAnswer{other, ConnectionEnd::KeepOpen, {}};
+                                            }));
+        BOOST_CHECK(!fixture.exchange("/x/1"));
+        BOOST_CHECK_EQUAL(fixture.partial, events(1, 3));
+        BOOST_CHECK_EQUAL(runs, 2);
+    }
+}
--- a/src/libhemlockhill/request/routed_attempt_test.cpp
+++ b/src/libhemlockhill/request/routed_attempt_test.cpp
@@ -24,16 +24,16 @@
 BOOST_AUTO_TEST_CASE(request_that_did_not_run_is_retried_for_every_route_kind)
 {
     for (const RouteKind kind : {RouteKind::Safe, RouteKind::Unsafe, RouteKind::Streaming}) {
-        BOOST_CHECK(decideRetry(route(kind, false, 1), {1, 0, false}, Enough, true) == RetryDecision::Retry);
-        BOOST_CHECK(decideRetry(route(kind, false, 1), {1, 0, false}, Enough, false) == RetryDecision::Refuse);
-        BOOST_CHECK(decideRetry(route(kind, false, 1), {ExchangeLimit, 0, false}, Enough, true) == RetryDecision::Refuse);
-        BOOST_CHECK(decideRetry(route(kind, false, 1), {1, 0, false}, Duration(0), true) == RetryDecision::Refuse);
+        BOOST_CHECK(decideRetry(route(kind, false, 1), {1, 0, ResponseProgress::Nothing}, Enough, true) == RetryDecision::Retry);
+        BOOST_CHECK(decideRetry(route(kind, false, 1), {1, 0, ResponseProgress::Nothing}, Enough, false) == RetryDecision::Refuse);
+        BOOST_CHECK(decideRetry(route(kind, false, 1), {ExchangeLimit, 0, ResponseProgress::Nothing}, Enough, true) == RetryDecision::Refuse);
+        BOOST_CHECK(decideRetry(route(kind, false, 1), {1, 0, ResponseProgress::Nothing}, Duration(0), true) == RetryDecision::Refuse);
     }
 }
 
 BOOST_AUTO_TEST_CASE(only_idempotent_requests_are_retried_after_a_possible_run)
 {
-    const AttemptHistory ran{1, 1, false};
+    const AttemptHistory ran{1, 1, ResponseProgress::Nothing};
     BOOST_CHECK(decideRetry(route(RouteKind::Safe), ran, Enough, true) == RetryDecision::Retry);
     BOOST_CHECK(decideRetry(route(RouteKind::Safe, false, 1), ran, Enough, true) == RetryDecision::Fail);
     BOOST_CHECK(decideRetry(route(RouteKind::Unsafe, false, 9), ran, Enough, true) == RetryDecision::Fail);
@@ -45,10 +45,12 @@
 
 BOOST_AUTO_TEST_CASE(started_response_is_resumed_or_aborted)
 {
-    const AttemptHistory begun{1, 1, true};
+    const AttemptHistory begun{1, 1, ResponseProgress::ResumableEvents};
     BOOST_CHECK(decideRetry(route(RouteKind::Streaming, true), begun, Enough, true) == RetryDecision::Retry);
     BOOST_CHECK(decideRetry(route(RouteKind::Streaming, false, 9), begun, Enough, true) == RetryDecision::Abort);
     BOOST_CHECK(decideRetry(route(RouteKind::Safe, false, 9), begun, Enough, true) == RetryDecision::Abort);
+    const AttemptHistory unresumable{1, 1, ResponseProgress::UnresumableBytes};
+    BOOST_CHECK(decideRetry(route(RouteKind::Streaming, true), unresumable, Enough, true) == RetryDecision::Abort);
 }
 
 BOOST_AUTO_TEST_CASE(complete_events_are_forwarded_and_the_last_id_is_recorded)
