--- a/src/bench/request_load.cpp
+++ b/src/bench/request_load.cpp
@@ -175,12 +175,12 @@
     hooks.onBody = [this, call](const std::string &bytes) { onBytes(*call, bytes); };
     hooks.onEnd = [this, call] { onEnd(call, true); };
     hooks.onFailed = [this, call](const ExchangeFailure &) { onEnd(call, false); };
-    ExchangeTimeouts timeouts;
-    timeouts.connect = std::chrono::seconds(5);
-    timeouts.firstByte = std::chrono::seconds(60);
-    timeouts.reusedFirstByte = timeouts.firstByte;
-    timeouts.betweenBytes = std::chrono::seconds(60);
-    const auto exchange = m_pool.start(address, request, timeouts, ConnectionChoice::PreferIdle, std::move(hooks));
+    ExchangeLimits limits;
+    limits.connect = std::chrono::seconds(5);
+    limits.firstByte = std::chrono::seconds(60);
+    limits.reusedFirstByte = limits.firstByte;
+    limits.betweenBytes = std::chrono::seconds(60);
+    const auto exchange = m_pool.start(address, request, limits, ConnectionChoice::PreferIdle, std::move(hooks));
     if (m_options.hold) {
         m_heldExchanges.push_back(exchange);
     }
--- a/src/include/hemlockhill/connection_health.h
+++ b/src/include/hemlockhill/connection_health.h
@@ -39,10 +39,10 @@
 {
 public:
     // No timeout exceeds its value in limits.
-    explicit ConnectionHealth(ExchangeTimeouts limits);
+    explicit ConnectionHealth(ExchangeLimits limits);
 
-    // The timeouts for the next exchange, derived from the delays observed so far.
-    ExchangeTimeouts timeouts() const;
+    // The limits of the next exchange, derived from the delays observed so far.
+    ExchangeLimits adaptedLimits() const;
     // Records the delay from sending a request to the first byte of its response.
     void onFirstByte(Duration delay);
     // Records the delay between two reads of a response body.
@@ -56,7 +56,7 @@
     bool probing() const { return m_probing; }
 
 private:
-    ExchangeTimeouts m_limits;
+    ExchangeLimits m_limits;
     DelayEstimate m_firstByte;
     DelayEstimate m_betweenBytes;
     bool m_probing = false;
--- a/src/include/hemlockhill/exchange_messages.h
+++ b/src/include/hemlockhill/exchange_messages.h
@@ -22,7 +22,7 @@
     ExchangeId exchange;
     Address address;
     HttpRequest request;
-    ExchangeTimeouts timeouts;
+    ExchangeLimits limits;
     ConnectionChoice connection = ConnectionChoice::PreferIdle;
 };
 
--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -31,8 +31,8 @@
     Confirm
 };
 
-// Timeouts of the phases of one exchange.
-struct ExchangeTimeouts {
+// Limits of one exchange: timeouts of its phases, and what may be read of its response.
+struct ExchangeLimits {
     Duration connect = std::chrono::seconds(1);
     Duration firstByte = std::chrono::seconds(10);
     // Replaces firstByte on a connection that has carried earlier exchanges.
@@ -91,7 +91,7 @@
 
     // Starts an exchange. Its outcome is reported through the hooks.
     std::shared_ptr<HttpExchange>
-    start(const Address &address, const HttpRequest &request, ExchangeTimeouts timeouts, ConnectionChoice choice, ExchangeHooks hooks);
+    start(const Address &address, const HttpRequest &request, ExchangeLimits limits, ConnectionChoice choice, ExchangeHooks hooks);
 
     // Closes all idle connections to the address, for instance after one of them has timed out.
     void dropIdle(const Address &address);
--- a/src/libhemlockhill/control/placement_host.cpp
+++ b/src/libhemlockhill/control/placement_host.cpp
@@ -159,18 +159,18 @@
     };
     const auto answer = std::make_shared<Answer>();
     const OrderId id = action.order.id;
-    ExchangeTimeouts timeouts;
-    timeouts.connect = m_settings.endpoints.connectTimeout;
-    timeouts.firstByte = m_settings.endpoints.betweenBytesTimeout;
-    timeouts.reusedFirstByte = m_settings.endpoints.betweenBytesTimeout;
-    timeouts.betweenBytes = m_settings.endpoints.betweenBytesTimeout;
+    ExchangeLimits limits;
+    limits.connect = m_settings.endpoints.connectTimeout;
+    limits.firstByte = m_settings.endpoints.betweenBytesTimeout;
+    limits.reusedFirstByte = m_settings.endpoints.betweenBytesTimeout;
+    limits.betweenBytes = m_settings.endpoints.betweenBytesTimeout;
     ExchangeHooks hooks;
     hooks.onHead = [answer](unsigned status, const std::vector<HttpHeader> &) { answer->status = status; };
     hooks.onBody = [answer](const std::string &bytes) { answer->body += bytes; };
     hooks.onEnd = [this, id, answer] { handleAnswer(id, parseOrderAnswer(answer->status, answer->body)); };
     hooks.onFailed = [this, id](const ExchangeFailure &) { handleAnswer(id, OrderUnanswered{}); };
     m_metrics.countEvent("order_sent");
-    m_pool.start(action.address, orderRequest(action.order), timeouts, ConnectionChoice::FreshOnly, std::move(hooks));
+    m_pool.start(action.address, orderRequest(action.order), limits, ConnectionChoice::FreshOnly, std::move(hooks));
 }
 
 void PlacementHost::handleAnswer(const OrderId &order, const OrderAnswer &answer)
--- a/src/libhemlockhill/net/connection_health.cpp
+++ b/src/libhemlockhill/net/connection_health.cpp
@@ -47,18 +47,18 @@
     return m_mean + m_deviation * BoundDeviationCount;
 }
 
-ConnectionHealth::ConnectionHealth(ExchangeTimeouts limits)
+ConnectionHealth::ConnectionHealth(ExchangeLimits limits)
     : m_limits(limits)
 {
 }
 
 // The handshake has just shown that a new connection works, so the adaptive first-byte timeout applies only to reused connections.
-ExchangeTimeouts ConnectionHealth::timeouts() const
+ExchangeLimits ConnectionHealth::adaptedLimits() const
 {
-    ExchangeTimeouts timeouts = m_limits;
-    timeouts.reusedFirstByte = adaptiveTimeout(m_firstByte, std::min(m_limits.reusedFirstByte, m_limits.firstByte));
-    timeouts.betweenBytes = adaptiveTimeout(m_betweenBytes, m_limits.betweenBytes);
-    return timeouts;
+    ExchangeLimits limits = m_limits;
+    limits.reusedFirstByte = adaptiveTimeout(m_firstByte, std::min(m_limits.reusedFirstByte, m_limits.firstByte));
+    limits.betweenBytes = adaptiveTimeout(m_betweenBytes, m_limits.betweenBytes);
+    return limits;
 }
 
 void ConnectionHealth::onFirstByte(Duration delay)
--- a/src/libhemlockhill/net/connection_health_test.cpp
+++ b/src/libhemlockhill/net/connection_health_test.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-ExchangeTimeouts limits()
+ExchangeLimits limits()
 {
-    ExchangeTimeouts limits;
+    ExchangeLimits limits;
     limits.firstByte = 8s;
     limits.reusedFirstByte = 8s;
     limits.betweenBytes = 2s;
@@ -23,20 +23,20 @@
 BOOST_AUTO_TEST_CASE(timeouts_adapt_to_observed_delays_within_limits)
 {
     ConnectionHealth health(limits());
-    BOOST_TEST((health.timeouts().reusedFirstByte == 8s));
+    BOOST_TEST((health.adaptedLimits().reusedFirstByte == 8s));
     for (int sample = 0; sample < 100; ++sample) {
         health.onFirstByte(20ms);
         health.onNextByte(5ms);
     }
-    BOOST_TEST((health.timeouts().reusedFirstByte == 2s));
-    BOOST_TEST((health.timeouts().firstByte == 8s));
-    BOOST_TEST((health.timeouts().betweenBytes == 500ms));
+    BOOST_TEST((health.adaptedLimits().reusedFirstByte == 2s));
+    BOOST_TEST((health.adaptedLimits().firstByte == 8s));
+    BOOST_TEST((health.adaptedLimits().betweenBytes == 500ms));
     for (int sample = 0; sample < 100; ++sample) {
         health.onFirstByte(2s);
         health.onNextByte(10s);
     }
-    BOOST_TEST((health.timeouts().reusedFirstByte >= 4s));
-    BOOST_TEST((health.timeouts().betweenBytes == 2s));
+    BOOST_TEST((health.adaptedLimits().reusedFirstByte >= 4s));
+    BOOST_TEST((health.adaptedLimits().betweenBytes == 2s));
 }
 
 BOOST_AUTO_TEST_CASE(timeout_starts_one_probe_whose_result_decides)
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -123,10 +123,10 @@
 class ConnectionPool::Exchange : public HttpExchange, public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(std::shared_ptr<Idle> idle, Address address, ExchangeTimeouts timeouts, ExchangeHooks hooks)
+    Exchange(std::shared_ptr<Idle> idle, Address address, ExchangeLimits limits, ExchangeHooks hooks)
         : m_idle(std::move(idle))
         , m_address(std::move(address))
-        , m_timeouts(timeouts)
+        , m_limits(limits)
         , m_hooks(std::move(hooks))
         , m_confirmationTimer(m_idle->loop)
     {
@@ -150,12 +150,12 @@
     void complete();
     void fail(error_code error);
     void failWith(Reason reason);
-    Duration firstByteTimeout() const { return m_connection->reused ? m_timeouts.reusedFirstByte : m_timeouts.firstByte; }
+    Duration firstByteTimeout() const { return m_connection->reused ? m_limits.reusedFirstByte : m_limits.firstByte; }
     void expireAfter(Duration delay);
 
     std::shared_ptr<Idle> m_idle;
     Address m_address;
-    ExchangeTimeouts m_timeouts;
+    ExchangeLimits m_limits;
     ExchangeHooks m_hooks;
     std::shared_ptr<Connection> m_connection;
     http::request<http::string_body> m_request;
@@ -170,8 +170,8 @@
 
 void ConnectionPool::Exchange::expireAfter(Duration delay)
 {
-    if (m_timeouts.completeBefore) {
-        const auto left = std::chrono::duration_cast<Duration>(*m_timeouts.completeBefore - currentTime());
+    if (m_limits.completeBefore) {
+        const auto left = std::chrono::duration_cast<Duration>(*m_limits.completeBefore - currentTime());
         delay = std::clamp(left, Duration(0), delay);
     }
     m_connection->stream.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(delay));
@@ -214,7 +214,7 @@
         boost::asio::post(m_idle->loop, [done = std::move(done), addressError] { done(addressError); });
         return;
     }
-    expireAfter(m_timeouts.connect);
+    expireAfter(m_limits.connect);
     m_connection->stream.async_connect(tcp::endpoint(host, m_address.port),
                                        [self = shared_from_this(), done = std::move(done)](error_code error) {
                                            if (!error) {
@@ -231,7 +231,7 @@
     if (m_ended) {
         return;
     }
-    if (m_timeouts.sendBefore && currentTime() >= *m_timeouts.sendBefore) {
+    if (m_limits.sendBefore && currentTime() >= *m_limits.sendBefore) {
         fail(boost::asio::error::timed_out);
         return;
     }
@@ -311,7 +311,7 @@
     m_parser->get().body().data = m_readBuffer.data();
     m_parser->get().body().size = m_readBuffer.size();
     m_parser->get().body().more = true;
-    expireAfter(m_timeouts.betweenBytes);
+    expireAfter(m_limits.betweenBytes);
     http::async_read_some(m_connection->stream,
                           m_connection->buffer,
                           *m_parser,
@@ -359,7 +359,7 @@
 void ConnectionPool::Exchange::finish()
 {
     if (m_parser->need_eof()) {
-        if (m_timeouts.closeDelimited == CloseDelimitedResponse::Confirm) {
+        if (m_limits.closeDelimited == CloseDelimitedResponse::Confirm) {
             confirmClose();
         } else {
             failWith(Reason::IncompleteAnswer);
@@ -452,9 +452,9 @@
 ConnectionPool::~ConnectionPool() = default;
 
 std::shared_ptr<HttpExchange> ConnectionPool::start(
-    const Address &address, const HttpRequest &request, ExchangeTimeouts timeouts, ConnectionChoice choice, ExchangeHooks hooks)
+    const Address &address, const HttpRequest &request, ExchangeLimits limits, ConnectionChoice choice, ExchangeHooks hooks)
 {
-    const auto exchange = std::make_shared<Exchange>(m_idle, address, timeouts, std::move(hooks));
+    const auto exchange = std::make_shared<Exchange>(m_idle, address, limits, std::move(hooks));
     exchange->start(request, choice);
     return exchange;
 }
--- a/src/libhemlockhill/net/http_exchange_test.cpp
+++ b/src/libhemlockhill/net/http_exchange_test.cpp
@@ -22,7 +22,7 @@
 };
 
 // Sends one request to a server with the given handler.
-ExchangeResult exchange(boost::asio::io_context &loop, const HttpHandler &handler, const ExchangeTimeouts &timeouts)
+ExchangeResult exchange(boost::asio::io_context &loop, const HttpHandler &handler, const ExchangeLimits &limits)
 {
     HttpServer server(loop, Server, HttpServerLimits{}, handler, [](Reason) {});
     ConnectionPool pool(loop, 1);
@@ -41,7 +41,7 @@
     HttpRequest request;
     request.method = "GET";
     request.target = "/";
-    pool.start(Server, request, timeouts, ConnectionChoice::FreshOnly, std::move(hooks));
+    pool.start(Server, request, limits, ConnectionChoice::FreshOnly, std::move(hooks));
     while (!done) {
         loop.run_one();
     }
@@ -60,7 +60,7 @@
         [](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
             responder->answer({200, "text/plain", {}, std::string(Size, 'x')});
         },
-        ExchangeTimeouts{});
+        ExchangeLimits{});
     BOOST_CHECK(!result.failure);
     BOOST_CHECK_EQUAL(result.bytes, Size);
     BOOST_CHECK_LE(result.pieces, 12);
@@ -80,15 +80,15 @@
             std::exchange(open, nullptr)->end();
         }
     });
-    ExchangeTimeouts timeouts;
-    timeouts.completeBefore = currentTime() + std::chrono::milliseconds(200);
+    ExchangeLimits limits;
+    limits.completeBefore = currentTime() + std::chrono::milliseconds(200);
     const ExchangeResult result = exchange(
         loop,
         [&open](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
             open = responder;
             responder->begin({200, "text/plain", {}, {}});
         },
-        timeouts);
+        limits);
     timers.stop();
     BOOST_REQUIRE(result.failure);
     BOOST_CHECK(result.failure->reason == Reason::EndpointSilent);
--- a/src/libhemlockhill/node/endpoint_thread.cpp
+++ b/src/libhemlockhill/node/endpoint_thread.cpp
@@ -59,13 +59,12 @@
 void EndpointThread::handle(StartExchange &&message)
 {
     const ExchangeId id = message.exchange;
-    ExchangeTimeouts timeouts = healthOf(message.address).timeouts();
-    timeouts.sendBefore = message.timeouts.sendBefore;
+    ExchangeLimits limits = healthOf(message.address).adaptedLimits();
+    limits.sendBefore = message.limits.sendBefore;
     // Non-idempotent calls, which set sendBefore, use the sender's timeout unchanged: timing out early would leave their outcome
     // unknown.
-    timeouts.firstByte =
-        message.timeouts.sendBefore ? message.timeouts.firstByte : std::min(timeouts.firstByte, message.timeouts.firstByte);
-    timeouts.reusedFirstByte = std::min(timeouts.reusedFirstByte, message.timeouts.firstByte);
+    limits.firstByte = message.limits.sendBefore ? message.limits.firstByte : std::min(limits.firstByte, message.limits.firstByte);
+    limits.reusedFirstByte = std::min(limits.reusedFirstByte, message.limits.firstByte);
     ExchangeHooks hooks;
     hooks.onSending = [this, id] { onSending(id); };
     hooks.onHead = [this, id](unsigned status, const std::vector<HttpHeader> &headers) { onHead(id, status, headers); };
@@ -74,7 +73,7 @@
     hooks.onFailed = [this, id](const ExchangeFailure &failure) { onFailed(id, failure); };
     RunningExchange &running = m_exchanges[id];
     running.address = message.address;
-    running.exchange = m_pool.start(message.address, message.request, timeouts, message.connection, std::move(hooks));
+    running.exchange = m_pool.start(message.address, message.request, limits, message.connection, std::move(hooks));
 }
 
 void EndpointThread::onSending(ExchangeId id)
@@ -116,7 +115,7 @@
     if (found != m_health.end()) {
         return found->second;
     }
-    ExchangeTimeouts limits;
+    ExchangeLimits limits;
     limits.connect = m_settings.connectTimeout;
     limits.firstByte = m_settings.firstByteTimeout;
     limits.reusedFirstByte = m_settings.firstByteTimeout;
@@ -256,11 +255,11 @@
     runner.requestedAt = currentTime();
     const std::uint64_t poll = ++m_lastPoll;
     runner.poll = poll;
-    ExchangeTimeouts timeouts;
-    timeouts.connect = m_settings.connectTimeout;
-    timeouts.firstByte = m_settings.betweenBytesTimeout;
-    timeouts.reusedFirstByte = m_settings.betweenBytesTimeout;
-    timeouts.betweenBytes = m_settings.betweenBytesTimeout;
+    ExchangeLimits limits;
+    limits.connect = m_settings.connectTimeout;
+    limits.firstByte = m_settings.betweenBytesTimeout;
+    limits.reusedFirstByte = m_settings.betweenBytesTimeout;
+    limits.betweenBytes = m_settings.betweenBytesTimeout;
     const auto status = std::make_shared<unsigned>(0);
     ExchangeHooks hooks;
     hooks.onHead = [status](unsigned code, const std::vector<HttpHeader> &) { *status = code; };
@@ -279,7 +278,7 @@
             onReportFailed(id, *polled);
         }
     };
-    runner.exchange = m_pool.start(runner.address, reportRequest(), timeouts, choice, std::move(hooks));
+    runner.exchange = m_pool.start(runner.address, reportRequest(), limits, choice, std::move(hooks));
 }
 
 EndpointThread::PolledRunner *EndpointThread::findPoll(const EndpointId &id, std::uint64_t poll)
@@ -336,11 +335,11 @@
         return;
     }
     runner.readingCacheEvents = true;
-    ExchangeTimeouts timeouts;
-    timeouts.connect = m_settings.connectTimeout;
-    timeouts.firstByte = m_settings.betweenBytesTimeout;
-    timeouts.reusedFirstByte = m_settings.betweenBytesTimeout;
-    timeouts.betweenBytes = m_settings.betweenBytesTimeout;
+    ExchangeLimits limits;
+    limits.connect = m_settings.connectTimeout;
+    limits.firstByte = m_settings.betweenBytesTimeout;
+    limits.reusedFirstByte = m_settings.betweenBytesTimeout;
+    limits.betweenBytes = m_settings.betweenBytesTimeout;
     const auto status = std::make_shared<unsigned>(0);
     const auto body = std::make_shared<std::string>();
     ExchangeHooks hooks;
@@ -348,7 +347,7 @@
     hooks.onBody = [body](const std::string &bytes) { *body += bytes; };
     hooks.onEnd = [this, id, status, body] { onCacheEvents(id, *status, *body); };
     hooks.onFailed = [this, id](const ExchangeFailure &) { onCacheEvents(id, 0, {}); };
-    m_pool.start(runner.address, cacheEventsRequest(runner.lastCacheEvent), timeouts, ConnectionChoice::PreferIdle, std::move(hooks));
+    m_pool.start(runner.address, cacheEventsRequest(runner.lastCacheEvent), limits, ConnectionChoice::PreferIdle, std::move(hooks));
 }
 
 void EndpointThread::onCacheEvents(const EndpointId &id, unsigned status, const std::string &body)
--- a/src/libhemlockhill/node/endpoint_thread_test.cpp
+++ b/src/libhemlockhill/node/endpoint_thread_test.cpp
@@ -13,7 +13,7 @@
 {
 
 // Starts one exchange and returns how it failed.
-ExchangeFailure failureOf(const ExchangeTimeouts &timeouts)
+ExchangeFailure failureOf(const ExchangeLimits &limits)
 {
     boost::asio::io_context loop;
     tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
@@ -31,7 +31,7 @@
     message.exchange = ExchangeId{1};
     message.address = Address{"127.0.0.1", acceptor.local_endpoint().port()};
     message.request = HttpRequest{"POST", "/", {}, "deed"};
-    message.timeouts = timeouts;
+    message.limits = limits;
     message.connection = ConnectionChoice::FreshOnly;
     BOOST_REQUIRE(endpointThread.post(message));
     ExchangeFailure failure = failed.get_future().get();
@@ -44,10 +44,10 @@
 
 BOOST_AUTO_TEST_CASE(a_call_past_its_dispatch_deadline_is_not_sent)
 {
-    ExchangeTimeouts timeouts;
-    timeouts.firstByte = std::chrono::milliseconds(50);
-    timeouts.sendBefore = currentTime() - std::chrono::milliseconds(1);
-    BOOST_TEST(!failureOf(timeouts).mayHaveReached);
-    timeouts.sendBefore = currentTime() + std::chrono::hours(1);
-    BOOST_TEST(failureOf(timeouts).mayHaveReached);
+    ExchangeLimits limits;
+    limits.firstByte = std::chrono::milliseconds(50);
+    limits.sendBefore = currentTime() - std::chrono::milliseconds(1);
+    BOOST_TEST(!failureOf(limits).mayHaveReached);
+    limits.sendBefore = currentTime() + std::chrono::hours(1);
+    BOOST_TEST(failureOf(limits).mayHaveReached);
 }
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -210,19 +210,19 @@
     options.timeLeft = timeLeft();
     options.resumeAfter = m_events.lastEventId().empty() ? m_head.lastEventId : m_events.lastEventId();
     m_exchange = m_gateway.m_pool.start(
-        live.address, m_gateway.m_dialect.forward(m_request, options), exchangeTimeouts(), ConnectionChoice::PreferIdle, exchangeHooks());
+        live.address, m_gateway.m_dialect.forward(m_request, options), exchangeLimits(), ConnectionChoice::PreferIdle, exchangeHooks());
 }
 
-ExchangeTimeouts Gateway::Request::exchangeTimeouts() const
+ExchangeLimits Gateway::Request::exchangeLimits() const
 {
-    ExchangeTimeouts timeouts;
-    timeouts.connect = std::min(ConnectTimeout, timeLeft());
-    timeouts.firstByte = timeLeft();
-    timeouts.reusedFirstByte = timeLeft();
-    timeouts.betweenBytes = m_route.kind == RouteKind::Streaming ? callerStreamTimeout(m_route) + SilenceMargin : timeLeft();
-    timeouts.closeDelimited = CloseDelimitedResponse::Confirm;
-    timeouts.sendBefore = m_gateway.m_directory.sendBefore(currentTime());
-    return timeouts;
+    ExchangeLimits limits;
+    limits.connect = std::min(ConnectTimeout, timeLeft());
+    limits.firstByte = timeLeft();
+    limits.reusedFirstByte = timeLeft();
+    limits.betweenBytes = m_route.kind == RouteKind::Streaming ? callerStreamTimeout(m_route) + SilenceMargin : timeLeft();
+    limits.closeDelimited = CloseDelimitedResponse::Confirm;
+    limits.sendBefore = m_gateway.m_directory.sendBefore(currentTime());
+    return limits;
 }
 
 ExchangeHooks Gateway::Request::exchangeHooks()
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -46,7 +46,7 @@
     void endWait();
     void send(const EndpointId &endpoint);
     ExchangeHooks exchangeHooks();
-    ExchangeTimeouts exchangeTimeouts() const;
+    ExchangeLimits exchangeLimits() const;
     void onHead(unsigned status, const std::vector<HttpHeader> &headers);
     void onBody(std::string bytes);
     void onEnd();
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -127,7 +127,7 @@
         hooks.onBody = [answer](const std::string &bytes) { answer->body += bytes; };
         hooks.onEnd = [&complete] { complete = true; };
         hooks.onFailed = [&complete](const ExchangeFailure &) { complete = false; };
-        m_pool.start(m_address, request, ExchangeTimeouts{}, ConnectionChoice::FreshOnly, std::move(hooks));
+        m_pool.start(m_address, request, ExchangeLimits{}, ConnectionChoice::FreshOnly, std::move(hooks));
         while (!complete) {
             m_loop.run_one();
         }
--- a/src/libhemlockhill/node/relay.cpp
+++ b/src/libhemlockhill/node/relay.cpp
@@ -234,10 +234,10 @@
     message.exchange = action.exchange;
     message.request = runRequest(m_request, m_id, m_service.priority, timeLeft(), action.resumeOffset);
     const EndpointSettings &limits = m_requests.m_settings.endpoints;
-    message.timeouts.connect = limits.connectTimeout;
-    message.timeouts.firstByte = limits.firstByteTimeout;
-    message.timeouts.reusedFirstByte = limits.firstByteTimeout;
-    message.timeouts.betweenBytes = limits.betweenBytesTimeout;
+    message.limits.connect = limits.connectTimeout;
+    message.limits.firstByte = limits.firstByteTimeout;
+    message.limits.reusedFirstByte = limits.firstByteTimeout;
+    message.limits.betweenBytes = limits.betweenBytesTimeout;
     if (endpoint != m_requests.m_state->endpoints.end()) {
         message.address = endpoint->second.address;
     }
--- a/src/libhemlockhill/node/service_calls.cpp
+++ b/src/libhemlockhill/node/service_calls.cpp
@@ -112,11 +112,11 @@
         message.connection = connection;
         const EndpointSettings &limits = m_calls.m_settings.endpoints;
         const Duration timeLeft = std::max(m_deadline - currentTime(), Duration(std::chrono::milliseconds(1)));
-        message.timeouts.connect = std::min(limits.connectTimeout, timeLeft);
-        message.timeouts.firstByte = timeLeft;
-        message.timeouts.reusedFirstByte = timeLeft;
-        message.timeouts.betweenBytes = limits.betweenBytesTimeout;
-        message.timeouts.sendBefore = sendBefore;
+        message.limits.connect = std::min(limits.connectTimeout, timeLeft);
+        message.limits.firstByte = timeLeft;
+        message.limits.reusedFirstByte = timeLeft;
+        message.limits.betweenBytes = limits.betweenBytesTimeout;
+        message.limits.sendBefore = sendBefore;
         m_exchange = message.exchange;
         m_endpoint = endpoint->id;
         m_tried.insert(endpoint->id);
--- a/src/libhemlockhill/once/send_deadline_test.cpp
+++ b/src/libhemlockhill/once/send_deadline_test.cpp
@@ -21,11 +21,11 @@
         ExchangeHooks hooks;
         hooks.onSending = [&sending] { sending = true; };
         hooks.onFailed = [&failure](const ExchangeFailure &event) { failure = event; };
-        ExchangeTimeouts timeouts;
-        timeouts.firstByte = std::chrono::milliseconds(50);
-        timeouts.sendBefore = currentTime() + (late ? Duration(0) : Duration(std::chrono::hours(1)));
+        ExchangeLimits limits;
+        limits.firstByte = std::chrono::milliseconds(50);
+        limits.sendBefore = currentTime() + (late ? Duration(0) : Duration(std::chrono::hours(1)));
         const HttpRequest request{"POST", "/", {}, "deed"};
-        pool.start(Address{"127.0.0.1", acceptor.local_endpoint().port()}, request, timeouts, ConnectionChoice::FreshOnly, hooks);
+        pool.start(Address{"127.0.0.1", acceptor.local_endpoint().port()}, request, limits, ConnectionChoice::FreshOnly, hooks);
         while (!failure) {
             loop.run_one();
         }
