Bound what an exchange reads of a response

Cause: each silence of an exchange was bounded, and of some exchanges the whole time; how much is read, kept and thrown away was not.

The limits: the buffer of a connection holds 64 kB, which bounds chunk extensions and trailers; framing may take 64 kB and 8 bytes for each byte of the body; 8 interim responses (1xx) are skipped, within the timeout of the first byte, where one was taken for the final response before; each exchange says how large a body it takes (ExchangeLimits::body, 1 MiB unless it says more, 64 MiB for answers that are forwarded). HttpExchange::discard() reads at most 64 kB and 500 ms of a response that nobody needs. An idle connection is closed when bytes arrive on it, or when the endpoint closes it, instead of at its next use. All but the interim responses are the new reason oversized_answer (502).

--- a/src/include/hemlockhill/failure.h
+++ b/src/include/hemlockhill/failure.h
@@ -37,6 +37,7 @@
     EndpointLost,
     EndpointSilent,
     IncompleteAnswer,
+    OversizedAnswer,
     CallerGone,
     CallerTooSlow,
     RetryBudgetSpent,
--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -42,6 +42,8 @@
     std::optional<TimePoint> sendBefore = std::nullopt;
     // If set, the exchange times out at this time even if bytes still arrive.
     std::optional<TimePoint> completeBefore = std::nullopt;
+    // Maximum size of the body. A larger response fails the exchange.
+    Bytes body{1'048'576};
     CloseDelimitedResponse closeDelimited = CloseDelimitedResponse::Reject;
 };
 
@@ -75,6 +77,9 @@
 
     // Closes the connection, so that a late response is discarded. No callback is called afterwards.
     virtual void cancel() = 0;
+    // Drops the rest of the response. If the rest is short and arrives soon, the connection is reused, otherwise it is closed. No
+    // callback is called afterwards.
+    virtual void discard() = 0;
     // Pauses and resumes reading the body. The betweenBytes timeout is suspended while paused.
     virtual void pause() = 0;
     virtual void resume() = 0;
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -30,6 +30,18 @@
 
 constexpr std::size_t BodyReadBytes = 16'384;
 constexpr std::uint32_t ResponseHeaderLimitBytes = 32'000;
+// Maximum number of bytes received but not yet parsed, such as a chunk extension or a trailer that is incomplete.
+constexpr std::size_t ConnectionBufferLimitBytes = 65'536;
+// Maximum number of interim responses (status 1xx) before the final one.
+constexpr int InterimResponseLimit = 8;
+// Framing, such as chunk sizes and extensions, may take this many bytes, and in addition FramingBytesPerBodyByte of the body received.
+constexpr std::uint64_t FramingLimitBytes = 65'536;
+constexpr std::uint64_t FramingBytesPerBodyByte = 8;
+// How much and how long is read of a discarded response, so that its connection can be reused.
+constexpr std::uint64_t DiscardLimitBytes = 65'536;
+constexpr std::chrono::milliseconds DiscardTimeout(500);
+constexpr unsigned FirstInterimStatus = 100;
+constexpr unsigned FirstFinalStatus = 200;
 // Assumed idle timeout of an endpoint that does not send a Keep-Alive timeout.
 constexpr Duration DefaultIdleTimeout = std::chrono::seconds(1);
 // Fraction of the idle timeout after which a connection is no longer reused, since the endpoint may be about to close it.
@@ -42,6 +54,7 @@
 struct Connection {
     explicit Connection(boost::asio::io_context &loop)
         : stream(loop)
+        , buffer(ConnectionBufferLimitBytes)
     {
     }
 
@@ -49,6 +62,7 @@
     beast::flat_buffer buffer;
     // True once the connection has carried an exchange.
     bool reused = false;
+    bool idle = false;
     // After this time the endpoint may close the idle connection; a request sent then could be lost.
     TimePoint reusableUntil;
     Duration idleTimeout = DefaultIdleTimeout;
@@ -84,7 +98,7 @@
 
 } // namespace
 
-struct ConnectionPool::Idle {
+struct ConnectionPool::Idle : std::enable_shared_from_this<ConnectionPool::Idle> {
     Idle(boost::asio::io_context &ownLoop, std::size_t ownLimit)
         : loop(ownLoop)
         , limit(ownLimit)
@@ -97,6 +111,9 @@
         while (!idle.empty()) {
             auto connection = std::move(idle.back());
             idle.pop_back();
+            connection->idle = false;
+            error_code ignored;
+            connection->stream.socket().cancel(ignored);
             if (currentTime() < connection->reusableUntil && isReusable(*connection)) {
                 return connection;
             }
@@ -108,13 +125,28 @@
     {
         auto &idle = connections[address];
         connection->reused = true;
+        connection->idle = true;
         connection->reusableUntil = currentTime() + std::chrono::duration_cast<Duration>(connection->idleTimeout * ReusableIdleRatio);
+        closeWhenReadable(address, connection);
         idle.push_back(std::move(connection));
         if (idle.size() > limit) {
             idle.pop_front();
         }
     }
 
+    // An idle connection becomes readable when the endpoint closes it or sends bytes that belong to no request.
+    void closeWhenReadable(const Address &address, const std::shared_ptr<Connection> &connection)
+    {
+        connection->stream.socket().async_wait(
+            tcp::socket::wait_read, [weakPool = weak_from_this(), weakConnection = std::weak_ptr(connection), address](error_code error) {
+                const auto pool = weakPool.lock();
+                const auto readable = weakConnection.lock();
+                if (!error && pool && readable && readable->idle) {
+                    std::erase(pool->connections[address], readable);
+                }
+            });
+    }
+
     boost::asio::io_context &loop;
     std::size_t limit;
     std::map<Address, std::deque<std::shared_ptr<Connection>>> connections;
@@ -128,12 +160,13 @@
         , m_address(std::move(address))
         , m_limits(limits)
         , m_hooks(std::move(hooks))
-        , m_confirmationTimer(m_idle->loop)
+        , m_timer(m_idle->loop)
     {
     }
 
     void start(const HttpRequest &request, ConnectionChoice choice);
     void cancel() override;
+    void discard() override;
     void pause() override { m_paused = true; }
     void resume() override;
 
@@ -142,8 +175,11 @@
     void send();
     void readHead();
     void onHead(error_code error);
+    void onInterimResponse();
     void readBody();
     void onBody(error_code error, std::size_t bytes);
+    bool isBodyTooLarge() const { return m_bodyBytes > m_limits.body.value; }
+    bool isFramingTooLarge() const { return m_framingBytes > FramingLimitBytes + FramingBytesPerBodyByte * m_bodyBytes; }
     void finish();
     void confirmClose();
     void onConfirmationTime();
@@ -161,7 +197,13 @@
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::string m_readBuffer;
-    boost::asio::steady_timer m_confirmationTimer;
+    std::uint64_t m_bodyBytes = 0;
+    std::uint64_t m_framingBytes = 0;
+    int m_interimResponses = 0;
+    // When the final head must have arrived.
+    TimePoint m_headDue;
+    // Runs while the close of a response is to be confirmed or a response is being discarded.
+    boost::asio::steady_timer m_timer;
     bool m_sending = false;
     bool m_paused = false;
     bool m_readPending = false;
@@ -245,6 +287,7 @@
             self->fail(error);
             return;
         }
+        self->m_headDue = currentTime() + self->firstByteTimeout();
         self->readHead();
     });
 }
@@ -257,7 +300,7 @@
     m_parser.emplace();
     m_parser->header_limit(ResponseHeaderLimitBytes);
     m_parser->body_limit(boost::none);
-    expireAfter(firstByteTimeout());
+    expireAfter(std::max(Duration(0), std::chrono::duration_cast<Duration>(m_headDue - currentTime())));
     http::async_read_header(m_connection->stream,
                             m_connection->buffer,
                             *m_parser,
@@ -273,9 +316,17 @@
         fail(error);
         return;
     }
+    if (m_parser->get().result_int() < FirstFinalStatus) {
+        onInterimResponse();
+        return;
+    }
     if (const auto idleTimeout = parseKeepAliveTimeout(m_parser->get()[http::field::keep_alive])) {
         m_connection->idleTimeout = *idleTimeout;
     }
+    if (m_parser->content_length().value_or(0) > m_limits.body.value) {
+        failWith(Reason::OversizedAnswer);
+        return;
+    }
     std::vector<HttpHeader> headers;
     for (const auto &field : m_parser->get()) {
         headers.push_back({std::string(field.name_string()), std::string(field.value())});
@@ -298,6 +349,18 @@
     readBody();
 }
 
+// An interim response precedes the final one and carries nothing for the caller. No request asks for a change of protocol.
+void ConnectionPool::Exchange::onInterimResponse()
+{
+    const bool isAcceptable = m_parser->get().result() != http::status::switching_protocols
+                              && m_parser->get().result_int() >= FirstInterimStatus && ++m_interimResponses <= InterimResponseLimit;
+    if (!isAcceptable) {
+        failWith(Reason::IncompleteAnswer);
+        return;
+    }
+    readHead();
+}
+
 void ConnectionPool::Exchange::readBody()
 {
     if (m_ended || m_readPending) {
@@ -318,7 +381,7 @@
                           [self = shared_from_this()](error_code error, std::size_t bytes) { self->onBody(error, bytes); });
 }
 
-void ConnectionPool::Exchange::onBody(error_code error, std::size_t)
+void ConnectionPool::Exchange::onBody(error_code error, std::size_t parsedBytes)
 {
     m_readPending = false;
     if (m_ended) {
@@ -332,6 +395,12 @@
         return;
     }
     const std::size_t bytes = m_readBuffer.size() - m_parser->get().body().size;
+    m_bodyBytes += bytes;
+    m_framingBytes += parsedBytes - std::min(bytes, parsedBytes);
+    if (isBodyTooLarge() || isFramingTooLarge()) {
+        failWith(Reason::OversizedAnswer);
+        return;
+    }
     if (bytes > 0 && m_hooks.onBody) {
         m_hooks.onBody(m_readBuffer.substr(0, bytes));
     }
@@ -367,7 +436,8 @@
         return;
     }
     m_connection->stream.expires_never();
-    if (m_parser->get().keep_alive()) {
+    const bool hasExtraBytes = m_connection->buffer.size() > 0;
+    if (m_parser->get().keep_alive() && !hasExtraBytes) {
         m_idle->release(m_address, m_connection);
     } else {
         m_connection->stream.close();
@@ -385,8 +455,8 @@
             return;
         }
         self->m_connection->stream.expires_never();
-        self->m_confirmationTimer.expires_after(CloseConfirmationTime);
-        self->m_confirmationTimer.async_wait([self](error_code) { self->onConfirmationTime(); });
+        self->m_timer.expires_after(CloseConfirmationTime);
+        self->m_timer.async_wait([self](error_code) { self->onConfirmationTime(); });
     });
 }
 
@@ -406,6 +476,7 @@
 void ConnectionPool::Exchange::complete()
 {
     m_ended = true;
+    m_timer.cancel();
     const ExchangeHooks hooks = std::exchange(m_hooks, {});
     if (hooks.onEnd) {
         hooks.onEnd();
@@ -414,6 +485,10 @@
 
 void ConnectionPool::Exchange::fail(error_code error)
 {
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        failWith(Reason::OversizedAnswer);
+        return;
+    }
     failWith(error == beast::error::timeout ? Reason::EndpointSilent : Reason::EndpointLost);
 }
 
@@ -423,6 +498,7 @@
         return;
     }
     m_ended = true;
+    m_timer.cancel();
     m_connection->stream.close();
     ExchangeFailure failure;
     failure.reason = reason;
@@ -441,9 +517,31 @@
     }
     m_ended = true;
     m_hooks = {};
+    m_timer.cancel();
     m_connection->stream.close();
 }
 
+void ConnectionPool::Exchange::discard()
+{
+    if (m_ended) {
+        return;
+    }
+    const bool hasHead = m_parser && m_parser->is_header_done();
+    if (!hasHead || m_parser->need_eof() || m_parser->content_length_remaining().value_or(0) > DiscardLimitBytes) {
+        cancel();
+        return;
+    }
+    m_hooks = {};
+    m_limits.body = Bytes{m_bodyBytes + DiscardLimitBytes};
+    m_timer.expires_after(DiscardTimeout);
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+        if (!error) {
+            self->cancel();
+        }
+    });
+    resume();
+}
+
 ConnectionPool::ConnectionPool(boost::asio::io_context &loop, std::size_t idleLimit)
     : m_idle(std::make_shared<Idle>(loop, idleLimit))
 {
--- a/src/libhemlockhill/node/endpoint_thread.cpp
+++ b/src/libhemlockhill/node/endpoint_thread.cpp
@@ -61,6 +61,7 @@
     const ExchangeId id = message.exchange;
     ExchangeLimits limits = healthOf(message.address).adaptedLimits();
     limits.sendBefore = message.limits.sendBefore;
+    limits.body = message.limits.body;
     // Non-idempotent calls, which set sendBefore, use the sender's timeout unchanged: timing out early would leave their outcome
     // unknown.
     limits.firstByte = message.limits.sendBefore ? message.limits.firstByte : std::min(limits.firstByte, message.limits.firstByte);
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t PendingLimitBytes = 65'536;
 // Answers up to this size are buffered and sent with their length; larger ones are streamed.
 constexpr std::size_t BufferedAnswerLimitBytes = 262'144;
+// Maximum size of an answer that is forwarded.
+constexpr Bytes AnswerLimit{67'108'864};
 constexpr unsigned FirstServerError = 500;
 
 std::int64_t milliseconds(Duration duration)
@@ -220,6 +222,7 @@
     limits.firstByte = timeLeft();
     limits.reusedFirstByte = timeLeft();
     limits.betweenBytes = m_route.kind == RouteKind::Streaming ? callerStreamTimeout(m_route) + SilenceMargin : timeLeft();
+    limits.body = AnswerLimit;
     limits.closeDelimited = CloseDelimitedResponse::Confirm;
     limits.sendBefore = m_gateway.m_directory.sendBefore(currentTime());
     return limits;
@@ -253,7 +256,7 @@
         return;
     }
     if (answer.notRun) {
-        // The exchange reads and discards the rest of the answer, so that its connection can be reused.
+        m_exchange->discard();
         endpointFailed(Reason::EndpointRefused, false, false);
         return;
     }
@@ -386,7 +389,8 @@
 
 void Gateway::Request::onExchangeFailed(const ExchangeFailure &failure)
 {
-    const Reason reason = m_status == 0 ? failure.reason : Reason::IncompleteAnswer;
+    const bool keepsReason = m_status == 0 || failure.reason == Reason::OversizedAnswer;
+    const Reason reason = keepsReason ? failure.reason : Reason::IncompleteAnswer;
     endpointFailed(reason, failure.mayHaveReached, !failure.reusedConnection);
 }
 
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -192,6 +192,14 @@
         });
     }
 
+    void runFor(Duration duration)
+    {
+        const TimePoint end = currentTime() + duration;
+        while (currentTime() < end) {
+            m_loop.run_one_for(std::chrono::milliseconds(20));
+        }
+    }
+
     void runUntilIdle()
     {
         while (!m_gateway.isIdle()) {
--- /dev/null
+++ b/src/libhemlockhill/node/gateway_unbounded_answer_test.cpp
@@ -0,0 +1,63 @@
+// Tests what the gateway does with endpoints whose answers have no end.
+#include "net/raw_endpoint_testing.h"
+#include "node/gateway_testing.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Hemlockhill;
+using namespace Hemlockhill::Testing;
+
+namespace
+{
+
+constexpr std::uint16_t FirstPort = 9'370;
+constexpr Duration CloseTimeout = std::chrono::seconds(1);
+
+// A gateway whose endpoints send the given bytes and then the tail without end.
+class UnboundedAnswers
+{
+public:
+    UnboundedAnswers(RouteKind kind, bool resumable, const std::string &bytes, const std::string &tail)
+        : m_fixture({kind, resumable, Duration(0), FirstPort}, [&, this](boost::asio::io_context &loop, const Address &address) {
+            m_endpoints.push_back(std::make_shared<RawEndpoint>(loop, address, [=](const RawEndpoint::Request &) {
+                return RawAnswer{bytes, ConnectionEnd::RepeatTail, tail};
+            }));
+            return m_endpoints.back();
+        })
+    {
+    }
+
+    std::string sendRaw(const std::string &bytes) { return m_fixture.sendRaw(bytes); }
+    std::optional<HttpResponse> exchange() { return m_fixture.exchange("/x/1"); }
+
+    // Whether the gateway closes all connections to the endpoints in time.
+    bool closesConnections()
+    {
+        m_fixture.runFor(CloseTimeout);
+        return m_endpoints[0]->openConnections() + m_endpoints[1]->openConnections() == 0;
+    }
+
+private:
+    std::vector<std::shared_ptr<RawEndpoint>> m_endpoints;
+    GatewayFixture m_fixture;
+};
+
+} // namespace
+
+// Guards against reading the rest of a refusal for as long as it comes, after the caller has its answer.
+BOOST_AUTO_TEST_CASE(refusal_without_end_does_not_keep_its_connection)
+{
+    UnboundedAnswers answers(
+        RouteKind::Unsafe, false, "HTTP/1.1 503 Service Unavailable\r\nId: request-1\r\nNot-Run: 1\r\n\r\n", std::string(4'096, 'x'));
+    BOOST_CHECK_EQUAL(answers.exchange().value().status, 503);
+    BOOST_CHECK(answers.closesConnections());
+}
+
+// Guards against a plain answer without end.
+BOOST_AUTO_TEST_CASE(plain_answer_without_end_is_broken_off)
+{
+    UnboundedAnswers answers(
+        RouteKind::Unsafe, false, "HTTP/1.1 200 OK\r\nId: request-1\r\nSignature: s\r\n\r\n", std::string(65'536, 'x'));
+    BOOST_CHECK(!answers.exchange());
+    BOOST_CHECK(answers.closesConnections());
+}
--- a/src/libhemlockhill/node/relay.cpp
+++ b/src/libhemlockhill/node/relay.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr unsigned StatusServiceUnavailable = 503;
+// Maximum size of an engine's answer, all events of a stream together.
+constexpr Bytes AnswerLimit{67'108'864};
 constexpr std::chrono::seconds RetryAfterLoss(1);
 constexpr std::chrono::seconds RetryAfterNoEndpoint(2);
 // Period at which a suspect that was lost with its endpoint requests another trial.
@@ -238,6 +240,7 @@
     message.limits.firstByte = limits.firstByteTimeout;
     message.limits.reusedFirstByte = limits.firstByteTimeout;
     message.limits.betweenBytes = limits.betweenBytesTimeout;
+    message.limits.body = AnswerLimit;
     if (endpoint != m_requests.m_state->endpoints.end()) {
         message.address = endpoint->second.address;
     }
--- a/src/libhemlockhill/node/service_calls.cpp
+++ b/src/libhemlockhill/node/service_calls.cpp
@@ -116,6 +116,7 @@
         message.limits.firstByte = timeLeft;
         message.limits.reusedFirstByte = timeLeft;
         message.limits.betweenBytes = limits.betweenBytesTimeout;
+        message.limits.body = m_calls.m_settings.callers.bodyLimit;
         message.limits.sendBefore = sendBefore;
         m_exchange = message.exchange;
         m_endpoint = endpoint->id;
--- a/src/libhemlockhill/world/failure.cpp
+++ b/src/libhemlockhill/world/failure.cpp
@@ -44,6 +44,7 @@
         {Reason::EndpointLost, "endpoint_lost", 502, true},
         {Reason::EndpointSilent, "endpoint_silent", 504, true},
         {Reason::IncompleteAnswer, "incomplete_answer", 502, true},
+        {Reason::OversizedAnswer, "oversized_answer", 502, true},
         {Reason::CallerGone, "caller_gone", 499, false},
         {Reason::CallerTooSlow, "caller_too_slow", 499, false},
         {Reason::RetryBudgetSpent, "retry_budget_spent", 503, true},
