Break a stream off at an event that exceeds 256 kB

What callers and operators saw: an event without its blank line took 0.7 of a core until the deadline, and was kept whole in memory where events are buffered.

Cause: the bytes of an incomplete event had no limit: neither in the gateway, which keeps them on resumable routes, nor in the splitter of the product's own engine API, which searched them again with each piece.

Evidence: event_without_end_interrupts_its_stream (attempt_test) failed two checks before; event_without_end_breaks_its_stream_off (gateway_unbounded_answer_test) ended the program under a limit of 8 GB.

--- a/src/include/hemlockhill/event_stream.h
+++ b/src/include/hemlockhill/event_stream.h
@@ -12,6 +12,9 @@
 namespace Hemlockhill
 {
 
+// Maximum size of one event. A stream with a larger one is broken off.
+inline constexpr std::size_t EventLimitBytes = 262'144;
+
 // One event: its raw bytes including the terminating blank line, and its data.
 struct StreamEvent {
     std::string bytes;
@@ -41,6 +44,8 @@
     std::size_t feed(std::string_view bytes);
     // Whether the bytes so far end within an event.
     bool isInsideEvent() const { return m_insideEvent; }
+    // Number of bytes of the incomplete event so far.
+    std::uint64_t incompleteBytes() const { return m_incompleteBytes; }
     // Number of complete events so far.
     std::uint64_t completeEvents() const { return m_completeEvents; }
     // Discards the incomplete event.
@@ -52,6 +57,7 @@
     bool m_insideEvent = false;
     bool m_insideLine = false;
     bool m_afterCarriageReturn = false;
+    std::uint64_t m_incompleteBytes = 0;
     std::uint64_t m_completeEvents = 0;
 };
 
--- a/src/include/hemlockhill/routed_attempt.h
+++ b/src/include/hemlockhill/routed_attempt.h
@@ -74,6 +74,8 @@
     void dropPartial();
     // Whether the bytes so far end within an event.
     bool isInsideEvent() const { return m_boundary.isInsideEvent(); }
+    // Number of bytes of the incomplete event so far.
+    std::uint64_t incompleteBytes() const { return m_boundary.incompleteBytes(); }
     // Number of complete events so far.
     std::uint64_t completeEvents() const { return m_boundary.completeEvents(); }
 
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -314,6 +314,11 @@
 void Gateway::Request::forwardEvents(std::string bytes)
 {
     bytes = m_events.feed(std::move(bytes));
+    if (m_events.incompleteBytes() > EventLimitBytes) {
+        m_exchange->cancel();
+        endpointFailed(Reason::OversizedAnswer, true, true);
+        return;
+    }
     if (bytes.empty()) {
         return;
     }
--- a/src/libhemlockhill/node/gateway_unbounded_answer_test.cpp
+++ b/src/libhemlockhill/node/gateway_unbounded_answer_test.cpp
@@ -53,6 +53,21 @@
     BOOST_CHECK(answers.closesConnections());
 }
 
+// Guards against an event without end, which is buffered for a resumable stream and forwarded for others.
+BOOST_AUTO_TEST_CASE(event_without_end_breaks_its_stream_off)
+{
+    for (const bool resumable : {true, false}) {
+        UnboundedAnswers answers(RouteKind::Streaming,
+                                 resumable,
+                                 "HTTP/1.1 200 OK\r\nId: request-1\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\ndata: ",
+                                 std::string(4'096, 'x'));
+        const TimePoint start = currentTime();
+        BOOST_CHECK(!answers.exchange());
+        BOOST_CHECK(currentTime() - start < CloseTimeout);
+        BOOST_CHECK(answers.closesConnections());
+    }
+}
+
 // Guards against a plain answer without end.
 BOOST_AUTO_TEST_CASE(plain_answer_without_end_is_broken_off)
 {
--- a/src/libhemlockhill/request/attempt.cpp
+++ b/src/libhemlockhill/request/attempt.cpp
@@ -374,6 +374,9 @@
     if (disposition == EventDisposition::Invalid) {
         return onLost(Reason::IncompleteAnswer, false);
     }
+    if (m_splitter.pendingBytes() > EventLimitBytes) {
+        return onLost(Reason::OversizedAnswer, false);
+    }
     return take();
 }
 
--- a/src/libhemlockhill/request/attempt_test.cpp
+++ b/src/libhemlockhill/request/attempt_test.cpp
@@ -152,6 +152,18 @@
     BOOST_TEST((caller.refusal->ran == Ran::Yes));
 }
 
+// Guards against buffering an event without end.
+BOOST_FIXTURE_TEST_CASE(event_without_end_interrupts_its_stream, Fixture)
+{
+    stream(1, tokens(0, 2) + "data: ");
+    for (int piece = 0; piece < 32; ++piece) {
+        body(1, std::string(16'384, 'x'));
+    }
+    BOOST_TEST(caller.text == tokens(0, 2));
+    BOOST_TEST(caller.cancels == 1U);
+    BOOST_TEST((attempt.state() == AttemptState::Interrupted));
+}
+
 BOOST_FIXTURE_TEST_CASE(events_of_earlier_exchanges_and_out_of_order_events_are_ignored, Fixture)
 {
     stream(1, tokens(0, 2));
--- a/src/libhemlockhill/request/event_stream.cpp
+++ b/src/libhemlockhill/request/event_stream.cpp
@@ -71,6 +71,7 @@
             complete = index + 1;
         }
     }
+    m_incompleteBytes = (complete == 0 ? m_incompleteBytes : 0) + bytes.size() - complete;
     return complete;
 }
 
@@ -89,6 +90,7 @@
     m_insideEvent = false;
     m_insideLine = false;
     m_afterCarriageReturn = false;
+    m_incompleteBytes = 0;
 }
 
 bool isWellFormed(const StreamEvent &event)
