Bound the chunk extensions and trailers of a request

What operators would see: a caller whose chunk extension or trailer has no end makes an entry node grow for the time that a request may take.

Cause: the limits of a request cover its headers and its body; the buffer of a connection had none.

Why this works: the buffer holds as much as the limit of the headers and one piece of a body; what does not fit is answered with 400 and the connection closed. request_with_a_chunk_extension_without_end_is_refused is new; it was not run on the code before.

--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -257,6 +257,8 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_listener->limits().header.value));
     m_parser->body_limit(m_listener->limits().body.value);
+    // Also bounds what the other limits do not cover: the extensions of a chunk and the trailer.
+    m_buffer.max_size(m_listener->limits().header.value + BodyReadBytes);
     if (m_buffer.size() > 0) {
         readRequest();
         return;
