Discard what an engine sends after the end of its stream

What operators would see: a connection to an engine that stays open for good.

Cause: the event that ends a stream completes the caller's answer, but the exchange with the engine went on to the end of its message. If the engine sent more, 64 kB were passed on to nobody; the exchange then paused without a timeout. Found by reading, for bytes without end.

Why this works: the node tells its endpoint thread to discard the rest, which HttpExchange bounds to 64 kB and 500 ms; an engine that ends its message in time keeps its connection.

--- a/src/include/hemlockhill/endpoint_thread.h
+++ b/src/include/hemlockhill/endpoint_thread.h
@@ -66,6 +66,7 @@
     void handle(EndpointThreadMessage &&message);
     void handle(StartExchange &&message);
     void handle(const CancelExchange &message);
+    void handle(const DiscardExchange &message);
     void handle(const ReleaseBytes &message);
     void handle(const StateChanged &message);
     void handle(const SettingsChanged &message);
--- a/src/include/hemlockhill/exchange_messages.h
+++ b/src/include/hemlockhill/exchange_messages.h
@@ -31,6 +31,11 @@
     ExchangeId exchange;
 };
 
+// Drops the rest of the answer, as HttpExchange::discard() does. No further messages are sent for it, except those already queued.
+struct DiscardExchange {
+    ExchangeId exchange;
+};
+
 // Flow control: `bytes` body bytes have been written to the caller, so the same number may be read from the endpoint.
 struct ReleaseBytes {
     ExchangeId exchange;
@@ -47,7 +52,7 @@
     std::shared_ptr<const Settings> settings;
 };
 
-using EndpointThreadMessage = std::variant<StartExchange, CancelExchange, ReleaseBytes, StateChanged, SettingsChanged>;
+using EndpointThreadMessage = std::variant<StartExchange, CancelExchange, DiscardExchange, ReleaseBytes, StateChanged, SettingsChanged>;
 
 // The request is about to be written to the endpoint; from now on it may run there.
 struct ExchangeSending {
--- a/src/libhemlockhill/node/endpoint_thread.cpp
+++ b/src/libhemlockhill/node/endpoint_thread.cpp
@@ -147,6 +147,16 @@
     m_exchanges.erase(found);
 }
 
+void EndpointThread::handle(const DiscardExchange &message)
+{
+    const auto found = m_exchanges.find(message.exchange);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    found->second.exchange->discard();
+    m_exchanges.erase(found);
+}
+
 void EndpointThread::handle(const ReleaseBytes &message)
 {
     const auto found = m_exchanges.find(message.exchange);
--- a/src/libhemlockhill/node/relay.cpp
+++ b/src/libhemlockhill/node/relay.cpp
@@ -335,6 +335,10 @@
 
 void Relay::carryOut(const EndStream &)
 {
+    // The endpoint may still be sending, although the event that ends the stream has arrived.
+    if (m_openExchange) {
+        m_requests.m_endpointSink(DiscardExchange{*m_openExchange});
+    }
     closeExchange(currentTime() - m_dispatchedAt);
     m_responder->end();
 }
