--- a/src/libhemlockhill/request/routed_attempt_test.cpp
+++ b/src/libhemlockhill/request/routed_attempt_test.cpp
@@ -80,7 +80,8 @@
 {
     for (const std::string lineEnd : {"\n", "\r\n", "\r"}) {
         EventForwarder forwarder(PartialEvents::Buffered);
-        const std::string event = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd;
+        std::string event("id: 1");
+        event.append(lineEnd).append("data: a").append(lineEnd).append(lineEnd);
         std::string forwarded;
         for (const char byte : event + event + "id: 2") {
             forwarded += forwarder.feed(std::string(1, byte));
