--- a/src/libhemlockhill/request/routed_attempt.cpp
+++ b/src/libhemlockhill/request/routed_attempt.cpp
@@ -46,8 +46,7 @@
     const bool mayRunAgain = history.possibleRuns == 0 || (route.idempotent() && history.possibleRuns < route.attemptLimit);
     const bool retryAllowed = mayRetry && timeLeft >= MinimumRetryTime && history.exchanges < ExchangeLimit;
     if (history.response != ResponseProgress::Nothing) {
-        const bool resumes =
-            route.kind == RouteKind::Streaming && route.resumable && history.response == ResponseProgress::ResumableEvents;
+        const bool resumes = route.kind == RouteKind::Streaming && route.resumable && history.response == ResponseProgress::ResumableEvents;
         return resumes && mayRunAgain && retryAllowed ? RetryDecision::Retry : RetryDecision::Abort;
     }
     if (mayRunAgain && retryAllowed) {
--- a/src/libhemlockhill/request/routed_attempt_test.cpp
+++ b/src/libhemlockhill/request/routed_attempt_test.cpp
@@ -26,7 +26,8 @@
     for (const RouteKind kind : {RouteKind::Safe, RouteKind::Unsafe, RouteKind::Streaming}) {
         BOOST_CHECK(decideRetry(route(kind, false, 1), {1, 0, ResponseProgress::Nothing}, Enough, true) == RetryDecision::Retry);
         BOOST_CHECK(decideRetry(route(kind, false, 1), {1, 0, ResponseProgress::Nothing}, Enough, false) == RetryDecision::Refuse);
-        BOOST_CHECK(decideRetry(route(kind, false, 1), {ExchangeLimit, 0, ResponseProgress::Nothing}, Enough, true) == RetryDecision::Refuse);
+        BOOST_CHECK(decideRetry(route(kind, false, 1), {ExchangeLimit, 0, ResponseProgress::Nothing}, Enough, true)
+                    == RetryDecision::Refuse);
         BOOST_CHECK(decideRetry(route(kind, false, 1), {1, 0, ResponseProgress::Nothing}, Duration(0), true) == RetryDecision::Refuse);
     }
 }
