Do not wait for a body after a response to HEAD

What callers would see: a HEAD request on a route gets no answer until its deadline, since the response states the length of a body that does not follow.

Cause: the parser was not told that the response has no body.

Evidence: response_to_head_ends_with_its_headers failed two checks before.

--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -300,6 +300,7 @@
     m_parser.emplace();
     m_parser->header_limit(ResponseHeaderLimitBytes);
     m_parser->body_limit(boost::none);
+    m_parser->skip(m_request.method() == http::verb::head);
     expireAfter(std::max(Duration(0), std::chrono::duration_cast<Duration>(m_headDue - currentTime())));
     http::async_read_header(m_connection->stream,
                             m_connection->buffer,
--- a/src/libhemlockhill/net/http_exchange_test.cpp
+++ b/src/libhemlockhill/net/http_exchange_test.cpp
@@ -3,12 +3,14 @@
 
 #include "hemlockhill/http_server.h"
 #include "hemlockhill/timer_service.h"
+#include "net/raw_endpoint_testing.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <utility>
 
 using namespace Hemlockhill;
+using namespace Hemlockhill::Testing;
 
 namespace
 {
@@ -93,3 +95,26 @@
     BOOST_REQUIRE(result.failure);
     BOOST_CHECK(result.failure->reason == Reason::EndpointSilent);
 }
+
+// Guards against waiting for a body that a response to HEAD does not have, although it states the length.
+BOOST_AUTO_TEST_CASE(response_to_head_ends_with_its_headers)
+{
+    boost::asio::io_context loop(1);
+    RawEndpoint endpoint(loop, Server, [](const RawEndpoint::Request &) {
+        return RawAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", ConnectionEnd::KeepOpen, {}};
+    });
+    ConnectionPool pool(loop, 1);
+    bool done = false;
+    bool complete = false;
+    ExchangeHooks hooks;
+    hooks.onEnd = [&] { done = complete = true; };
+    hooks.onFailed = [&done](const ExchangeFailure &) { done = true; };
+    ExchangeLimits limits;
+    limits.betweenBytes = std::chrono::milliseconds(300);
+    pool.start(Server, {"HEAD", "/", {}, {}}, limits, ConnectionChoice::FreshOnly, hooks);
+    while (!done) {
+        loop.run_one();
+    }
+    BOOST_CHECK(complete);
+    BOOST_CHECK_EQUAL(pool.idleConnections(Server), 1);
+}
