Limit a forwarded answer to 16 MiB

With 64 MiB, eight plain answers without end kept a node at 0.80 of a core for the 4 s until their deadline, as each had come to 46 MB by then (a trial on the real program, all callers reading). The largest answers of the users' sheets have some 54 kB; their requests may have 4 MiB.

--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -30,7 +30,7 @@
 // Answers up to this size are buffered and sent with their length; larger ones are streamed.
 constexpr std::size_t BufferedAnswerLimitBytes = 262'144;
 // Maximum size of an answer that is forwarded.
-constexpr Bytes AnswerLimit{67'108'864};
+constexpr Bytes AnswerLimit{16'777'216};
 constexpr unsigned FirstServerError = 500;
 
 std::int64_t milliseconds(Duration duration)
--- a/src/libhemlockhill/node/relay.cpp
+++ b/src/libhemlockhill/node/relay.cpp
@@ -17,7 +17,7 @@
 
 constexpr unsigned StatusServiceUnavailable = 503;
 // Maximum size of an engine's answer, all events of a stream together.
-constexpr Bytes AnswerLimit{67'108'864};
+constexpr Bytes AnswerLimit{16'777'216};
 constexpr std::chrono::seconds RetryAfterLoss(1);
 constexpr std::chrono::seconds RetryAfterNoEndpoint(2);
 // Period at which a suspect that was lost with its endpoint requests another trial.
