Continue streams whose first event carries no id

What callers would see: a resumable stream that begins with an event without an id, such as a comment, is cut off when its endpoint is lost, though later events carry ids.

Evidence: resumable_stream_that_begins_with_a_comment_continues_at_another_endpoint failed before.

--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -330,9 +330,7 @@
         m_longestGap = std::max(m_longestGap, std::chrono::duration_cast<Duration>(now - m_lastEventAt));
     }
     m_lastEventAt = now;
-    if (m_events.lastEventId().empty()) {
-        m_history.response = ResponseProgress::UnresumableBytes;
-    }
+    m_history.response = m_events.lastEventId().empty() ? ResponseProgress::UnresumableBytes : ResponseProgress::ResumableEvents;
     m_responder->write(std::move(bytes));
     applyBackpressure();
 }
--- a/src/libhemlockhill/node/gateway_truncated_answer_test.cpp
+++ b/src/libhemlockhill/node/gateway_truncated_answer_test.cpp
@@ -192,3 +192,21 @@
         BOOST_CHECK_EQUAL(runs, 2);
     }
 }
+
+// Guards against giving up a stream whose first event carries no id.
+BOOST_AUTO_TEST_CASE(resumable_stream_that_begins_with_a_comment_continues_at_another_endpoint)
+{
+    const std::string comment = ": begins\n\n";
+    int runs = 0;
+    GatewayFixture fixture(
+        scenario(RouteKind::Streaming, true),
+        rawEndpoints(runs,
+                     {streamBytes(Framing::ChunkedWithoutEnd, comment + events(1, 3)), ConnectionEnd::Close, {}},
+                     [](const RawEndpoint::Request &request) {
+                         BOOST_CHECK_EQUAL(request["Resume-After"], "3");
+                         return RawAnswer{streamBytes(Framing::Chunked, events(4, EventCount)), ConnectionEnd::KeepOpen, {}};
+                     }));
+    const auto answer = fixture.exchange("/x/1");
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->body, comment + events(1, EventCount));
+}
