--- a/src/libhemlockhill/node/gateway_truncated_answer_test.cpp
+++ b/src/libhemlockhill/node/gateway_truncated_answer_test.cpp
@@ -201,7 +201,7 @@
     GatewayFixture fixture(
         scenario(RouteKind::Streaming, true),
         rawEndpoints(runs,
-                     {streamBytes(Framing::ChunkedWithoutEnd, comment + events(1, 3)), ConnectionEnd::Close, {}},
+                     {streamBytes(Framing::ChunkedWithoutEnd, comment) + chunk(events(1, 3)), ConnectionEnd::Close, {}},
                      [](const RawEndpoint::Request &request) {
                          BOOST_CHECK_EQUAL(request["Resume-After"], "3");
                          return RawAnswer{streamBytes(Framing::Chunked, events(4, EventCount)), ConnectionEnd::KeepOpen, {}};
