--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -47,8 +47,8 @@
 // Fraction of the idle timeout after which a connection is no longer reused, since the endpoint may be about to close it.
 constexpr double ReusableIdleRatio = 0.7;
 // How long the connection that confirms the close of another must stay open. A process that exits, or a proxy in front of one, may
-// still accept a connection and closes it soon.
-constexpr std::chrono::milliseconds CloseConfirmationTime(100);
+// still accept a connection and closes it at once.
+constexpr std::chrono::milliseconds CloseConfirmationTime(30);
 
 // One TCP connection. The buffer is part of it, since it may hold bytes received after the end of a response.
 struct Connection {
