Test that a discarded exchange is closed if its endpoint goes on sending

Without the message that discards, which is what the code did before, the connection stays open and the test fails.

--- a/src/libhemlockhill/node/endpoint_thread_test.cpp
+++ b/src/libhemlockhill/node/endpoint_thread_test.cpp
@@ -1,12 +1,17 @@
-// The endpoint thread must respect the timeouts set by the sender of an exchange, in addition to its adaptive connection timeouts.
+// Tests that the endpoint thread respects the limits set by the sender of an exchange, and that it discards one.
 #include "hemlockhill/endpoint_thread.h"
 
+#include "net/raw_endpoint_testing.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <functional>
 #include <future>
 
 using namespace Hemlockhill;
+using namespace Hemlockhill::Testing;
 using boost::asio::ip::tcp;
 
 namespace
@@ -51,3 +56,38 @@
     limits.sendBefore = currentTime() + std::chrono::hours(1);
     BOOST_TEST(failureOf(limits).mayHaveReached);
 }
+
+// Guards against a connection that stays open because the endpoint goes on sending after the end of its stream.
+BOOST_AUTO_TEST_CASE(discarded_exchange_is_closed_if_its_endpoint_goes_on_sending)
+{
+    const Address address{"127.0.0.1", 9'365};
+    boost::asio::io_context loop;
+    RawEndpoint endpoint(loop, address, [](const RawEndpoint::Request &) {
+        return RawAnswer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ConnectionEnd::RepeatTail, "4\r\nxxxx\r\n"};
+    });
+    TimerService timers;
+    Metrics metrics;
+    std::atomic<bool> hasBody = false;
+    EndpointThread endpointThread(EndpointSettings{}, timers, metrics, [&hasBody](const CallerThreadMessage &message) {
+        hasBody = hasBody || std::holds_alternative<ExchangeBody>(message);
+        return true;
+    });
+    const auto holdsWithinOneSecond = [&loop](const std::function<bool()> &condition) {
+        const TimePoint end = currentTime() + std::chrono::seconds(1);
+        while (!condition() && currentTime() < end) {
+            loop.run_one_for(std::chrono::milliseconds(20));
+        }
+        return condition();
+    };
+    endpointThread.start();
+    StartExchange message;
+    message.exchange = ExchangeId{1};
+    message.address = address;
+    message.request = HttpRequest{"POST", "/", {}, "deed"};
+    BOOST_REQUIRE(endpointThread.post(message));
+    BOOST_CHECK(holdsWithinOneSecond([&hasBody] { return hasBody.load(); }));
+    BOOST_REQUIRE(endpointThread.post(DiscardExchange{ExchangeId{1}}));
+    BOOST_CHECK(holdsWithinOneSecond([&endpoint] { return endpoint.openConnections() == 0; }));
+    timers.stop();
+    endpointThread.stop();
+}
