Accept callers only after the node listens on its other addresses

Cause: Node::run started the callers' thread first and the peers' and operators' threads after it. A probe could find the node healthy while nobody listened for operators, and a node whose operators' address was taken accepted callers before it exited.

Change: the callers' thread starts last. The threads are now stopped by the destructor, so that a start that fails stops the timers before the event loops that they post to.

--- a/src/libhemlockhill/node/node.cpp
+++ b/src/libhemlockhill/node/node.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-// Owns the threads of a node. They are stopped in the reverse order of their declaration.
+// Owns the threads of a node.
 class Node
 {
 public:
@@ -38,6 +38,18 @@
     {
     }
 
+    // Stops the timers first, since they post to the threads' event loops.
+    ~Node()
+    {
+        m_timers.stop();
+        m_peers.stop();
+        m_control.stop();
+        m_endpoints.stop();
+        m_callers.stop();
+    }
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
     void run();
 
 private:
@@ -66,11 +78,12 @@
 {
     connectRegisters();
     m_callers.setStatisticsListener([this](const ModelTotalsByModel &figures) { m_control.postStatistics(figures); });
-    m_callers.start([this](EndpointThreadMessage message) { return m_endpoints.post(std::move(message)); },
-                    [this] { m_control.leave([this] { boost::asio::post(m_loop, [this] { m_loop.stop(); }); }); });
     m_endpoints.start();
     m_peers.start();
     m_control.start(controlListeners(), [this](PeerThreadMessage message) { return m_peers.post(std::move(message)); });
+    // Last, so that a node that accepts callers also listens on its other addresses.
+    m_callers.start([this](EndpointThreadMessage message) { return m_endpoints.post(std::move(message)); },
+                    [this] { m_control.leave([this] { boost::asio::post(m_loop, [this] { m_loop.stop(); }); }); });
     m_signals.async_wait([this](const boost::system::error_code &error, int) {
         if (!error) {
             m_callers.post(LeaveRequested{});
@@ -80,11 +93,6 @@
     logEvent(Severity::Info, "node started");
     m_loop.run();
     logEvent(Severity::Info, "node stopped");
-    m_timers.stop();
-    m_peers.stop();
-    m_control.stop();
-    m_endpoints.stop();
-    m_callers.stop();
 }
 
 // Forwards reports to the control thread as well: the leading controller places models by them.
