Test that interim responses before the final one are skipped

Two interim responses (102, 103) before a 200 on a kept connection: status 200, body "ok", and the connection idle again.

--- a/src/libhemlockhill/net/http_exchange_test.cpp
+++ b/src/libhemlockhill/net/http_exchange_test.cpp
@@ -118,3 +118,32 @@
     BOOST_CHECK(complete);
     BOOST_CHECK_EQUAL(pool.idleConnections(Server), 1);
 }
+
+// Guards against taking an interim response for the final one.
+BOOST_AUTO_TEST_CASE(interim_responses_before_the_final_one_are_skipped)
+{
+    boost::asio::io_context loop(1);
+    RawEndpoint endpoint(loop, Server, [](const RawEndpoint::Request &) {
+        return RawAnswer{"HTTP/1.1 102 Processing\r\n\r\n"
+                         "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"
+                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                         ConnectionEnd::KeepOpen,
+                         {}};
+    });
+    ConnectionPool pool(loop, 1);
+    bool done = false;
+    unsigned status = 0;
+    std::string body;
+    ExchangeHooks hooks;
+    hooks.onHead = [&status](unsigned received, const std::vector<HttpHeader> &) { status = received; };
+    hooks.onBody = [&body](const std::string &bytes) { body += bytes; };
+    hooks.onEnd = [&done] { done = true; };
+    hooks.onFailed = [&done](const ExchangeFailure &) { done = true; };
+    pool.start(Server, {"GET", "/", {}, {}}, ExchangeLimits{}, ConnectionChoice::FreshOnly, hooks);
+    while (!done) {
+        loop.run_one();
+    }
+    BOOST_CHECK_EQUAL(status, 200);
+    BOOST_CHECK_EQUAL(body, "ok");
+    BOOST_CHECK_EQUAL(pool.idleConnections(Server), 1);
+}
