Replace copies of a former version one by one where they fill all runners

Cause: an overloaded model's former copies were evicted only once there were as many copies of the declared version. With a former copy on every other runner there was no room for a second declared copy, and evictions for demand choose copies of other models only. So the change stood still for as long as the model counted as overloaded.

The new test fails before: no eviction, no load.

Change: where the declared version can be loaded only in place of a former copy, and nothing of the model is being loaded or evicted, one former copy gives way. Capacity falls by one copy for the length of one load.

--- a/src/include/hemlockhill/placement.h
+++ b/src/include/hemlockhill/placement.h
@@ -148,6 +148,7 @@
     double overload(std::uint32_t model) const;
     double evictionLoss(std::uint32_t copy) const;
     bool evictable(std::uint32_t copy) const;
+    bool isReplaced(std::uint32_t copy) const;
     Moves stepReachability();
     Moves stepPins();
     Moves stepCleanUp();
--- a/src/libhemlockhill/placement/placement.cpp
+++ b/src/libhemlockhill/placement/placement.cpp
@@ -352,6 +352,23 @@
     return {};
 }
 
+// Whether the copy, which is of another version than the declared one, can be evicted: the declared version serves the demand, has as many
+// copies as the other, or can be loaded only in its place.
+bool Placement::isReplaced(std::uint32_t copy) const
+{
+    const std::uint32_t model = m_input.copies[copy].model;
+    const auto count = [this, model](auto matches) {
+        return static_cast<std::uint32_t>(std::count_if(
+            m_byModel[model].begin(), m_byModel[model].end(), [&](std::uint32_t other) { return matches(m_input.copies[other]); }));
+    };
+    const std::uint32_t obsolete = count([](const PlacementCopy &entry) { return entry.obsolete; });
+    if (overload(model) <= 0 || servingCopiesExcept(model, copy, true) >= obsolete) {
+        return true;
+    }
+    const bool isChanging = count([](const PlacementCopy &entry) { return entry.phase != CopyPhase::Serving; }) > 0;
+    return !isChanging && !leastLoadedRunner(model, false);
+}
+
 // Evicts copies that are no longer needed: those on draining runners, and those of other versions than the declared one.
 Placement::Moves Placement::stepCleanUp()
 {
@@ -365,9 +382,7 @@
             if (runner.draining) {
                 return {evict(copy, MoveReason::Drain, LoadPurpose::Reachability)};
             }
-            const auto former = static_cast<std::uint32_t>(std::count_if(
-                m_byModel[model].begin(), m_byModel[model].end(), [this](std::uint32_t other) { return m_input.copies[other].obsolete; }));
-            if (entry.obsolete && (overload(model) <= 0 || servingCopiesExcept(model, copy, true) >= former)) {
+            if (entry.obsolete && isReplaced(copy)) {
                 return {evict(copy, MoveReason::Obsolete, LoadPurpose::Balance)};
             }
         }
--- a/src/libhemlockhill/placement/placement_test.cpp
+++ b/src/libhemlockhill/placement/placement_test.cpp
@@ -135,6 +135,25 @@
     BOOST_TEST(placement.servingCopies(2) == 1U);
 }
 
+// Overloaded copies of the former version fill all runners, so that the declared version can only replace them one by one.
+BOOST_AUTO_TEST_CASE(versionChangeStallsWhileOverloadedFormerCopiesFillAllRunners)
+{
+    PlacementInput input = region(3, 1, 10);
+    input.models[0].slots = 30;
+    input.models[0].longTermSlots = 30;
+    input.copies = {{0, 0, CopyPhase::Serving, true, Bytes{10}},
+                    {0, 1, CopyPhase::Serving, true, Bytes{10}},
+                    {0, 2, CopyPhase::Serving, false, Bytes{10}}};
+    PlacementInput evicting = input;
+    evicting.copies[0].phase = CopyPhase::Evicting;
+    BOOST_TEST(Placement(evicting, {}).step().empty());
+    Placement placement(input, {});
+    const auto moves = placement.compute();
+    BOOST_TEST(std::count_if(moves.begin(), moves.end(), [](const PlacementMove &move) { return move.obsolete; }) == 2);
+    BOOST_TEST(std::count_if(moves.begin(), moves.end(), [](const PlacementMove &move) { return move.load; }) == 2);
+    BOOST_TEST(placement.servingCopies(0) == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(pinnedModelIsPlacedOnItsRunner)
 {
     PlacementInput input = region(3, 2, 20);
