Replace the default service time by the first measured one

Cause: when the first interval had requests but none of them served yet, the default of 2 s was stored as if measured, and each later measurement moved it by a tenth only. Answers of 50 ms at 10 a second then counted as 18 slots after the first measurement instead of 0.5.

Change: the estimate says whether its service time has been measured; the first measurement replaces the default. The new test fails before with 1.805 s instead of 0.05 s.

--- a/src/include/hemlockhill/demand.h
+++ b/src/include/hemlockhill/demand.h
@@ -48,7 +48,9 @@
     double rate = 0;
     // Requests per second, smoothed with the long-term time constant.
     double longTermRate = 0;
+    // Time that one request spends in a batch: an average of the measured times, or the default until there are any.
     double serviceSeconds = 0;
+    bool isServiceMeasured = false;
     TimePoint lastRequestAt;
 
     // Batch slots that the demand occupies on average: request rate times service time.
--- a/src/libhemlockhill/placement/demand.cpp
+++ b/src/libhemlockhill/placement/demand.cpp
@@ -36,8 +36,9 @@
         }
         if (count.requests > 0 && count.busySeconds > 0) {
             const double measured = count.busySeconds / static_cast<double>(count.requests);
-            const double known = estimate.serviceSeconds > 0 ? estimate.serviceSeconds : measured;
+            const double known = estimate.isServiceMeasured ? estimate.serviceSeconds : measured;
             estimate.serviceSeconds = known + ServiceSampleWeight * (measured - known);
+            estimate.isServiceMeasured = true;
         }
     }
     for (auto &[model, estimate] : m_models) {
@@ -64,7 +65,7 @@
     estimate.rate += sampleWeight(span, m_options.fallTimeConstant) * (estimate.recentRate - estimate.rate);
     estimate.rate = std::max(estimate.rate, estimate.recentRate);
     estimate.longTermRate += sampleWeight(span, m_options.longTermTimeConstant) * (rate - estimate.longTermRate);
-    if (estimate.serviceSeconds <= 0) {
+    if (!estimate.isServiceMeasured) {
         estimate.serviceSeconds = m_options.defaultServiceSeconds;
     }
 }
--- a/src/libhemlockhill/placement/placement_test.cpp
+++ b/src/libhemlockhill/placement/placement_test.cpp
@@ -202,3 +202,13 @@
     sampleFor(demand, now, 2h, 0);
     BOOST_TEST(demand.model(ModelId{"m"}).rate < 1);
 }
+
+// The first interval ends before any of its requests has been served.
+BOOST_AUTO_TEST_CASE(defaultServiceTimeOutlastsTheFirstMeasurement)
+{
+    Demand demand;
+    demand.sample({1s, {{ModelId{"m"}, 10, 0}}, {}}, TimePoint{100s});
+    BOOST_TEST(demand.model(ModelId{"m"}).serviceSeconds == DemandOptions().defaultServiceSeconds);
+    demand.sample({1s, {{ModelId{"m"}, 10, 0.5}}, {}}, TimePoint{101s});
+    BOOST_TEST(demand.model(ModelId{"m"}).serviceSeconds == 0.05);
+}
