Keep leadership on slow disks: answer heartbeats without waiting for syncs

Cause: a voter answered every request of its leader only after all data handed to the disk before was synced, heartbeats too. While a write was in progress, and under commands one always is, the leader heard nothing for one or two syncs; from about half an election timeout a sync on, it took its quorum for lost and stepped down. A candidate's election timer also ran while its own vote was being synced, before it had asked anybody for a vote.

Ruled out: the nodes not finding the leader (they follow whoever leads; there was none), and the lease (granted only after the refusal).

Change: a request without entries is answered at once if the term is durable; the answer acknowledges only synced entries, so commits are decided by the same facts as before. The candidate's timer starts when its own vote is durable.

Why it is safe: elections rely on synced votes and terms, unchanged; commits on synced entries, unchanged; the lease on a voter not electing another within an election timeout after its last message, which it keeps over a restart by waiting as long.

--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -270,6 +270,29 @@
     commitOne(group);
 }
 
+// Syncs take almost as long as an election timeout, and a write is always in progress.
+BOOST_AUTO_TEST_CASE(leadership_is_lost_while_disks_are_slow)
+{
+    constexpr std::int64_t SyncTime = 850 * Millisecond;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        SimulatedGroup group(3, seed);
+        group.network.minSync = SyncTime;
+        group.network.maxSync = SyncTime;
+        group.run(20 * Second);
+        const auto leader = group.leader();
+        BOOST_REQUIRE_MESSAGE(leader, "no leader after 20 s, seed " << seed);
+        const Term term = group.core(*leader)->term();
+        const std::uint64_t committed = group.committed();
+        for (int number = 0; number < 200 && group.leader() == leader; ++number) {
+            group.propose(*leader, "command " + std::to_string(number));
+            group.run(100 * Millisecond);
+        }
+        BOOST_TEST((group.leader() == leader && group.core(*leader)->term() == term), "another leader, seed " << seed);
+        BOOST_TEST(group.core(*leader)->leaseHeld(group.local(*leader)), "no lease, seed " << seed);
+        BOOST_TEST(group.committed() >= committed + 170, "committed " << group.committed() - committed << ", seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(voter_returning_from_partition_does_not_disrupt_leader)
 {
     SimulatedGroup group(3, Seed);
--- a/src/libhemlockhill/consensus/core.cpp
+++ b/src/libhemlockhill/consensus/core.cpp
@@ -67,9 +67,15 @@
         checkQuorum();
         return;
     }
-    if (role() != VoterRole::Learner && m_now >= m_electionDeadline) {
-        m_role.electionTimedOut();
+    if (role() == VoterRole::Learner || m_now < m_electionDeadline) {
+        return;
+    }
+    if (m_ownVoteMark) {
+        // No request for votes has been sent yet.
+        resetElectionTimer();
+        return;
     }
+    m_role.electionTimedOut();
 }
 
 void Consensus::Core::receive(const Envelope &envelope, TimePoint now)
@@ -100,6 +106,12 @@
 {
     m_hardState = std::move(hardState);
     m_hardStateUnwritten = true;
+    m_hardStateMark = nextSyncMark();
+}
+
+bool Consensus::Core::isTermDurable() const
+{
+    return m_hardStateMark <= m_persistedMark;
 }
 
 bool Consensus::Core::hasUnwritten() const
@@ -170,6 +182,7 @@
     }
     if (role() == VoterRole::Candidate && m_ownVoteMark && *m_ownVoteMark <= m_persistedMark) {
         m_ownVoteMark.reset();
+        resetElectionTimer();
         recordVote(m_settings.self);
     }
     if (role() == VoterRole::Leader) {
--- a/src/libhemlockhill/consensus/core.h
+++ b/src/libhemlockhill/consensus/core.h
@@ -135,6 +135,7 @@
 
     // Persistence and messages (core.cpp).
     void setHardState(HardState hardState);
+    bool isTermDurable() const;
     bool hasUnwritten() const;
     PersistedMark nextSyncMark() const;
     void sendNow(const VoterId &to, ConsensusMessage message);
@@ -178,6 +179,7 @@
     // Entries up to this index have been returned to the host for writing.
     LogIndex m_writtenIndex;
     bool m_hardStateUnwritten = false;
+    PersistedMark m_hardStateMark;
     bool m_snapshotUnwritten = false;
     bool m_discardLog = false;
     std::optional<LogIndex> m_truncateFrom;
--- a/src/libhemlockhill/consensus/following.cpp
+++ b/src/libhemlockhill/consensus/following.cpp
@@ -28,8 +28,17 @@
         sendAfterSync(from, AppendReply{term(), false, request.previousIndex, LogIndex{}, request.sentAt});
         return;
     }
-    const AppendReply reply = appendEntries(request);
-    sendAfterSync(from, reply);
+    AppendReply reply = appendEntries(request);
+    if (!request.entries.empty() || !isTermDurable()) {
+        sendAfterSync(from, reply);
+        return;
+    }
+    // Answered without waiting for earlier entries to be synced, or a slow disk would cost the leader its quorum. They are acknowledged
+    // by the replies to the requests that carried them.
+    if (reply.accepted) {
+        reply.index = std::min(reply.index, m_persistedIndex);
+    }
+    sendNow(from, reply);
 }
 
 AppendReply Consensus::Core::appendEntries(const AppendRequest &request)
--- a/src/libhemlockhill/consensus/simulated_group.h
+++ b/src/libhemlockhill/consensus/simulated_group.h
@@ -79,6 +79,7 @@
     int dropPercent = 0;
     int repeatPercent = 0;
     std::int64_t maxDelay = 5'000;
+    std::int64_t minSync = 1;
     std::int64_t maxSync = 3'000;
     // Directed links, as (sender, receiver), whose messages are dropped.
     std::set<std::pair<std::size_t, std::size_t>> cuts;
@@ -429,7 +430,7 @@
         SimulatedVoter &at = m_voters[node];
         if (at.syncing == 0 && !at.unsynced.empty()) {
             at.syncing = at.unsynced.size();
-            schedule(Event{m_time + random(1, network.maxSync), 0, node, at.incarnation, true, nullptr});
+            schedule(Event{m_time + random(network.minSync, network.maxSync), 0, node, at.incarnation, true, nullptr});
         }
     }
 
--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -57,19 +57,25 @@
     raise SystemExit(f"timed out waiting for {what}")
 
 
+def slow_disk(sync_ms):
+    """Returns the environment of a process whose disk takes `sync_ms` longer for each sync to stable storage."""
+    return {"LD_PRELOAD": str(FAKES / "libslow_sync.so"), "HEMLOCKHILL_SYNC_DELAY_MS": str(sync_ms)}
+
+
 class Process:
     """A process of the session. Its output is appended to a log file."""
 
-    def __init__(self, name, arguments, log):
+    def __init__(self, name, arguments, log, environment=None):
         self.name = name
         self.arguments = [str(argument) for argument in arguments]
         self.log = log
+        self.environment = {**os.environ, **(environment or {})}
         self.popen = None
         self.start()
 
     def start(self):
         with open(self.log, "ab") as log:
-            self.popen = subprocess.Popen(self.arguments, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+            self.popen = subprocess.Popen(self.arguments, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=self.environment)
 
     def signal(self, number):
         if self.popen.poll() is None:
@@ -97,13 +103,13 @@
 class Node(Process):
     """A Hemlockhill node, with its settings file and its caller and operator addresses."""
 
-    def __init__(self, name, settings, folder):
+    def __init__(self, name, settings, folder, environment=None):
         self.settings = settings
         self.callers = settings["callers"]["listen"]
         self.operators = settings["operators"]["listen"]
         self.file = folder / f"{name}.json"
         self.file.write_text(json.dumps(settings, indent=4))
-        super().__init__(name, [PROGRAM, "serve", "--settings", self.file], folder / f"{name}.log")
+        super().__init__(name, [PROGRAM, "serve", "--settings", self.file], folder / f"{name}.log", environment)
 
     def ready(self):
         try:
@@ -133,6 +139,8 @@
         self.processes = []
         self.names = {}
         self.operations = 0
+        # Added to the environment of the nodes that are started from now on.
+        self.node_environment = {}
 
     def __enter__(self):
         return self
@@ -206,7 +214,7 @@
         return [self.start_node(settings) for settings in all_settings]
 
     def start_node(self, settings):
-        node = self.track(Node(settings["vm"], settings, self.folder))
+        node = self.track(Node(settings["vm"], settings, self.folder, self.node_environment))
         wait_until(lambda: self.is_healthy(node) or not node.running(), f"{node.name} to listen")
         return node
 
