Start the sessions' commands once a controller leads

Cause: on slow disks the first election takes longer than that. The refusal is right: not run, with Retry-After. The session was early, and eight others that send their first command once would have been too.

Change: Session.region returns when a controller leads, as an operator would wait for. No session and no expected output changes.

--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -193,8 +193,8 @@
         return settings
 
     def region(self, vm_locations, controllers=3, **sections):
-        """Starts one node for each entry of vm_locations (VM name to data centre); the first `controllers` nodes are controllers. Keyword
-        arguments update the settings section of the same name."""
+        """Starts one node for each entry of vm_locations (VM name to data centre); the first `controllers` nodes are controllers. Returns
+        them when one of them leads. Keyword arguments update the settings section of the same name."""
         all_settings = [
             self.settings(name, data_centre, data_folder=index < controllers) for index, (name, data_centre) in enumerate(vm_locations.items())
         ]
@@ -211,7 +211,9 @@
                             "controller": "data_folder" in other,
                         }
                     )
-        return [self.start_node(settings) for settings in all_settings]
+        nodes = [self.start_node(settings) for settings in all_settings]
+        leader_of(nodes[:controllers])
+        return nodes
 
     def start_node(self, settings):
         node = self.track(Node(settings["vm"], settings, self.folder, self.node_environment))
