Give sessions that run at the same time different ports

What was seen: one of 12 runs of session-placement-engine-restarted, 4 at a time: vm-c could not listen, "Address already in use".

Cause: a session takes random ports that nobody listens on, and its processes listen on them later; a killed process leaves its port unused until its restart. Two sessions of one ctest run could take the same port in either gap. A session whose node was healthy on a port of another session would have asked the wrong node.

Change: a session reserves blocks of 64 ports by binding an abstract socket named after the block. The kernel releases it when the process ends, however that happens.

--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -23,27 +23,42 @@
 HOST = "127.0.0.1"
 TIMEOUT_S = 30
 POLL_S = 0.02
-LISTEN_PORTS = (10000, 32768)
-ALLOCATED_PORTS = set()
-
-
-def free_ports(count):
-    """Returns ports that are currently unused. They lie below the kernel's ephemeral port range, so that an outgoing connection cannot
-    take one before its process listens."""
-    ports = []
-    # Skips ports that were allocated before, because their processes may not listen yet.
-    while len(ports) < count:
-        port = random.randrange(*LISTEN_PORTS)
+LISTEN_PORTS = range(10000, 32768)
+PORTS_PER_BLOCK = 64
+# Sockets that mark the blocks of ports of this process as taken, until it ends.
+PORT_RESERVATIONS = []
+AVAILABLE_PORTS = []
+
+
+def reserve_port_block():
+    """Reserves a block of ports for this process, so that sessions that run at the same time use different ones. A process that is killed
+    and restarted finds its port unused."""
+    while True:
+        first = random.choice(LISTEN_PORTS[: -PORTS_PER_BLOCK : PORTS_PER_BLOCK])
+        reservation = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+        try:
+            reservation.bind(f"\0hemlockhill-session-ports-{first}")
+        except OSError:
+            reservation.close()
+            continue
+        PORT_RESERVATIONS.append(reservation)
+        return list(range(first, first + PORTS_PER_BLOCK))
+
+
+def free_port():
+    """Returns a port that is currently unused. It lies below the kernel's ephemeral port range, so that an outgoing connection cannot take
+    it before its process listens."""
+    while True:
+        if not AVAILABLE_PORTS:
+            AVAILABLE_PORTS.extend(reserve_port_block())
+        port = AVAILABLE_PORTS.pop()
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
-        if port not in ALLOCATED_PORTS:
-            ALLOCATED_PORTS.add(port)
-            ports.append(port)
-    return ports
+        return port
 
 
 def wait_until(condition, what, timeout_s=TIMEOUT_S):
@@ -171,7 +186,7 @@
         return text
 
     def address(self, name):
-        address = f"{HOST}:{free_ports(1)[0]}"
+        address = f"{HOST}:{free_port()}"
         self.names[address] = name
         return address
 
