Continue a broken-off stream only at the software version that began it

What callers would see: a stream whose endpoint broke off in the middle went on, within the same answer, with the events of any other endpoint, of another software version too.

Cause: the version of an endpoint's software was not read from the list, so no decision could take it into account.

It is part of the directory, its changes and its history. The first event of a resumable stream binds the request to the version of its endpoint; where no other endpoint of that version is left, the stream is cut off visibly after the wait for an endpoint.

Mixed builds: a directory without versions decodes to unknown ones.

--- a/src/include/hemlockhill/directory_view.h
+++ b/src/include/hemlockhill/directory_view.h
@@ -7,7 +7,9 @@
 #include "hemlockhill/endpoint_directory.h"
 #include "hemlockhill/world.h"
 
+#include <map>
 #include <optional>
+#include <utility>
 
 namespace Hemlockhill
 {
@@ -48,7 +50,7 @@
     // Time at which the newest known endpoint list was requested.
     TimePoint listedAt() const;
     // Whether this node should read the endpoint list itself.
-    bool needsListing(TimePoint now) const { return now - listedAt() >= m_limits.refresh; }
+    bool needsListing(TimePoint now) const { return m_lacksVersions || now - listedAt() >= m_limits.refresh; }
     // Whether requests may be dispatched. A node that can read no newer list, because the list does not answer, continues to dispatch to
     // the endpoints that it knows.
     bool mayDispatch(TimePoint now) const;
@@ -58,12 +60,17 @@
 private:
     bool isListUnavailable(TimePoint now) const;
     void rebuild();
+    // Sets software versions that a leader of an earlier build does not know.
+    void fillInVersions();
 
     DirectoryAgeLimits m_limits;
     EndpointsById m_leaderDirectory;
     TimePoint m_leaderListedAt;
     EndpointsById m_ownListing;
     TimePoint m_ownListedAt;
+    // Software versions of this node's last listing, whatever its age: an incarnation never changes its version.
+    std::map<std::pair<EndpointId, Incarnation>, SoftwareVersion> m_versions;
+    bool m_lacksVersions = false;
     EndpointsById m_endpoints;
     // Time of the last failed attempt to read the list, until a newer list is known.
     std::optional<TimePoint> m_unavailableAt;
--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -27,6 +27,8 @@
     RoutingTarget target;
     TokenCount prompt;
     std::vector<PromptPart> sharedParts;
+    // Set for the rest of a stream: only endpoints of the version that began it are suitable.
+    std::optional<SoftwareVersion> softwareVersion;
     // Endpoints to which this request has already been sent.
     std::set<EndpointId> avoided;
 };
@@ -37,6 +39,8 @@
     DirectoryOutdated,
     // The service has no endpoint that accepts requests.
     NoEndpoint,
+    // The service has no endpoint of the software version that began the stream.
+    VersionAbsent,
     // No endpoint has loaded the model or is loading it.
     ModelAbsent,
     // The model is loaded or being loaded, but the adapter is not loaded.
--- a/src/include/hemlockhill/endpoint_directory.h
+++ b/src/include/hemlockhill/endpoint_directory.h
@@ -25,6 +25,8 @@
     ServiceId service;
     Address address;
     DataCentreId dataCentre;
+    // Empty if it is not known. Endpoints of different versions may serve side by side, but cannot continue each other's streams.
+    SoftwareVersion softwareVersion;
     // Number of requests that the endpoint runs concurrently.
     std::uint32_t slots = 1;
     // True when the endpoint no longer accepts requests.
@@ -36,6 +38,8 @@
     Duration loadingLeft{0};
 
     bool holds(const RoutingTarget &target) const { return held.contains(target); }
+    // Whether the endpoint can continue a stream that an endpoint of the given version began.
+    bool continuesStreamsOf(const SoftwareVersion &version) const { return !version.empty() && softwareVersion == version; }
     bool operator==(const LiveEndpoint &) const = default;
 };
 
--- a/src/include/hemlockhill/world.h
+++ b/src/include/hemlockhill/world.h
@@ -19,6 +19,8 @@
 using ModelId = Id<struct ModelTag>;
 using AdapterId = Id<struct AdapterTag>;
 using VersionId = Id<struct VersionTag>;
+// Version of the software that an endpoint runs, not of the weights that it has loaded. Versions have no order.
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 using ServiceId = Id<struct ServiceTag>;
 using ClusterId = Id<struct ClusterTag>;
 using OperationId = Id<struct OperationTag>;
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -186,7 +186,8 @@
 // Returns the limit on waiting that follows from the reason. The deadline and the usefulness to the caller limit it further.
 Duration Gateway::Request::waitLimit(NoEndpointReason reason) const
 {
-    const bool mayRecover = reason == NoEndpointReason::NoEndpoint || reason == NoEndpointReason::NoneLeft;
+    const bool mayRecover =
+        reason == NoEndpointReason::NoEndpoint || reason == NoEndpointReason::VersionAbsent || reason == NoEndpointReason::NoneLeft;
     return mayRecover ? EndpointWaitTimeout : m_deadline - m_arrivedAt;
 }
 
@@ -195,6 +196,7 @@
     const TimePoint now = currentTime();
     const LiveEndpoint &live = m_gateway.m_directory.endpoints().at(endpoint);
     m_endpoint = endpoint;
+    m_endpointVersion = live.softwareVersion;
     m_listingAge = now - m_gateway.m_directory.listedAt();
     m_requirements.avoided.insert(endpoint);
     ++m_history.exchanges;
@@ -324,6 +326,7 @@
     }
     const TimePoint now = currentTime();
     if (m_lastEventAt == TimePoint{}) {
+        m_requirements.softwareVersion = m_endpointVersion;
         m_firstByte = now - m_arrivedAt;
         m_gateway.m_metrics.observeFirstToken(*m_firstByte);
     } else {
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -92,6 +92,7 @@
     // Sequence number of the current exchange. Callbacks of earlier exchanges are ignored.
     std::uint32_t m_currentExchange = 0;
     EndpointId m_endpoint;
+    SoftwareVersion m_endpointVersion;
     // Age of the endpoint list that the last dispatch relied on.
     Duration m_listingAge{0};
     // The answer of the current exchange.
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -8,6 +8,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -61,6 +62,8 @@
     Duration listingAge{0};
     // The gateway listens on this port and its endpoints on the next two. Test programs run side by side, each on its own ports.
     std::uint16_t firstPort = 9'390;
+    // Software versions of the two endpoints.
+    std::array<SoftwareVersion, 2> versions{SoftwareVersion{"v1"}, SoftwareVersion{"v1"}};
 };
 
 class GatewayFixture
@@ -103,6 +106,7 @@
             endpoint.id = EndpointId{"e" + std::to_string(index)};
             endpoint.service = Register;
             endpoint.address = address;
+            endpoint.softwareVersion = scenario.versions.at(index);
             endpoint.slots = 4;
             endpoints.emplace(endpoint.id, endpoint);
         }
--- a/src/libhemlockhill/routing/directory_history.cpp
+++ b/src/libhemlockhill/routing/directory_history.cpp
@@ -32,6 +32,7 @@
                         endpoint.service,
                         endpoint.address,
                         endpoint.dataCentre,
+                        endpoint.softwareVersion,
                         endpoint.slots,
                         endpoint.leaving,
                         endpoint.held,
--- a/src/libhemlockhill/routing/directory_view.cpp
+++ b/src/libhemlockhill/routing/directory_view.cpp
@@ -57,7 +57,12 @@
 void DirectoryView::onOwnListing(EndpointsById listing, TimePoint requestedAt)
 {
     m_unavailableAt.reset();
+    m_versions.clear();
+    for (const auto &[id, endpoint] : listing) {
+        m_versions.emplace(std::pair(id, endpoint.incarnation), endpoint.softwareVersion);
+    }
     if (requestedAt <= listedAt()) {
+        fillInVersions();
         return;
     }
     m_ownListing = std::move(listing);
@@ -95,6 +100,7 @@
 {
     if (m_ownListedAt <= m_leaderListedAt) {
         m_endpoints = m_leaderDirectory;
+        fillInVersions();
         return;
     }
     m_endpoints = m_ownListing;
@@ -107,6 +113,23 @@
         endpoint = known->second;
         endpoint.leaving = leaving;
     }
+    fillInVersions();
+}
+
+void DirectoryView::fillInVersions()
+{
+    m_lacksVersions = false;
+    for (auto &[id, endpoint] : m_endpoints) {
+        if (!endpoint.softwareVersion.empty()) {
+            continue;
+        }
+        const auto known = m_versions.find({id, endpoint.incarnation});
+        if (known == m_versions.end()) {
+            m_lacksVersions = true;
+        } else {
+            endpoint.softwareVersion = known->second;
+        }
+    }
 }
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/routing/directory_view_test.cpp
+++ b/src/libhemlockhill/routing/directory_view_test.cpp
@@ -19,6 +19,7 @@
     endpoint.id = id;
     endpoint.incarnation = Incarnation{"1"};
     endpoint.service = ServiceId{"s"};
+    endpoint.softwareVersion = SoftwareVersion{"v1"};
     return endpoint;
 }
 
@@ -101,3 +102,24 @@
     view.onLeaderListing(Start + 10s);
     BOOST_CHECK(!view.mayDispatch(Start + 13s));
 }
+
+// Guards against nodes of this build that cannot tell versions apart while a node of an earlier build leads.
+BOOST_AUTO_TEST_CASE(versions_are_unknown_below_a_leader_of_an_earlier_build)
+{
+    DirectoryView view(directoryAgeLimits(4s));
+    EndpointsById known = directory();
+    known.at(First).softwareVersion = {};
+    known.at(Second).softwareVersion = {};
+    view.onLeaderDirectory(known, Start);
+    BOOST_CHECK(view.needsListing(Start));
+    view.onOwnListing(directory(), Start - 100ms);
+    BOOST_CHECK(!view.needsListing(Start));
+    BOOST_CHECK_EQUAL(view.endpoints().at(First).softwareVersion, SoftwareVersion{"v1"});
+    view.onLeaderDirectory(known, Start + 1s);
+    BOOST_CHECK_EQUAL(view.endpoints().at(First).softwareVersion, SoftwareVersion{"v1"});
+    // Another incarnation may have another version.
+    known.at(First).incarnation = Incarnation{"2"};
+    view.onLeaderDirectory(known, Start + 2s);
+    BOOST_CHECK(view.endpoints().at(First).softwareVersion.empty());
+    BOOST_CHECK(view.needsListing(Start + 2s));
+}
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -46,6 +46,8 @@
         return "directory_outdated";
     case NoEndpointReason::NoEndpoint:
         return "no_endpoint";
+    case NoEndpointReason::VersionAbsent:
+        return "version_absent";
     case NoEndpointReason::ModelAbsent:
         return "model_absent";
     case NoEndpointReason::NotLoadedYet:
@@ -76,12 +78,17 @@
     EndpointChoice choice;
     double best = 0;
     bool anyActive = false;
+    bool anyOfVersion = false;
     bool anyModel = false;
     bool anyLoaded = false;
     bool anyUsable = false;
     bool anyRateLimited = false;
     for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
         anyActive = true;
+        if (need.softwareVersion && !endpoint->continuesStreamsOf(*need.softwareVersion)) {
+            continue;
+        }
+        anyOfVersion = true;
         anyModel = anyModel || endpoint->holds(base) || endpoint->loading == need.target.model;
         if (needsModel && !endpoint->holds(need.target)) {
             continue;
@@ -113,6 +120,8 @@
     }
     if (!anyActive) {
         choice.reason = NoEndpointReason::NoEndpoint;
+    } else if (!anyOfVersion) {
+        choice.reason = NoEndpointReason::VersionAbsent;
     } else if (!anyLoaded) {
         choice.reason = anyModel ? NoEndpointReason::NotLoadedYet : NoEndpointReason::ModelAbsent;
     } else if (anyRateLimited) {
--- a/src/libhemlockhill/routing/endpoint_directory.cpp
+++ b/src/libhemlockhill/routing/endpoint_directory.cpp
@@ -40,6 +40,10 @@
     }
     endpoint.address = *address;
     endpoint.dataCentre = DataCentreId{text(object.at("data_centre"))};
+    // Absent in messages of nodes that do not know software versions.
+    if (const json::value *version = object.if_contains("software_version")) {
+        endpoint.softwareVersion = SoftwareVersion{text(*version)};
+    }
     endpoint.slots = object.at("slots").to_number<std::uint32_t>();
     endpoint.leaving = object.at("leaving").as_bool();
     for (const json::value &entry : object.at("held").as_array()) {
@@ -72,6 +76,7 @@
                         {"service", endpoint.service.value},
                         {"address", endpoint.address.text()},
                         {"data_centre", endpoint.dataCentre.value},
+                        {"software_version", endpoint.softwareVersion.value},
                         {"slots", endpoint.slots},
                         {"leaving", endpoint.leaving},
                         {"held", encodeHeld(endpoint.held)},
--- a/src/libhemlockhill/routing/endpoint_directory_test.cpp
+++ b/src/libhemlockhill/routing/endpoint_directory_test.cpp
@@ -19,6 +19,7 @@
     endpoint.service = ServiceId{"drafts"};
     endpoint.address = Address{"10.0.0.1", 8080};
     endpoint.dataCentre = DataCentreId{"a"};
+    endpoint.softwareVersion = SoftwareVersion{"2.4"};
     endpoint.slots = 64;
     endpoint.held = {{ModelId{"m"}, {}}, {ModelId{"m"}, AdapterId{"a1"}}};
     endpoint.loading = ModelId{"n"};
@@ -35,6 +36,17 @@
     BOOST_CHECK(decodeEndpoints(boost::json::parse("[]")).empty());
 }
 
+// Guards against a node that cannot read the directory of a leader of an earlier build.
+BOOST_AUTO_TEST_CASE(directory_without_software_versions_is_unreadable)
+{
+    auto list = encodeEndpoints({{EndpointId{"r1"}, runner("r1")}});
+    list.at(0).as_object().erase("software_version");
+    const EndpointsById decoded = decodeEndpoints(list);
+    BOOST_REQUIRE_EQUAL(decoded.size(), 1);
+    BOOST_CHECK(decoded.begin()->second.softwareVersion.empty());
+    BOOST_CHECK(!decoded.begin()->second.continuesStreamsOf(SoftwareVersion{}));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_directory_is_rejected)
 {
     for (const char *text : {"\"\"", "{}", "[1]", "[{\"id\": \"r1\"}]", "[{\"id\": 3}]"}) {
