--- a/src/include/hemlockhill/failure.h
+++ b/src/include/hemlockhill/failure.h
@@ -27,6 +27,8 @@
     UnknownAdapter,
     UnknownService,
     NoEndpoint,
+    VersionAbsent,
+    StreamOriginUnknown,
     QueueFull,
     DeadlineUnreachable,
     DeadlineExceeded,
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -11,7 +11,9 @@
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/request_dialect.h"
 #include "hemlockhill/retry_budget.h"
+#include "hemlockhill/stream_origins.h"
 #include "hemlockhill/timer_service.h"
+#include "hemlockhill/version_history.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -63,6 +65,11 @@
     std::function<void(const DispatchNotice &notice)> onDispatch;
     // Takes into account that another node has dispatched a request to an endpoint, or that one has ended there.
     void onRemoteDispatch(const VmId &node, const DispatchNotice &notice);
+    // Called when the first event of a resumable stream is forwarded.
+    std::function<void(const StreamOrigin &origin)> onStreamBegun;
+    // Looks up the origin of a stream that a caller wants to continue; must call `found` once. Unless set, the origin of no stream is
+    // known.
+    std::function<void(const RequestId &request, StreamOrigins::Found found)> findStreamOrigin;
     // Called when a request starts waiting for a model or adapter that no endpoint has loaded.
     std::function<void()> onTargetMissing;
 
@@ -103,6 +110,8 @@
     void onDirectoryChanged();
     // Whether requests for the model are already waiting for capacity.
     bool isQueued(const ServiceId &service, const ModelId &model) const;
+    // Decides at which software version a stream may go on; empty if it may at none.
+    SoftwareVersion versionToResume(const ServiceId &service, const OriginLookupResult &origin);
     void notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt);
     RetryBudget &retryBudget(const ServiceId &service);
     // Returns a random number in [0, 1).
@@ -118,6 +127,7 @@
     std::unique_ptr<HttpServer> m_server;
     std::shared_ptr<const Deployment> m_deployment;
     DirectoryView m_directory;
+    VersionHistory m_versions;
     std::map<std::uint64_t, std::shared_ptr<Request>> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
     bool m_isStopping = false;
--- /dev/null
+++ b/src/include/hemlockhill/peer_datagrams.h
@@ -0,0 +1,58 @@
+// UDP datagrams between nodes, for messages whose loss does little harm: notices of dispatched requests, and the origins of streams.
+#pragma once
+
+#include "hemlockhill/dispatch_notices.h"
+#include "hemlockhill/metrics.h"
+#include "hemlockhill/stream_origins.h"
+#include "hemlockhill/world.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Hemlockhill
+{
+
+// The content of one datagram.
+using PeerDatagram = std::variant<DispatchNotice, StreamOriginMessage>;
+
+// Serializes a message to the payload of one datagram.
+std::string encode(const PeerDatagram &message);
+// Parses the payload of a datagram. Throws DecodeError when it is malformed.
+PeerDatagram decodePeerDatagram(std::string_view datagram);
+
+// Sends datagrams to the other nodes and receives theirs, on the given event loop.
+class PeerDatagrams
+{
+public:
+    using Received = std::function<void(const VmId &from, const PeerDatagram &message)>;
+
+    // All nodes must use the same port. Throws EnvironmentError when the address cannot be bound.
+    PeerDatagrams(boost::asio::io_context &loop, const Address &listen, Metrics &metrics, Received received);
+
+    // Sets the nodes to which sendToAll() sends. VM ids must be IP addresses; other ids and this node's own address are skipped.
+    void setNodes(const std::vector<VmId> &nodes);
+    // Failures are counted as "datagram_unsent".
+    void sendToAll(const PeerDatagram &message);
+    void send(const VmId &node, const PeerDatagram &message);
+
+private:
+    void send(const std::string &datagram, const boost::asio::ip::udp::endpoint &node);
+    void receive();
+
+    boost::asio::ip::udp::socket m_socket;
+    Address m_listen;
+    Metrics &m_metrics;
+    Received m_received;
+    std::vector<boost::asio::ip::udp::endpoint> m_nodes;
+    boost::asio::ip::udp::endpoint m_sender;
+    std::array<char, 2048> m_buffer{};
+};
+
+} // namespace Hemlockhill
--- a/src/include/hemlockhill/request_dialect.h
+++ b/src/include/hemlockhill/request_dialect.h
@@ -40,6 +40,8 @@
     TokenCount expectedTokens;
     // Id of the last event received by the caller before an earlier stream was interrupted; empty otherwise.
     std::string lastEventId;
+    // The request that brought the first event of that stream; empty if the caller does not name it.
+    RequestId resumedRequest;
 };
 
 // Parameters for forwarding a request to one endpoint.
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -88,6 +88,7 @@
     , m_pool(loop, m_settings.idleConnections)
     , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen))
     , m_directory(m_settings.directoryAge)
+    , m_versions(StreamOriginLimits().retention)
     , m_randomEngine(randomSeed(m_settings.listen))
 {
 }
@@ -144,6 +145,7 @@
 void Gateway::onDirectoryChanged()
 {
     m_chooser.onDirectory(m_directory.endpoints());
+    m_versions.onDirectory(m_directory.endpoints(), currentTime());
     dispatchWaiting();
 }
 
@@ -152,6 +154,17 @@
     m_chooser.onDispatchNotice(node, notice, currentTime());
 }
 
+SoftwareVersion Gateway::versionToResume(const ServiceId &service, const OriginLookupResult &origin)
+{
+    if (!origin.version.empty()) {
+        m_metrics.countEvent("stream_resumed_" + std::string(toText(origin.source)));
+        return origin.version;
+    }
+    const SoftwareVersion only = m_versions.onlyVersion(service, currentTime());
+    m_metrics.countEvent(only.empty() ? "stream_origin_unknown" : "stream_resumed_only_version");
+    return only;
+}
+
 void Gateway::notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt)
 {
     if (onDispatch) {
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -53,6 +53,9 @@
 
 Reason refusalReason(NoEndpointReason reason)
 {
+    if (reason == NoEndpointReason::VersionAbsent) {
+        return Reason::VersionAbsent;
+    }
     return reason == NoEndpointReason::Full || reason == NoEndpointReason::RateLimited ? Reason::QueueFull : Reason::NoEndpoint;
 }
 
@@ -103,6 +106,49 @@
         demand.promptTokens += m_head.promptTokens.value;
         demand.expectedTokens += m_head.expectedTokens.value;
     }
+    if (resumesStream()) {
+        findOrigin();
+    } else {
+        dispatchOrQueue();
+    }
+}
+
+void Gateway::Request::findOrigin()
+{
+    // A version that has been the only one for as long as streams last needs no lookup.
+    const TimePoint now = currentTime();
+    const bool isCertain = m_gateway.m_versions.isComplete(now) && !m_gateway.m_versions.onlyVersion(service(), now).empty();
+    if (isCertain || m_head.resumedRequest.empty() || !m_gateway.findStreamOrigin) {
+        onOriginFound({});
+        return;
+    }
+    m_gateway.findStreamOrigin(m_head.resumedRequest, [weak = weak_from_this()](const OriginLookupResult &origin) {
+        const auto self = weak.lock();
+        if (self && !self->m_done) {
+            self->onOriginFound(origin);
+        }
+    });
+}
+
+void Gateway::Request::onOriginFound(const OriginLookupResult &origin)
+{
+    const SoftwareVersion version = m_gateway.versionToResume(service(), origin);
+    logEvent(Severity::Info,
+             "stream to be resumed",
+             {{"request", m_head.id.value},
+              {"first_request", m_head.resumedRequest.value},
+              {"software_version", version.value},
+              {"origin", toText(origin.source)}});
+    if (version.empty()) {
+        refuse(Reason::StreamOriginUnknown, "several software versions serve, and it is not known which of them began the stream");
+        return;
+    }
+    m_requirements.softwareVersion = version;
+    dispatchOrQueue();
+}
+
+void Gateway::Request::dispatchOrQueue()
+{
     if (m_gateway.isQueued(m_requirements.service, m_head.target.model)) {
         m_waitingSince = m_arrivedAt;
         m_waitingFor = NoEndpointReason::RateLimited;
@@ -326,7 +372,7 @@
     }
     const TimePoint now = currentTime();
     if (m_lastEventAt == TimePoint{}) {
-        m_requirements.softwareVersion = m_endpointVersion;
+        onFirstEvent();
         m_firstByte = now - m_arrivedAt;
         m_gateway.m_metrics.observeFirstToken(*m_firstByte);
     } else {
@@ -338,6 +384,18 @@
     applyBackpressure();
 }
 
+void Gateway::Request::onFirstEvent()
+{
+    if (!m_route.resumable) {
+        return;
+    }
+    m_requirements.softwareVersion = m_endpointVersion;
+    const RequestId &first = resumesStream() ? m_head.resumedRequest : m_head.id;
+    if (m_gateway.onStreamBegun && !first.empty() && !m_endpointVersion.empty()) {
+        m_gateway.onStreamBegun({first, m_endpointVersion});
+    }
+}
+
 // Applies backpressure: pauses reading from the endpoint while the caller reads too slowly.
 void Gateway::Request::applyBackpressure()
 {
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -39,6 +39,14 @@
     const ServiceId &service() const { return m_requirements.service; }
 
 private:
+    // Whether the caller wants to continue a stream of which it has received events.
+    bool resumesStream() const { return m_route.kind == RouteKind::Streaming && m_route.resumable && !m_head.lastEventId.empty(); }
+    // Looks up the origin of the stream to continue, then dispatches the request to an endpoint of the version that began it.
+    void findOrigin();
+    void onOriginFound(const OriginLookupResult &origin);
+    void dispatchOrQueue();
+    // Records the version of the stream that the first event has begun.
+    void onFirstEvent();
     void wait(NoEndpointReason reason);
     Duration waitLimit(NoEndpointReason reason) const;
     bool isWaitExpired(TimePoint now) const;
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -28,6 +28,8 @@
     dialect.readRequest = [](const HttpRequest &request) {
         RoutedRequestHead head;
         head.id = RequestId{std::string(request.header("Id"))};
+        head.lastEventId = std::string(request.header("After"));
+        head.resumedRequest = RequestId{std::string(request.header("First-Id"))};
         return head;
     };
     dialect.forward = [](const HttpRequest &request, const ForwardOptions &options) {
@@ -120,6 +122,7 @@
         request.method = "POST";
         request.target = path;
         request.headers = {{"Id", "request-1"}};
+        request.headers.insert(request.headers.end(), extraHeaders.begin(), extraHeaders.end());
         request.body = "chassis 11";
         auto answer = std::make_shared<HttpResponse>();
         std::optional<bool> complete;
@@ -213,6 +216,10 @@
 
     std::size_t inProgress() const { return m_gateway.requestsInProgress(); }
 
+    Gateway &gateway() { return m_gateway; }
+
+    // Sent with each request.
+    std::vector<HttpHeader> extraHeaders;
     int runs = 0;
     // The body received for the last request, complete or not.
     std::string partial;
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -148,12 +148,27 @@
   followersDigest @14 :UInt64;
 }
 
-struct DispatchNotice {
-  # Sent when a node dispatches a request to an endpoint (promptTokens: its prompt length) or when a request ends (promptTokens: 0).
-  # inFlight is the number of the node's requests in progress at the endpoint.
+struct PeerDatagram {
+  # A dispatch notice, sent when a node dispatches a request to an endpoint (promptTokens: its prompt length) or when a request ends
+  # (promptTokens: 0). inFlight is the number of the node's requests in progress at the endpoint.
   endpoint @0 :Text;
   promptTokens @1 :UInt64;
   inFlight @2 :UInt32;
+  # Set in a message about the origin of a stream; the fields above are then empty, which earlier versions take for a notice without effect.
+  streamOrigin @3 :StreamOriginMessage;
+}
+
+struct StreamOriginMessage {
+  enum Kind {
+    origin @0;
+    query @1;
+    reply @2;
+  }
+  kind @0 :Kind;
+  # The request that brought the stream's first event.
+  request @1 :Text;
+  # Software version of the endpoint that wrote it; empty in a query, and in the reply of a node that does not know the stream.
+  version @2 :Text;
 }
 
 struct AttestReply {
--- a/src/libhemlockhill/peers/peer.capnp.cpp
+++ b/src/libhemlockhill/peers/peer.capnp.cpp
@@ -1716,46 +1716,52 @@
   0, 15, i_b03c630585afb38c, nullptr, nullptr, { &s_b03c630585afb38c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<66> b_815a091a53a1b5d0 = {
+static const ::capnp::_::AlignedData<81> b_fd8ded1fa830a9ad = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    208, 181, 161,  83,  26,   9,  90, 129,
+    173, 169,  48, 168,  31, 237, 141, 253,
      11,   0,   0,   0,   1,   0,   2,   0,
      39, 195,  93,  51, 179, 210,  74, 136,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 210,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  68, 105, 115, 112,  97,
-    116,  99, 104,  78, 111, 116, 105,  99,
-    101,   0,   0,   0,   0,   0,   0,   0,
+    110, 112,  58,  80, 101, 101, 114,  68,
+     97, 116,  97, 103, 114,  97, 109,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  74,   0,   0,   0,
+     97,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     68,   0,   0,   0,   3,   0,   1,   0,
-     80,   0,   0,   0,   2,   0,   1,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0, 106,   0,   0,   0,
+    105,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     76,   0,   0,   0,   3,   0,   1,   0,
-     88,   0,   0,   0,   2,   0,   1,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,  74,   0,   0,   0,
+    113,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,   0,   0,   0,   3,   0,   1,   0,
+    124,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    121,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     84,   0,   0,   0,   3,   0,   1,   0,
-     96,   0,   0,   0,   2,   0,   1,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
     101, 110, 100, 112, 111, 105, 110, 116,
       0,   0,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
@@ -1781,18 +1787,152 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116, 114, 101,  97, 109,  79, 114,
+    105, 103, 105, 110,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    190,  95, 252, 147, 177, 206, 235, 186,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fd8ded1fa830a9ad = b_fd8ded1fa830a9ad.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_fd8ded1fa830a9ad[] = {
+  &s_baebceb193fc5fbe,
+};
+static const uint16_t m_fd8ded1fa830a9ad[] = {0, 2, 1, 3};
+static const uint16_t i_fd8ded1fa830a9ad[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_fd8ded1fa830a9ad = {
+  0xfd8ded1fa830a9ad, b_fd8ded1fa830a9ad.words, 81, d_fd8ded1fa830a9ad, m_fd8ded1fa830a9ad,
+  1, 4, i_fd8ded1fa830a9ad, nullptr, nullptr, { &s_fd8ded1fa830a9ad, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<66> b_baebceb193fc5fbe = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    190,  95, 252, 147, 177, 206, 235, 186,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     39, 195,  93,  51, 179, 210,  74, 136,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
+     33,   0,   0,   0,  23,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 116, 114, 101,  97,
+    109,  79, 114, 105, 103, 105, 110,  77,
+    101, 115, 115,  97, 103, 101,   0,   0,
+      4,   0,   0,   0,   1,   0,   1,   0,
+     39, 112, 225,  41,  77, 251, 158, 185,
+      1,   0,   0,   0,  42,   0,   0,   0,
+     75, 105, 110, 100,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+    107, 105, 110, 100,   0,   0,   0,   0,
+     15,   0,   0,   0,   0,   0,   0,   0,
+     39, 112, 225,  41,  77, 251, 158, 185,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     15,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 113, 117, 101, 115, 116,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_815a091a53a1b5d0 = b_815a091a53a1b5d0.words;
+::capnp::word const* const bp_baebceb193fc5fbe = b_baebceb193fc5fbe.words;
 #if !CAPNP_LITE
-static const uint16_t m_815a091a53a1b5d0[] = {0, 2, 1};
-static const uint16_t i_815a091a53a1b5d0[] = {0, 1, 2};
-const ::capnp::_::RawSchema s_815a091a53a1b5d0 = {
-  0x815a091a53a1b5d0, b_815a091a53a1b5d0.words, 66, nullptr, m_815a091a53a1b5d0,
-  0, 3, i_815a091a53a1b5d0, nullptr, nullptr, { &s_815a091a53a1b5d0, nullptr, nullptr, 0, 0, nullptr }
+static const ::capnp::_::RawSchema* const d_baebceb193fc5fbe[] = {
+  &s_b99efb4d29e17027,
+};
+static const uint16_t m_baebceb193fc5fbe[] = {0, 1, 2};
+static const uint16_t i_baebceb193fc5fbe[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_baebceb193fc5fbe = {
+  0xbaebceb193fc5fbe, b_baebceb193fc5fbe.words, 66, d_baebceb193fc5fbe, m_baebceb193fc5fbe,
+  1, 3, i_baebceb193fc5fbe, nullptr, nullptr, { &s_baebceb193fc5fbe, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<31> b_b99efb4d29e17027 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     39, 112, 225,  41,  77, 251, 158, 185,
+     31,   0,   0,   0,   2,   0,   0,   0,
+    190,  95, 252, 147, 177, 206, 235, 186,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  79,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 116, 114, 101,  97,
+    109,  79, 114, 105, 103, 105, 110,  77,
+    101, 115, 115,  97, 103, 101,  46,  75,
+    105, 110, 100,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    111, 114, 105, 103, 105, 110,   0,   0,
+    113, 117, 101, 114, 121,   0,   0,   0,
+    114, 101, 112, 108, 121,   0,   0,   0, }
+};
+::capnp::word const* const bp_b99efb4d29e17027 = b_b99efb4d29e17027.words;
+#if !CAPNP_LITE
+static const uint16_t m_b99efb4d29e17027[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_b99efb4d29e17027 = {
+  0xb99efb4d29e17027, b_b99efb4d29e17027.words, 31, nullptr, m_b99efb4d29e17027,
+  0, 3, nullptr, nullptr, nullptr, { &s_b99efb4d29e17027, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+CAPNP_DEFINE_ENUM(Kind_b99efb4d29e17027, b99efb4d29e17027);
 static const ::capnp::_::AlignedData<64> b_c01a1a408fb439b9 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     185,  57, 180, 143,  64,  26,  26, 192,
@@ -2981,12 +3121,20 @@
 constexpr ::capnp::_::RawSchema const* FollowReply::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// DispatchNotice
-constexpr uint16_t DispatchNotice::_capnpPrivate::dataWordSize;
-constexpr uint16_t DispatchNotice::_capnpPrivate::pointerCount;
+// PeerDatagram
+constexpr uint16_t PeerDatagram::_capnpPrivate::dataWordSize;
+constexpr uint16_t PeerDatagram::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind PeerDatagram::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* PeerDatagram::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// StreamOriginMessage
+constexpr uint16_t StreamOriginMessage::_capnpPrivate::dataWordSize;
+constexpr uint16_t StreamOriginMessage::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind DispatchNotice::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* DispatchNotice::_capnpPrivate::schema;
+constexpr ::capnp::Kind StreamOriginMessage::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StreamOriginMessage::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // AttestReply
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -35,7 +35,15 @@
 CAPNP_DECLARE_SCHEMA(8cc686d2424c8a5d);
 CAPNP_DECLARE_SCHEMA(fdf497fe4a97a6be);
 CAPNP_DECLARE_SCHEMA(b03c630585afb38c);
-CAPNP_DECLARE_SCHEMA(815a091a53a1b5d0);
+CAPNP_DECLARE_SCHEMA(fd8ded1fa830a9ad);
+CAPNP_DECLARE_SCHEMA(baebceb193fc5fbe);
+CAPNP_DECLARE_SCHEMA(b99efb4d29e17027);
+enum class Kind_b99efb4d29e17027: uint16_t {
+  ORIGIN,
+  QUERY,
+  REPLY,
+};
+CAPNP_DECLARE_ENUM(Kind, b99efb4d29e17027);
 CAPNP_DECLARE_SCHEMA(c01a1a408fb439b9);
 CAPNP_DECLARE_SCHEMA(977b16e3b029f291);
 CAPNP_DECLARE_SCHEMA(c4200768ca12413b);
@@ -299,15 +307,32 @@
   };
 };
 
-struct DispatchNotice {
-  DispatchNotice() = delete;
+struct PeerDatagram {
+  PeerDatagram() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(815a091a53a1b5d0, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fd8ded1fa830a9ad, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamOriginMessage {
+  StreamOriginMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  typedef ::capnp::schemas::Kind_b99efb4d29e17027 Kind;
+
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(baebceb193fc5fbe, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2236,9 +2261,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class DispatchNotice::Reader {
+class PeerDatagram::Reader {
 public:
-  typedef DispatchNotice Reads;
+  typedef PeerDatagram Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2260,6 +2285,9 @@
 
   inline  ::uint32_t getInFlight() const;
 
+  inline bool hasStreamOrigin() const;
+  inline  ::Hemlockhill::Wire::StreamOriginMessage::Reader getStreamOrigin() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2272,9 +2300,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class DispatchNotice::Builder {
+class PeerDatagram::Builder {
 public:
-  typedef DispatchNotice Builds;
+  typedef PeerDatagram Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2301,6 +2329,13 @@
   inline  ::uint32_t getInFlight();
   inline void setInFlight( ::uint32_t value);
 
+  inline bool hasStreamOrigin();
+  inline  ::Hemlockhill::Wire::StreamOriginMessage::Builder getStreamOrigin();
+  inline void setStreamOrigin( ::Hemlockhill::Wire::StreamOriginMessage::Reader value);
+  inline  ::Hemlockhill::Wire::StreamOriginMessage::Builder initStreamOrigin();
+  inline void adoptStreamOrigin(::capnp::Orphan< ::Hemlockhill::Wire::StreamOriginMessage>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::StreamOriginMessage> disownStreamOrigin();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2311,9 +2346,106 @@
 };
 
 #if !CAPNP_LITE
-class DispatchNotice::Pipeline {
+class PeerDatagram::Pipeline {
 public:
-  typedef DispatchNotice Pipelines;
+  typedef PeerDatagram Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Hemlockhill::Wire::StreamOriginMessage::Pipeline getStreamOrigin();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamOriginMessage::Reader {
+public:
+  typedef StreamOriginMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::Hemlockhill::Wire::StreamOriginMessage::Kind getKind() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamOriginMessage::Builder {
+public:
+  typedef StreamOriginMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::Hemlockhill::Wire::StreamOriginMessage::Kind getKind();
+  inline void setKind( ::Hemlockhill::Wire::StreamOriginMessage::Kind value);
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamOriginMessage::Pipeline {
+public:
+  typedef StreamOriginMessage Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5770,68 +5902,189 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool DispatchNotice::Reader::hasEndpoint() const {
+inline bool PeerDatagram::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool DispatchNotice::Builder::hasEndpoint() {
+inline bool PeerDatagram::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader DispatchNotice::Reader::getEndpoint() const {
+inline  ::capnp::Text::Reader PeerDatagram::Reader::getEndpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder DispatchNotice::Builder::getEndpoint() {
+inline  ::capnp::Text::Builder PeerDatagram::Builder::getEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void DispatchNotice::Builder::setEndpoint( ::capnp::Text::Reader value) {
+inline void PeerDatagram::Builder::setEndpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder DispatchNotice::Builder::initEndpoint(unsigned int size) {
+inline  ::capnp::Text::Builder PeerDatagram::Builder::initEndpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void DispatchNotice::Builder::adoptEndpoint(
+inline void PeerDatagram::Builder::adoptEndpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> DispatchNotice::Builder::disownEndpoint() {
+inline ::capnp::Orphan< ::capnp::Text> PeerDatagram::Builder::disownEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t DispatchNotice::Reader::getPromptTokens() const {
+inline  ::uint64_t PeerDatagram::Reader::getPromptTokens() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t DispatchNotice::Builder::getPromptTokens() {
+inline  ::uint64_t PeerDatagram::Builder::getPromptTokens() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void DispatchNotice::Builder::setPromptTokens( ::uint64_t value) {
+inline void PeerDatagram::Builder::setPromptTokens( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t DispatchNotice::Reader::getInFlight() const {
+inline  ::uint32_t PeerDatagram::Reader::getInFlight() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t DispatchNotice::Builder::getInFlight() {
+inline  ::uint32_t PeerDatagram::Builder::getInFlight() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void DispatchNotice::Builder::setInFlight( ::uint32_t value) {
+inline void PeerDatagram::Builder::setInFlight( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerDatagram::Reader::hasStreamOrigin() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasStreamOrigin() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hemlockhill::Wire::StreamOriginMessage::Reader PeerDatagram::Reader::getStreamOrigin() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::StreamOriginMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::StreamOriginMessage::Builder PeerDatagram::Builder::getStreamOrigin() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::StreamOriginMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::StreamOriginMessage::Pipeline PeerDatagram::Pipeline::getStreamOrigin() {
+  return  ::Hemlockhill::Wire::StreamOriginMessage::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void PeerDatagram::Builder::setStreamOrigin( ::Hemlockhill::Wire::StreamOriginMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::StreamOriginMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::StreamOriginMessage::Builder PeerDatagram::Builder::initStreamOrigin() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::StreamOriginMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptStreamOrigin(
+    ::capnp::Orphan< ::Hemlockhill::Wire::StreamOriginMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::StreamOriginMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::StreamOriginMessage> PeerDatagram::Builder::disownStreamOrigin() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::StreamOriginMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::Hemlockhill::Wire::StreamOriginMessage::Kind StreamOriginMessage::Reader::getKind() const {
+  return _reader.getDataField< ::Hemlockhill::Wire::StreamOriginMessage::Kind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Hemlockhill::Wire::StreamOriginMessage::Kind StreamOriginMessage::Builder::getKind() {
+  return _builder.getDataField< ::Hemlockhill::Wire::StreamOriginMessage::Kind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginMessage::Builder::setKind( ::Hemlockhill::Wire::StreamOriginMessage::Kind value) {
+  _builder.setDataField< ::Hemlockhill::Wire::StreamOriginMessage::Kind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamOriginMessage::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOriginMessage::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOriginMessage::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOriginMessage::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamOriginMessage::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOriginMessage::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamOriginMessage::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOriginMessage::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamOriginMessage::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOriginMessage::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOriginMessage::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOriginMessage::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamOriginMessage::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOriginMessage::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamOriginMessage::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOriginMessage::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool AttestReply::Reader::getGranted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -1,5 +1,5 @@
-// UDP transport of dispatch notices.
-#include "hemlockhill/dispatch_notices.h"
+// Encoding and UDP transport of datagrams between nodes.
+#include "hemlockhill/peer_datagrams.h"
 
 #include "hemlockhill/failure.h"
 #include "peer.capnp.h"
@@ -18,43 +18,92 @@
 
 using boost::asio::ip::udp;
 
-} // namespace
-
-std::string encode(const DispatchNotice &notice)
+void write(Wire::PeerDatagram::Builder builder, const DispatchNotice &notice)
 {
-    capnp::MallocMessageBuilder message;
-    auto builder = message.initRoot<Wire::DispatchNotice>();
     builder.setEndpoint(notice.endpoint.value);
     builder.setPromptTokens(notice.prompt.value);
     builder.setInFlight(notice.inFlight);
-    const auto words = capnp::messageToFlatArray(message);
+}
+
+void write(Wire::StreamOriginMessage::Builder builder, const StreamOrigin &origin)
+{
+    builder.setRequest(origin.request.value);
+    builder.setVersion(origin.version.value);
+    builder.setKind(Wire::StreamOriginMessage::Kind::ORIGIN);
+}
+
+void write(Wire::StreamOriginMessage::Builder builder, const StreamOriginQuery &query)
+{
+    builder.setRequest(query.request.value);
+    builder.setKind(Wire::StreamOriginMessage::Kind::QUERY);
+}
+
+void write(Wire::StreamOriginMessage::Builder builder, const StreamOriginReply &reply)
+{
+    builder.setRequest(reply.request.value);
+    builder.setVersion(reply.version.value);
+    builder.setKind(Wire::StreamOriginMessage::Kind::REPLY);
+}
+
+void write(Wire::PeerDatagram::Builder builder, const StreamOriginMessage &message)
+{
+    std::visit([&builder](const auto &typed) { write(builder.initStreamOrigin(), typed); }, message);
+}
+
+StreamOriginMessage read(Wire::StreamOriginMessage::Reader reader)
+{
+    const RequestId request{std::string(reader.getRequest().cStr())};
+    const SoftwareVersion version{std::string(reader.getVersion().cStr())};
+    switch (reader.getKind()) {
+    case Wire::StreamOriginMessage::Kind::ORIGIN:
+        return StreamOrigin{request, version};
+    case Wire::StreamOriginMessage::Kind::QUERY:
+        return StreamOriginQuery{request};
+    case Wire::StreamOriginMessage::Kind::REPLY:
+        return StreamOriginReply{request, version};
+    }
+    throw DecodeError("datagram about a stream's origin is of an unknown kind");
+}
+
+PeerDatagram read(Wire::PeerDatagram::Reader reader)
+{
+    if (reader.hasStreamOrigin()) {
+        return read(reader.getStreamOrigin());
+    }
+    return DispatchNotice{EndpointId{std::string(reader.getEndpoint().cStr())}, TokenCount{reader.getPromptTokens()}, reader.getInFlight()};
+}
+
+} // namespace
+
+std::string encode(const PeerDatagram &message)
+{
+    capnp::MallocMessageBuilder builder;
+    std::visit([&builder](const auto &typed) { write(builder.initRoot<Wire::PeerDatagram>(), typed); }, message);
+    const auto words = capnp::messageToFlatArray(builder);
     const auto bytes = words.asBytes();
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
 }
 
-DispatchNotice decodeDispatchNotice(std::string_view datagram)
+PeerDatagram decodePeerDatagram(std::string_view datagram)
 {
     // Cap'n Proto requires word alignment, which the datagram buffer does not guarantee.
     kj::Array<capnp::word> words = kj::heapArray<capnp::word>(datagram.size() / sizeof(capnp::word));
     if (words.size() == 0 || datagram.size() % sizeof(capnp::word) != 0) {
-        throw DecodeError("dispatch notice datagram is empty or not a whole number of words");
+        throw DecodeError("datagram is empty or not a whole number of words");
     }
     std::memcpy(words.begin(), datagram.data(), datagram.size());
-    DispatchNotice notice;
+    PeerDatagram message;
     const auto problem = kj::runCatchingExceptions([&] {
-        capnp::FlatArrayMessageReader message(words);
-        const auto reader = message.getRoot<Wire::DispatchNotice>();
-        notice.endpoint = EndpointId{std::string(reader.getEndpoint().cStr())};
-        notice.prompt = TokenCount{reader.getPromptTokens()};
-        notice.inFlight = reader.getInFlight();
+        capnp::FlatArrayMessageReader reader(words);
+        message = read(reader.getRoot<Wire::PeerDatagram>());
     });
     if (problem != nullptr) {
-        throw DecodeError("dispatch notice datagram is malformed");
+        throw DecodeError("datagram is malformed");
     }
-    return notice;
+    return message;
 }
 
-DispatchNotices::DispatchNotices(boost::asio::io_context &loop, const Address &listen, Metrics &metrics, Received received)
+PeerDatagrams::PeerDatagrams(boost::asio::io_context &loop, const Address &listen, Metrics &metrics, Received received)
     : m_socket(loop)
     , m_listen(listen)
     , m_metrics(metrics)
@@ -71,7 +120,7 @@
     receive();
 }
 
-void DispatchNotices::setNodes(const std::vector<VmId> &nodes)
+void PeerDatagrams::setNodes(const std::vector<VmId> &nodes)
 {
     m_nodes.clear();
     for (const VmId &node : nodes) {
@@ -83,19 +132,33 @@
     }
 }
 
-void DispatchNotices::send(const DispatchNotice &notice)
+void PeerDatagrams::sendToAll(const PeerDatagram &message)
 {
-    const std::string datagram = encode(notice);
+    const std::string datagram = encode(message);
     for (const udp::endpoint &node : m_nodes) {
-        boost::system::error_code error;
-        m_socket.send_to(boost::asio::buffer(datagram), node, 0, error);
-        if (error) {
-            m_metrics.countEvent("dispatch_notice_unsent");
-        }
+        send(datagram, node);
+    }
+}
+
+void PeerDatagrams::send(const VmId &node, const PeerDatagram &message)
+{
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(node.value, error);
+    if (!error) {
+        send(encode(message), udp::endpoint(ip, m_listen.port));
+    }
+}
+
+void PeerDatagrams::send(const std::string &datagram, const udp::endpoint &node)
+{
+    boost::system::error_code error;
+    m_socket.send_to(boost::asio::buffer(datagram), node, 0, error);
+    if (error) {
+        m_metrics.countEvent("datagram_unsent");
     }
 }
 
-void DispatchNotices::receive()
+void PeerDatagrams::receive()
 {
     m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender, [this](boost::system::error_code error, std::size_t bytes) {
         if (error == boost::asio::error::operation_aborted) {
@@ -103,9 +166,9 @@
         }
         if (!error) {
             try {
-                m_received(VmId{m_sender.address().to_string()}, decodeDispatchNotice({m_buffer.data(), bytes}));
+                m_received(VmId{m_sender.address().to_string()}, decodePeerDatagram({m_buffer.data(), bytes}));
             } catch (const DecodeError &) {
-                m_metrics.countEvent("dispatch_notice_unreadable");
+                m_metrics.countEvent("datagram_unreadable");
             }
         }
         receive();
--- a/src/libhemlockhill/peers/peer_datagrams_test.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams_test.cpp
@@ -1,5 +1,5 @@
-// Encoding of dispatch notices, and robustness against corrupt datagrams.
-#include "hemlockhill/dispatch_notices.h"
+// Encoding of datagrams between nodes, and robustness against corrupt ones.
+#include "hemlockhill/peer_datagrams.h"
 
 #include "hemlockhill/failure.h"
 
@@ -8,25 +8,46 @@
 
 using namespace Hemlockhill;
 
-BOOST_AUTO_TEST_CASE(notice_round_trips_through_datagram)
+namespace
 {
-    const DispatchNotice notice{EndpointId{"i-7f3a91c2"}, TokenCount{1460}, 3};
-    BOOST_CHECK(decodeDispatchNotice(encode(notice)) == notice);
+
+const RequestId Request{"9c41d07be2a35f68"};
+const SoftwareVersion Version{"v2"};
+
+const std::vector<PeerDatagram> &messages()
+{
+    static const std::vector<PeerDatagram> all{DispatchNotice{EndpointId{"i-7f3a91c2"}, TokenCount{1460}, 3},
+                                               StreamOriginMessage{StreamOrigin{Request, Version}},
+                                               StreamOriginMessage{StreamOriginQuery{Request}},
+                                               StreamOriginMessage{StreamOriginReply{Request, Version}},
+                                               StreamOriginMessage{StreamOriginReply{Request, {}}}};
+    return all;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(messages_round_trip_through_datagrams)
+{
+    for (const PeerDatagram &message : messages()) {
+        BOOST_CHECK(decodePeerDatagram(encode(message)) == message);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(corrupt_datagrams_throw_only_decode_error)
 {
-    const std::string whole = encode({EndpointId{"i-7f3a91c2"}, TokenCount{1460}, 3});
     boost::random::mt19937 random(5);
-    BOOST_CHECK_THROW(decodeDispatchNotice(""), DecodeError);
-    for (int round = 0; round < 2000; ++round) {
-        std::string damaged = whole.substr(0, random() % (whole.size() + 1));
-        if (!damaged.empty()) {
-            damaged[random() % damaged.size()] = static_cast<char>(random());
-        }
-        try {
-            decodeDispatchNotice(damaged);
-        } catch (const DecodeError &) {
+    BOOST_CHECK_THROW(decodePeerDatagram(""), DecodeError);
+    for (const PeerDatagram &message : messages()) {
+        const std::string whole = encode(message);
+        for (int round = 0; round < 2000; ++round) {
+            std::string damaged = whole.substr(0, random() % (whole.size() + 1));
+            if (!damaged.empty()) {
+                damaged[random() % damaged.size()] = static_cast<char>(random());
+            }
+            try {
+                decodePeerDatagram(damaged);
+            } catch (const DecodeError &) {
+            }
         }
     }
 }
--- a/src/libhemlockhill/world/failure.cpp
+++ b/src/libhemlockhill/world/failure.cpp
@@ -34,6 +34,8 @@
         {Reason::UnknownAdapter, "unknown_adapter", 404, false},
         {Reason::UnknownService, "unknown_service", 404, false},
         {Reason::NoEndpoint, "no_endpoint", 503, true},
+        {Reason::VersionAbsent, "version_absent", 503, true},
+        {Reason::StreamOriginUnknown, "stream_origin_unknown", 503, true},
         {Reason::QueueFull, "queue_full", 429, true},
         {Reason::DeadlineUnreachable, "deadline_unreachable", 429, true},
         {Reason::DeadlineExceeded, "deadline_exceeded", 504, true},
