Build the slow disk of the sessions into a program of its own

Change: slow_disk_node runs a node whose fsync and fdatasync, defined in the program itself, sleep first. The session names the delay instead of an environment.

--- a/testsuite/control-slow-disk/run.py
+++ b/testsuite/control-slow-disk/run.py
@@ -1,12 +1,12 @@
 """Every sync to disk takes 400 ms, two thirds of the election timeout. The leader must keep its leadership under a series of commands, and
 commands must be accepted again after it is killed."""
 
-from session import Session, leader_of, slow_disk, wait_until
+from session import Session, leader_of, wait_until
 
 VM_LOCATIONS = {"vm-a": "ktm-1", "vm-b": "ktm-2", "vm-c": "ktm-3", "vm-d": "ktm-1"}
 
 with Session() as session:
-    session.node_environment = slow_disk(400)
+    session.sync_delay = "400ms"
     nodes = session.region(VM_LOCATIONS)
     session.send_until_accepted(nodes[3], "declare service drafts priority interactive")
 
--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -20,6 +20,7 @@
 BUILD = pathlib.Path(os.environ.get("HEMLOCKHILL_BUILD", pathlib.Path(__file__).resolve().parent.parent / "build/release"))
 PROGRAM = BUILD / "src/hemlockhill/hemlockhill"
 FAKES = BUILD / "src/fakes"
+SLOW_DISK_PROGRAM = FAKES / "slow_disk_node"
 HOST = "127.0.0.1"
 TIMEOUT_S = 30
 POLL_S = 0.02
@@ -72,25 +73,19 @@
     raise SystemExit(f"timed out waiting for {what}")
 
 
-def slow_disk(sync_ms):
-    """Returns the environment of a process whose disk takes `sync_ms` longer for each sync to stable storage."""
-    return {"LD_PRELOAD": str(FAKES / "libslow_sync.so"), "HEMLOCKHILL_SYNC_DELAY_MS": str(sync_ms)}
-
-
 class Process:
     """A process of the session. Its output is appended to a log file."""
 
-    def __init__(self, name, arguments, log, environment=None):
+    def __init__(self, name, arguments, log):
         self.name = name
         self.arguments = [str(argument) for argument in arguments]
         self.log = log
-        self.environment = {**os.environ, **(environment or {})}
         self.popen = None
         self.start()
 
     def start(self):
         with open(self.log, "ab") as log:
-            self.popen = subprocess.Popen(self.arguments, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=self.environment)
+            self.popen = subprocess.Popen(self.arguments, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
 
     def signal(self, number):
         if self.popen.poll() is None:
@@ -118,13 +113,14 @@
 class Node(Process):
     """A Hemlockhill node, with its settings file and its caller and operator addresses."""
 
-    def __init__(self, name, settings, folder, environment=None):
+    def __init__(self, name, settings, folder, sync_delay=None):
         self.settings = settings
         self.callers = settings["callers"]["listen"]
         self.operators = settings["operators"]["listen"]
         self.file = folder / f"{name}.json"
         self.file.write_text(json.dumps(settings, indent=4))
-        super().__init__(name, [PROGRAM, "serve", "--settings", self.file], folder / f"{name}.log", environment)
+        program = [SLOW_DISK_PROGRAM, "--sync-delay", sync_delay] if sync_delay else [PROGRAM, "serve"]
+        super().__init__(name, [*program, "--settings", self.file], folder / f"{name}.log")
 
     def ready(self):
         try:
@@ -154,8 +150,8 @@
         self.processes = []
         self.names = {}
         self.operations = 0
-        # Added to the environment of the nodes that are started from now on.
-        self.node_environment = {}
+        # How much longer each sync to disk takes at the nodes that are started from now on, such as "400ms".
+        self.sync_delay = None
 
     def __enter__(self):
         return self
@@ -231,7 +227,7 @@
         return nodes
 
     def start_node(self, settings):
-        node = self.track(Node(settings["vm"], settings, self.folder, self.node_environment))
+        node = self.track(Node(settings["vm"], settings, self.folder, self.sync_delay))
         wait_until(lambda: self.is_healthy(node) or not node.running(), f"{node.name} to listen")
         return node
 
