Suspect no request that its endpoint has answered with an error

Cause: a restarted engine refuses a request whose model is not loaded yet. The exchange ended with that response, but where the request was not tried again (its exchanges or the retry budget used up) its run was kept as one that may yet crash the endpoint. When the next report came with the new incarnation, all these runs counted as lost with the old one: 17 in the log that was kept, all of one caller's request, which was then refused for as long as it was asked for, since its model had a single copy.

Ruled out: stale idle connections (a pooled connection is checked before its use) and the loss of the leader (one leader throughout).

Change: an exchange that ends with an error response clears its run, as one that never reached the endpoint does (onHarmless).

--- a/src/libhemlockhill/node/quarantine_guard.cpp
+++ b/src/libhemlockhill/node/quarantine_guard.cpp
@@ -116,7 +116,7 @@
     m_runs.push_back(std::move(run));
 }
 
-void QuarantineGuard::onNotRun(AttemptId attempt)
+void QuarantineGuard::onHarmless(AttemptId attempt)
 {
     // A run already recorded as lost with its endpoint remains a suspect and is released like the others.
     const Run *run = findRun(attempt);
--- a/src/libhemlockhill/node/quarantine_guard.h
+++ b/src/libhemlockhill/node/quarantine_guard.h
@@ -47,8 +47,8 @@
     void startTrial(AttemptId attempt, Fingerprint fingerprint, const std::vector<TrialCandidate> &candidates, TrialListener listener);
 
     void onDispatched(AttemptId attempt, Fingerprint fingerprint, const EndpointId &endpoint);
-    // The attempt's exchange failed before the endpoint can have received the request.
-    void onNotRun(AttemptId attempt);
+    // The attempt's exchange failed before the endpoint can have received the request, or ended with an error response.
+    void onHarmless(AttemptId attempt);
     // The attempt's exchange failed. Calls `release` during the call or later, once the request may be retried: after the endpoint has
     // reported again, after the command that records its loss was committed or refused, or after a timeout.
     void onFailed(AttemptId attempt, bool connectionFailed, Release release);
--- a/src/libhemlockhill/node/quarantine_guard_test.cpp
+++ b/src/libhemlockhill/node/quarantine_guard_test.cpp
@@ -98,7 +98,7 @@
     test.guard.onDispatched(AttemptId{2}, SuspectFingerprint, First);
     test.fail(AttemptId{1});
     test.report("");
-    test.guard.onNotRun(AttemptId{2});
+    test.guard.onHarmless(AttemptId{2});
     test.fail(AttemptId{2});
     BOOST_TEST(test.released == (std::vector<std::size_t>{2, 2}), boost::test_tools::per_element());
 }
--- a/src/libhemlockhill/node/relay.cpp
+++ b/src/libhemlockhill/node/relay.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 
+constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusServiceUnavailable = 503;
 // Maximum size of an engine's answer, all events of a stream together.
 constexpr Bytes AnswerLimit{16'777'216};
@@ -187,6 +188,7 @@
     if (event.status == StatusServiceUnavailable) {
         m_requests.m_routing.onEndpointLeaving(m_openEndpoint, currentTime());
     }
+    m_responseStatus = event.status;
     perform(m_attempt.onHead(event.exchange, event.status, findHeader(event.headers, "Content-Type")));
 }
 
@@ -201,13 +203,16 @@
 
 void Relay::onEnded(const ExchangeEnded &event)
 {
+    if (m_responseStatus != StatusOk) {
+        m_requests.m_guard.onHarmless(m_attemptId);
+    }
     perform(m_attempt.onEnded(event.exchange));
 }
 
 void Relay::onFailed(const ExchangeFailed &event)
 {
     if (!event.failure.mayHaveReached) {
-        m_requests.m_guard.onNotRun(m_attemptId);
+        m_requests.m_guard.onHarmless(m_attemptId);
     }
     perform(m_attempt.onFailed(event.exchange, event.failure));
 }
--- a/src/libhemlockhill/node/relay.h
+++ b/src/libhemlockhill/node/relay.h
@@ -79,6 +79,7 @@
     std::optional<ExchangeId> m_openExchange;
     EndpointId m_openEndpoint;
     TimePoint m_dispatchedAt;
+    unsigned m_responseStatus = 0;
     std::size_t m_unreleasedBytes = 0;
     std::uint32_t m_retries = 0;
     // Number of distinct requests lost together with the last endpoint; 0 if only the connection was lost.
