Test a caller's trailer without end; show the beginning of long logs too

The gateway refuses or closes such a request; passes on the present code.

It now shows the first 4,000 as well.

--- a/src/libhemlockhill/node/gateway_unbounded_answer_test.cpp
+++ b/src/libhemlockhill/node/gateway_unbounded_answer_test.cpp
@@ -85,3 +85,12 @@
         answers.sendRaw("POST /x/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;name=" + std::string(131'072, 'x'));
     BOOST_CHECK(answer.empty() || answer.starts_with("HTTP/1.1 400"));
 }
+
+// Guards against a request of a caller whose body never ends, since the trailer behind its last chunk has no end.
+BOOST_AUTO_TEST_CASE(request_with_a_trailer_without_end_is_refused)
+{
+    UnboundedAnswers answers(RouteKind::Unsafe, false, {}, {});
+    const std::string answer = answers.sendRaw("POST /x/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nName: "
+                                               + std::string(131'072, 'x'));
+    BOOST_CHECK(answer.empty() || answer.starts_with("HTTP/1.1 4"));
+}
--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -24,6 +24,8 @@
 HOST = "127.0.0.1"
 TIMEOUT_S = 30
 POLL_S = 0.02
+# How much of the beginning and of the end of each log a failed session shows.
+SHOWN_LOG_CHARACTERS = 4000
 LISTEN_PORTS = range(10000, 32768)
 PORTS_PER_BLOCK = 64
 # Sockets that mark the blocks of ports of this process as taken, until it ends.
@@ -170,7 +172,10 @@
     def show_logs(self):
         for process in self.processes:
             print(f"--- log of {process.name}", file=sys.stderr)
-            print(process.log.read_text(errors="replace")[-4000:], file=sys.stderr)
+            text = process.log.read_text(errors="replace")
+            is_long = len(text) > 2 * SHOWN_LOG_CHARACTERS
+            shown = f"{text[:SHOWN_LOG_CHARACTERS]}\n...\n{text[-SHOWN_LOG_CHARACTERS:]}" if is_long else text
+            print(shown, file=sys.stderr)
 
     def print(self, text):
         print(self.normalise(text), flush=True)
