Refuse a request for longer after each loss, however many there were

A suspect keeps eight losses. A ninth was ignored with all that follows from it, so a request that had crashed eight endpoints was no longer refused for longer, and ran as a trial again once its last refusal ended.

Evidence: request_that_crashed_many_endpoints_is_allowed_again, a loss every 23 hours: before, not refused after losses 9 to 12; now refused after each but the first.

Change: the oldest loss is forgotten for a further one, so that a loss which several nodes report still counts once.

--- a/src/libhemlockhill/quarantine/quarantine_register.cpp
+++ b/src/libhemlockhill/quarantine/quarantine_register.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// Maximum number of losses stored per suspect. Further losses are ignored.
+// Maximum number of losses stored per suspect. The oldest is forgotten for a further one.
 constexpr std::size_t MaxLossesPerSuspect = 8;
 constexpr std::uint32_t FullWeight = 1000;
 constexpr std::size_t LossesUntilRefusal = 2;
@@ -70,9 +70,12 @@
 bool QuarantineRegister::addLoss(Suspect &suspect, LossId loss, std::uint32_t weight)
 {
     suspect.trial.reset();
-    if (suspect.has(loss) || suspect.losses.size() >= MaxLossesPerSuspect) {
+    if (suspect.has(loss)) {
         return false;
     }
+    if (suspect.losses.size() >= MaxLossesPerSuspect) {
+        suspect.losses.erase(suspect.losses.begin());
+    }
     suspect.losses.push_back({loss, false});
     suspect.weight += weight;
     if (!suspect.refused()) {
--- a/src/libhemlockhill/quarantine/quarantine_test.cpp
+++ b/src/libhemlockhill/quarantine/quarantine_test.cpp
@@ -85,6 +85,21 @@
     BOOST_CHECK(region.verdict(CrashRequest, at(minutes(33))) == QuarantineVerdict::TrialOnly);
 }
 
+// Guards against a request that crashes endpoints so often that it is no longer refused.
+BOOST_AUTO_TEST_CASE(request_that_crashed_many_endpoints_is_allowed_again)
+{
+    TestRegion region;
+    std::chrono::milliseconds now{0};
+    for (int loss = 1; loss <= 12; ++loss) {
+        // While the request is still a suspect.
+        now += loss <= 2 ? std::chrono::milliseconds(minutes(5)) : std::chrono::milliseconds(std::chrono::hours(23));
+        region.reportLoss("r" + std::to_string(loss), {CrashRequest}, at(now));
+        region.reportLoss("r" + std::to_string(loss), {CrashRequest}, at(now));
+        const bool isRefused = region.verdict(CrashRequest, at(now + seconds(1))) == QuarantineVerdict::Refused;
+        BOOST_TEST(isRefused == (loss > 1), "after loss " << loss);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(one_loss_reported_by_several_nodes_counts_once)
 {
     TestRegion region;
