Write a key that was claimed again at the same time only once

What callers would see: nothing at first; replicas that differ.

Cause: the order of claims named a key and a time. A replica restored from it counted the answer's bytes twice, and then decided otherwise which answers still fit (AnswerNotKept).

Change: claims are numbered; an entry belongs to the claim with its number.

--- a/src/include/hemlockhill/once_register.h
+++ b/src/include/hemlockhill/once_register.h
@@ -204,6 +204,8 @@
     struct Entry {
         Digest call;
         ClaimId claim;
+        // Number of the claim that holds the key, in the order of all claims.
+        std::uint64_t claimNumber = 0;
         WallTime claimedAt;
         // A claim without outcome counts as unknown after this time.
         WallTime unknownAfter;
@@ -214,6 +216,7 @@
     };
 
     struct OrderedClaim {
+        std::uint64_t number = 0;
         WallTime at;
         Digest key;
     };
@@ -224,6 +227,8 @@
     StepOutcome apply(const ExpireKeys &step);
     StepOutcome resultForRepeat(const Entry &entry, const ClaimKey &step) const;
     Entry *findHeldEntry(const Digest &key, const ClaimId &claim);
+    // Returns the entry that this claim holds, or nullptr if its key has been released since.
+    const Entry *findEntry(const OrderedClaim &claim) const;
     void removeExpired(const Digest &key);
 
     OnceLimits m_limits;
@@ -233,6 +238,7 @@
     boost::unordered_flat_set<std::uint64_t> m_tombstones;
     // Keys in the order of their claims, in which they also expire. Released keys are removed only on expiry.
     std::deque<OrderedClaim> m_claimOrder;
+    std::uint64_t m_lastClaimNumber = 0;
     std::uint64_t m_answerBytes = 0;
 };
 
--- a/src/libhemlockhill/once/once_register.cpp
+++ b/src/libhemlockhill/once/once_register.cpp
@@ -172,11 +172,12 @@
     Entry entry;
     entry.call = step.call;
     entry.claim = step.claim;
+    entry.claimNumber = ++m_lastClaimNumber;
     entry.claimedAt = m_now;
     entry.unknownAfter = m_now + step.dispatchWindow + step.answerWindow + m_limits.outcomeGracePeriod;
     entry.hasTimestamp = keyTime.has_value();
+    m_claimOrder.push_back({entry.claimNumber, m_now, key});
     m_entries.emplace(key, std::move(entry));
-    m_claimOrder.push_back({m_now, key});
     return {OnceVerdict::Granted, {}};
 }
 
@@ -250,14 +251,19 @@
     while (!m_claimOrder.empty() && m_claimOrder.front().at + m_limits.maxClockSkew < m_watermark) {
         const OrderedClaim oldest = m_claimOrder.front();
         m_claimOrder.pop_front();
-        const auto found = m_entries.find(oldest.key);
-        if (found != m_entries.end() && found->second.claimedAt == oldest.at) {
+        if (findEntry(oldest) != nullptr) {
             removeExpired(oldest.key);
         }
     }
     return {OnceVerdict::Expired, {}};
 }
 
+const OnceRegister::Entry *OnceRegister::findEntry(const OrderedClaim &claim) const
+{
+    const auto found = m_entries.find(claim.key);
+    return found != m_entries.end() && found->second.claimNumber == claim.number ? &found->second : nullptr;
+}
+
 void OnceRegister::removeExpired(const Digest &key)
 {
     const auto found = m_entries.find(key);
--- a/src/libhemlockhill/once/once_register_codec.cpp
+++ b/src/libhemlockhill/once/once_register_codec.cpp
@@ -172,13 +172,13 @@
 std::string OnceRegister::snapshot() const
 {
     json::array entries;
-    // Entries in the order of their claims. A key that was released and claimed again occurs twice in this order.
+    // Entries in the order of their claims.
     for (const OrderedClaim &claimed : m_claimOrder) {
-        const auto found = m_entries.find(claimed.key);
-        if (found == m_entries.end() || found->second.claimedAt != claimed.at) {
+        const Entry *const held = findEntry(claimed);
+        if (held == nullptr) {
             continue;
         }
-        const Entry &entry = found->second;
+        const Entry &entry = *held;
         json::object object{{"key", encodeDigest(claimed.key)},
                             {"call", encodeDigest(entry.call)},
                             {"claim", entry.claim.value},
@@ -225,7 +225,8 @@
                 machine.m_answerBytes += entry.answer->bytes();
             }
             const Digest key = decodeDigest(fields.at("key"));
-            machine.m_claimOrder.push_back({entry.claimedAt, key});
+            entry.claimNumber = ++machine.m_lastClaimNumber;
+            machine.m_claimOrder.push_back({entry.claimNumber, entry.claimedAt, key});
             machine.m_entries.insert_or_assign(key, std::move(entry));
         }
         for (const json::value &hash : object.at("tombstones").as_array()) {
--- a/src/libhemlockhill/once/once_register_test.cpp
+++ b/src/libhemlockhill/once/once_register_test.cpp
@@ -1,6 +1,8 @@
 // Tests of the idempotency register: repeated calls, expiry, limits, encoding.
 #include "hemlockhill/once_register.h"
 
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace Hemlockhill;
@@ -180,3 +182,58 @@
     BOOST_CHECK_THROW(decodeOnceCommand("[]"), DecodeError);
     BOOST_CHECK_THROW(OnceRegister::restore("{}"), DecodeError);
 }
+
+// Guards against replicas that differ after a restore in which answers still fit into the register.
+BOOST_AUTO_TEST_CASE(key_claimed_again_at_the_same_time_is_restored_twice)
+{
+    OnceRegister machine;
+    const ClaimKey first = claimOf("k", "c1");
+    const ClaimKey second = claimOf("k", "c2");
+    machine.apply(
+        OnceCommand{wall(0), {first, ReleaseClaim{registerKey(first), first.claim}, second, outcomeOf(second, answerOf("deed"))}});
+    const OnceRegister restored = OnceRegister::restore(machine.snapshot());
+    BOOST_TEST(restored.answerBytes().value == machine.answerBytes().value);
+    BOOST_TEST(restored.snapshot() == machine.snapshot());
+}
+
+// A register restored at any point must go on exactly like the original.
+BOOST_AUTO_TEST_CASE(restored_register_goes_on_like_the_original)
+{
+    constexpr int States = 100'000;
+    const OnceLimits limits{.maxKeys = 6, .maxTotalAnswerSize = Bytes{120}, .maxTombstones = 8, .maxClockSkew = milliseconds(1000)};
+    boost::random::mt19937 random(20'261'204);
+    const auto pick = [&random](int end) { return boost::random::uniform_int_distribution<int>(0, end - 1)(random); };
+    const auto anyClaim = [&pick] { return claimOf(std::string(1, static_cast<char>('a' + pick(8))), "c" + std::to_string(pick(3))); };
+    const auto anyStep = [&]() -> OnceStep {
+        const ClaimKey claim = anyClaim();
+        switch (pick(8)) {
+        case 0:
+            return ReleaseClaim{registerKey(claim), claim.claim};
+        case 1:
+        case 2:
+            return outcomeOf(claim,
+                             pick(4) == 0 ? std::nullopt : std::optional(answerOf(std::string(static_cast<std::size_t>(pick(60)), 'x'))));
+        case 3:
+            return ExpireKeys{Retention};
+        default:
+            return claim;
+        }
+    };
+    OnceRegister original(limits);
+    OnceRegister restored(limits);
+    std::int64_t offset = 0;
+    for (int state = 0; state < States; ++state) {
+        offset += pick(3) == 0 ? pick(2000) : 0;
+        const OnceCommand command{wall(offset), {anyStep(), anyStep()}};
+        BOOST_REQUIRE_MESSAGE(original.apply(command).steps == restored.apply(command).steps, "outcomes differ in state " << state);
+        BOOST_REQUIRE_MESSAGE(original.answerBytes() == restored.answerBytes(), "answer sizes differ in state " << state);
+        BOOST_REQUIRE_MESSAGE(original.snapshot() == restored.snapshot(), "snapshots differ in state " << state);
+        if (pick(4) == 0) {
+            restored = OnceRegister::restore(restored.snapshot(), limits);
+        }
+        if (pick(2000) == 0) {
+            original = OnceRegister(limits);
+            restored = OnceRegister(limits);
+        }
+    }
+}
