Dispatch the rest of a stream before new requests of its priority

What callers would see: with many requests waiting, a stream that its caller takes up again queued behind requests that came earlier, and was cut off at the end of its wait, while the endpoints of its version, which may be about to leave, took new ones.

Change: of requests that are not late, in one priority, those that continue a stream are dispatched first. The caller has received a part already, and nothing else can go on with it.

Test: rest_of_a_stream_waits_behind_new_requests. It does not compile before, since requests had no such property; the order by priority and lateness is tested as before.

--- a/src/include/hemlockhill/queue_policy.h
+++ b/src/include/hemlockhill/queue_policy.h
@@ -27,6 +27,8 @@
 struct WaitingRank {
     bool late = false;
     std::uint32_t priority = 0;
+    // False for the rest of a stream: its caller has received a part already, and the endpoints that can continue it may be few.
+    bool isNew = true;
     TimePoint arrivedAt;
 
     auto operator<=>(const WaitingRank &) const = default;
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -226,7 +226,7 @@
 
 WaitingRank Gateway::Request::rank(TimePoint now) const
 {
-    return {isLate(m_route, now - m_arrivedAt), m_route.priority, m_arrivedAt};
+    return {isLate(m_route, now - m_arrivedAt), m_route.priority, !m_requirements.softwareVersion, m_arrivedAt};
 }
 
 // Returns the limit on waiting that follows from the reason. The deadline and the usefulness to the caller limit it further.
--- a/src/libhemlockhill/request/queue_policy_test.cpp
+++ b/src/libhemlockhill/request/queue_policy_test.cpp
@@ -54,14 +54,29 @@
 BOOST_AUTO_TEST_CASE(requests_within_target_are_dispatched_before_late_ones)
 {
     const TimePoint start{};
-    std::vector<WaitingRank> waiting{{true, 0, start},
-                                     {false, 1, start + std::chrono::milliseconds(400)},
-                                     {false, 0, start + std::chrono::milliseconds(500)},
-                                     {true, 1, start},
-                                     {false, 1, start + std::chrono::milliseconds(390)}};
+    std::vector<WaitingRank> waiting{{true, 0, true, start},
+                                     {false, 1, true, start + std::chrono::milliseconds(400)},
+                                     {false, 0, true, start + std::chrono::milliseconds(500)},
+                                     {true, 1, true, start},
+                                     {false, 1, true, start + std::chrono::milliseconds(390)}};
     std::sort(waiting.begin(), waiting.end());
     BOOST_CHECK(!waiting[0].late && waiting[0].priority == 0);
     BOOST_CHECK(waiting[1].arrivedAt == start + std::chrono::milliseconds(390));
     BOOST_CHECK(!waiting[2].late);
     BOOST_CHECK(waiting[3].late && waiting[3].priority == 0);
 }
+
+// Guards against streams that are cut off because requests which came earlier take the last endpoints of their version.
+BOOST_AUTO_TEST_CASE(rest_of_a_stream_waits_behind_new_requests)
+{
+    const TimePoint start{};
+    std::vector<WaitingRank> waiting{{false, 1, true, start},
+                                     {false, 1, false, start + std::chrono::milliseconds(300)},
+                                     {false, 0, true, start + std::chrono::milliseconds(400)},
+                                     {true, 1, false, start}};
+    std::sort(waiting.begin(), waiting.end());
+    BOOST_CHECK_EQUAL(waiting[0].priority, 0);
+    BOOST_CHECK(!waiting[1].isNew);
+    BOOST_CHECK(waiting[2].isNew);
+    BOOST_CHECK(waiting[3].late);
+}
