Tell a failed lock from another process, and end a write that makes no progress

Every error of the lock call counted as another process in the data folder, for which a voter stops for good; an interrupted call or a file system without locks at the moment is none. A write that returned 0 was repeated without end, on the storage thread.

Evidence, red before: failed_lock_is_taken_for_another_process (folder_in_use for an interrupted call), and write_of_no_bytes_is_repeated_without_end (more than 100 calls).

Change: only EWOULDBLOCK means another process, EINTR is repeated, other errors are input/output errors, after which the folder is opened again. A write of nothing is such an error too. The lock joins the file hooks, through which the test injects it.

--- a/src/include/hemlockhill/log_storage.h
+++ b/src/include/hemlockhill/log_storage.h
@@ -68,6 +68,8 @@
     std::function<int(int folder)> syncFolder;
     std::function<int(const char *from, const char *to)> rename;
     std::function<int(const char *path)> remove;
+    // Locks a file for this process without waiting, as flock does; fails with EWOULDBLOCK if another process has locked it.
+    std::function<int(int file)> lock;
 };
 
 // The file operations of the operating system.
--- a/src/libhemlockhill/storage/log_storage_test.cpp
+++ b/src/libhemlockhill/storage/log_storage_test.cpp
@@ -383,6 +383,47 @@
     requireFaultAtOpening(folder, StorageFault::FolderInUse, StorageReaction::StopVoter);
 }
 
+// Guards against a voter that stops for good because the file system could not lock its folder at the moment.
+BOOST_AUTO_TEST_CASE(failed_lock_is_taken_for_another_process)
+{
+    const TemporaryFolder folder;
+    for (const int error : {EINTR, ENOLCK, EIO}) {
+        FileHooks hooks = posixFileHooks();
+        bool failed = false;
+        hooks.lock = [&failed, error, real = hooks.lock](int file) {
+            if (std::exchange(failed, true)) {
+                return real(file);
+            }
+            errno = error;
+            return -1;
+        };
+        if (error == EINTR) {
+            const LogStorage storage(folder.settings(), hooks);
+            continue;
+        }
+        requireFault(StorageFault::InputOutput, StorageReaction::Reopen, [&] { LogStorage(folder.settings(), hooks); });
+    }
+}
+
+// Guards against a write that makes no progress and is tried again without end.
+BOOST_AUTO_TEST_CASE(write_of_no_bytes_is_repeated_without_end)
+{
+    const TemporaryFolder folder;
+    FileHooks hooks = posixFileHooks();
+    int calls = 0;
+    bool stuck = false;
+    hooks.write = [&calls, &stuck, real = hooks.write](int file, const char *bytes, std::size_t size) -> std::int64_t {
+        if (!stuck) {
+            return real(file, bytes, size);
+        }
+        BOOST_REQUIRE_LE(++calls, 100);
+        return 0;
+    };
+    LogStorage storage(folder.settings(), hooks);
+    stuck = true;
+    requireFault(StorageFault::InputOutput, StorageReaction::Reopen, [&storage] { storage.write(entries(1, 1)); });
+}
+
 BOOST_AUTO_TEST_CASE(snapshot_removes_the_segments_it_covers)
 {
     const TemporaryFolder folder;
--- a/src/libhemlockhill/storage/storage_file.cpp
+++ b/src/libhemlockhill/storage/storage_file.cpp
@@ -38,6 +38,7 @@
     hooks.syncFolder = [](int folder) { return ::fsync(folder); };
     hooks.rename = [](const char *from, const char *to) { return std::rename(from, to); };
     hooks.remove = [](const char *path) { return ::unlink(path); };
+    hooks.lock = [](int file) { return ::flock(file, LOCK_EX | LOCK_NB); };
     return hooks;
 }
 
@@ -72,6 +73,9 @@
         if (written < 0) {
             throw storageErrorOf("write", m_path);
         }
+        if (written == 0) {
+            throw StorageError(StorageFault::InputOutput, "write " + m_path.string() + ": no bytes were written");
+        }
         bytes.remove_prefix(static_cast<std::size_t>(written));
     }
 }
@@ -112,7 +116,15 @@
 
 bool StorageFile::tryLock()
 {
-    return ::flock(m_descriptor, LOCK_EX | LOCK_NB) == 0;
+    while (m_hooks.lock(m_descriptor) != 0) {
+        if (errno == EWOULDBLOCK) {
+            return false;
+        }
+        if (errno != EINTR) {
+            throw storageErrorOf("lock", m_path);
+        }
+    }
+    return true;
 }
 
 std::string readFile(const FileHooks &hooks, const std::filesystem::path &path)
--- a/src/libhemlockhill/storage/storage_file.h
+++ b/src/libhemlockhill/storage/storage_file.h
@@ -30,7 +30,7 @@
     // Writes the bytes at the start of the file without truncating it.
     void overwrite(std::string_view bytes);
     void sync();
-    // Locks the file until it is closed. Returns false when the lock was not obtained, as when another process holds it.
+    // Locks the file until it is closed. Returns false if another process has locked it.
     bool tryLock();
 
 private:
