Move idle connections out of the HTTP exchange

No behaviour changes.

Result: http_exchange, http_exchange_unbounded and the three gateway tests pass as before.

--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -17,6 +17,8 @@
 namespace Hemlockhill
 {
 
+class IdleConnections;
+
 // Identifies an exchange; unique within the process.
 using ExchangeId = Quantity<struct ExchangeTag>;
 
@@ -104,9 +106,8 @@
     void setIdleLimit(std::size_t idleLimit);
 
 private:
-    struct Idle;
     class Exchange;
-    std::shared_ptr<Idle> m_idle;
+    std::shared_ptr<IdleConnections> m_idle;
 };
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -2,18 +2,17 @@
 #include "hemlockhill/http_exchange.h"
 
 #include "hemlockhill/timer_service.h"
+#include "net/idle_connections.h"
 #include "net/socket_options.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <charconv>
-#include <deque>
 #include <optional>
 #include <utility>
 
@@ -30,8 +29,6 @@
 
 constexpr std::size_t BodyReadBytes = 16'384;
 constexpr std::uint32_t ResponseHeaderLimitBytes = 32'000;
-// Maximum number of bytes received but not yet parsed, such as a chunk extension or a trailer that is incomplete.
-constexpr std::size_t ConnectionBufferLimitBytes = 65'536;
 // Maximum number of interim responses (status 1xx) before the final one.
 constexpr int InterimResponseLimit = 8;
 // Framing, such as chunk sizes and extensions, may take this many bytes, and in addition FramingBytesPerBodyByte of the body received.
@@ -42,32 +39,10 @@
 constexpr std::chrono::milliseconds DiscardTimeout(500);
 constexpr unsigned FirstInterimStatus = 100;
 constexpr unsigned FirstFinalStatus = 200;
-// Assumed idle timeout of an endpoint that does not send a Keep-Alive timeout.
-constexpr Duration DefaultIdleTimeout = std::chrono::seconds(1);
-// Fraction of the idle timeout after which a connection is no longer reused, since the endpoint may be about to close it.
-constexpr double ReusableIdleRatio = 0.7;
 // How long the connection that confirms the close of another must stay open. A process that exits, or a proxy in front of one, may
 // still accept a connection and closes it at once.
 constexpr std::chrono::milliseconds CloseConfirmationTime(30);
 
-// One TCP connection. The buffer is part of it, since it may hold bytes received after the end of a response.
-struct Connection {
-    explicit Connection(boost::asio::io_context &loop)
-        : stream(loop)
-        , buffer(ConnectionBufferLimitBytes)
-    {
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    // True once the connection has carried an exchange.
-    bool reused = false;
-    bool idle = false;
-    // After this time the endpoint may close the idle connection; a request sent then could be lost.
-    TimePoint reusableUntil;
-    Duration idleTimeout = DefaultIdleTimeout;
-};
-
 // Parses the timeout in a header such as "Keep-Alive: timeout=5, max=100". Returns nullopt if there is none.
 std::optional<Duration> parseKeepAliveTimeout(std::string_view keepAlive)
 {
@@ -82,85 +57,17 @@
     return error == std::errc() ? std::optional<Duration>(std::chrono::seconds(seconds)) : std::nullopt;
 }
 
-// Returns false if the endpoint has closed the idle connection or has sent unsolicited data.
-bool isReusable(Connection &connection)
-{
-    auto &socket = connection.stream.socket();
-    if (!socket.is_open() || connection.buffer.size() > 0) {
-        return false;
-    }
-    char byte = 0;
-    error_code error;
-    socket.non_blocking(true, error);
-    socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == boost::asio::error::would_block;
-}
-
 } // namespace
 
-struct ConnectionPool::Idle : std::enable_shared_from_this<ConnectionPool::Idle> {
-    Idle(boost::asio::io_context &ownLoop, std::size_t ownLimit)
-        : loop(ownLoop)
-        , limit(ownLimit)
-    {
-    }
-
-    std::shared_ptr<Connection> acquire(const Address &address)
-    {
-        auto &idle = connections[address];
-        while (!idle.empty()) {
-            auto connection = std::move(idle.back());
-            idle.pop_back();
-            connection->idle = false;
-            error_code ignored;
-            connection->stream.socket().cancel(ignored);
-            if (currentTime() < connection->reusableUntil && isReusable(*connection)) {
-                return connection;
-            }
-        }
-        return nullptr;
-    }
-
-    void release(const Address &address, std::shared_ptr<Connection> connection)
-    {
-        auto &idle = connections[address];
-        connection->reused = true;
-        connection->idle = true;
-        connection->reusableUntil = currentTime() + std::chrono::duration_cast<Duration>(connection->idleTimeout * ReusableIdleRatio);
-        closeWhenReadable(address, connection);
-        idle.push_back(std::move(connection));
-        if (idle.size() > limit) {
-            idle.pop_front();
-        }
-    }
-
-    // An idle connection becomes readable when the endpoint closes it or sends bytes that belong to no request.
-    void closeWhenReadable(const Address &address, const std::shared_ptr<Connection> &connection)
-    {
-        connection->stream.socket().async_wait(
-            tcp::socket::wait_read, [weakPool = weak_from_this(), weakConnection = std::weak_ptr(connection), address](error_code error) {
-                const auto pool = weakPool.lock();
-                const auto readable = weakConnection.lock();
-                if (!error && pool && readable && readable->idle) {
-                    std::erase(pool->connections[address], readable);
-                }
-            });
-    }
-
-    boost::asio::io_context &loop;
-    std::size_t limit;
-    std::map<Address, std::deque<std::shared_ptr<Connection>>> connections;
-};
-
 class ConnectionPool::Exchange : public HttpExchange, public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(std::shared_ptr<Idle> idle, Address address, ExchangeLimits limits, ExchangeHooks hooks)
+    Exchange(std::shared_ptr<IdleConnections> idle, Address address, ExchangeLimits limits, ExchangeHooks hooks)
         : m_idle(std::move(idle))
         , m_address(std::move(address))
         , m_limits(limits)
         , m_hooks(std::move(hooks))
-        , m_timer(m_idle->loop)
+        , m_timer(m_idle->loop())
     {
     }
 
@@ -189,7 +96,7 @@
     Duration firstByteTimeout() const { return m_connection->reused ? m_limits.reusedFirstByte : m_limits.firstByte; }
     void expireAfter(Duration delay);
 
-    std::shared_ptr<Idle> m_idle;
+    std::shared_ptr<IdleConnections> m_idle;
     Address m_address;
     ExchangeLimits m_limits;
     ExchangeHooks m_hooks;
@@ -234,10 +141,10 @@
         m_connection = m_idle->acquire(m_address);
     }
     if (m_connection) {
-        boost::asio::post(m_idle->loop, [self = shared_from_this()] { self->send(); });
+        boost::asio::post(m_idle->loop(), [self = shared_from_this()] { self->send(); });
         return;
     }
-    m_connection = std::make_shared<Connection>(m_idle->loop);
+    m_connection = std::make_shared<Connection>(m_idle->loop());
     connect([self = shared_from_this()](error_code error) {
         if (error) {
             self->fail(error);
@@ -253,7 +160,7 @@
     error_code addressError;
     const auto host = boost::asio::ip::make_address(m_address.host, addressError);
     if (addressError) {
-        boost::asio::post(m_idle->loop, [done = std::move(done), addressError] { done(addressError); });
+        boost::asio::post(m_idle->loop(), [done = std::move(done), addressError] { done(addressError); });
         return;
     }
     expireAfter(m_limits.connect);
@@ -449,7 +356,7 @@
 void ConnectionPool::Exchange::confirmClose()
 {
     m_connection->stream.close();
-    m_connection = std::make_shared<Connection>(m_idle->loop);
+    m_connection = std::make_shared<Connection>(m_idle->loop());
     connect([self = shared_from_this()](error_code error) {
         if (error) {
             self->failWith(Reason::IncompleteAnswer);
@@ -544,7 +451,7 @@
 }
 
 ConnectionPool::ConnectionPool(boost::asio::io_context &loop, std::size_t idleLimit)
-    : m_idle(std::make_shared<Idle>(loop, idleLimit))
+    : m_idle(std::make_shared<IdleConnections>(loop, idleLimit))
 {
 }
 
@@ -560,18 +467,17 @@
 
 void ConnectionPool::dropIdle(const Address &address)
 {
-    m_idle->connections.erase(address);
+    m_idle->drop(address);
 }
 
 void ConnectionPool::setIdleLimit(std::size_t idleLimit)
 {
-    m_idle->limit = idleLimit;
+    m_idle->setLimit(idleLimit);
 }
 
 std::size_t ConnectionPool::idleConnections(const Address &address) const
 {
-    const auto found = m_idle->connections.find(address);
-    return found == m_idle->connections.end() ? 0 : found->second.size();
+    return m_idle->count(address);
 }
 
 } // namespace Hemlockhill
--- /dev/null
+++ b/src/libhemlockhill/net/idle_connections.cpp
@@ -0,0 +1,95 @@
+// Reuse and expiry of idle connections.
+#include "net/idle_connections.h"
+
+#include "hemlockhill/timer_service.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <utility>
+
+namespace Hemlockhill
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+// Fraction of the idle timeout after which a connection is no longer reused, since the endpoint may be about to close it.
+constexpr double ReusableIdleRatio = 0.7;
+
+} // namespace
+
+bool isReusable(Connection &connection)
+{
+    auto &socket = connection.stream.socket();
+    if (!socket.is_open() || connection.buffer.size() > 0) {
+        return false;
+    }
+    char byte = 0;
+    error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == boost::asio::error::would_block;
+}
+
+IdleConnections::IdleConnections(boost::asio::io_context &loop, std::size_t limit)
+    : m_loop(loop)
+    , m_limit(limit)
+{
+}
+
+std::shared_ptr<Connection> IdleConnections::acquire(const Address &address)
+{
+    auto &idle = m_connections[address];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        connection->idle = false;
+        error_code ignored;
+        connection->stream.socket().cancel(ignored);
+        if (currentTime() < connection->reusableUntil && isReusable(*connection)) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void IdleConnections::release(const Address &address, std::shared_ptr<Connection> connection)
+{
+    auto &idle = m_connections[address];
+    connection->reused = true;
+    connection->idle = true;
+    connection->reusableUntil = currentTime() + std::chrono::duration_cast<Duration>(connection->idleTimeout * ReusableIdleRatio);
+    closeWhenReadable(address, connection);
+    idle.push_back(std::move(connection));
+    if (idle.size() > m_limit) {
+        idle.pop_front();
+    }
+}
+
+void IdleConnections::closeWhenReadable(const Address &address, const std::shared_ptr<Connection> &connection)
+{
+    connection->stream.socket().async_wait(
+        tcp::socket::wait_read, [weakPool = weak_from_this(), weakConnection = std::weak_ptr(connection), address](error_code error) {
+            const auto pool = weakPool.lock();
+            const auto readable = weakConnection.lock();
+            if (!error && pool && readable && readable->idle) {
+                std::erase(pool->m_connections[address], readable);
+            }
+        });
+}
+
+void IdleConnections::drop(const Address &address)
+{
+    m_connections.erase(address);
+}
+
+std::size_t IdleConnections::count(const Address &address) const
+{
+    const auto found = m_connections.find(address);
+    return found == m_connections.end() ? 0 : found->second.size();
+}
+
+} // namespace Hemlockhill
