--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -160,7 +160,7 @@
         m_metrics.countEvent("stream_resumed_" + std::string(toText(origin.source)));
         return origin.version;
     }
-    const SoftwareVersion only = m_versions.onlyVersion(service, currentTime());
+    SoftwareVersion only = m_versions.onlyVersion(service, currentTime());
     m_metrics.countEvent(only.empty() ? "stream_origin_unknown" : "stream_resumed_only_version");
     return only;
 }
