--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -1,12 +1,9 @@
-// Waiting, dispatch, streaming, retries and completion of a gateway request.
+// Waiting, dispatch and retries of a gateway request.
 #include "gateway_request.h"
 
 #include "hemlockhill/log.h"
-#include "hemlockhill/refusal_answer.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 namespace Hemlockhill
@@ -22,35 +19,15 @@
 constexpr Duration EndpointWaitTimeout = std::chrono::milliseconds(400);
 // Delay before endpoints that refused the request without running it are tried again.
 constexpr Duration RefusedEndpointRetryDelay = std::chrono::milliseconds(40);
-// Range of Retry-After.
-constexpr Duration MinimumRetryAfter = std::chrono::milliseconds(200);
-constexpr Duration MaximumRetryAfter = std::chrono::milliseconds(1500);
-// Reading from the endpoint pauses while this many bytes have not been written to the caller.
-constexpr std::size_t PendingLimitBytes = 65'536;
-// Answers up to this size are buffered and sent with their length; larger ones are streamed.
-constexpr std::size_t BufferedAnswerLimitBytes = 262'144;
 // Maximum size of an answer that is forwarded.
 constexpr Bytes AnswerLimit{16'777'216};
 constexpr unsigned FirstServerError = 500;
 
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
 }
 
-// Formats seconds with two decimals. Callers of this gateway accept a fractional Retry-After.
-std::string fractionalSeconds(Duration duration)
-{
-    std::array<char, 32> text{};
-    const int length = std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(duration).count());
-    return {text.data(), static_cast<std::size_t>(length)};
-}
-
 Reason refusalReason(NoEndpointReason reason)
 {
     if (reason == NoEndpointReason::VersionAbsent) {
@@ -330,87 +307,6 @@
     }
 }
 
-void Gateway::Request::beginStream()
-{
-    m_streaming = true;
-    if (hasResponseStarted()) {
-        return;
-    }
-    m_history.response = m_isEventStream ? ResponseProgress::ResumableEvents : ResponseProgress::UnresumableBytes;
-    HttpResponse head;
-    head.status = m_status;
-    head.contentType.clear();
-    head.headers = m_gateway.m_dialect.answerHeaders(m_headers);
-    m_responder->begin(std::move(head));
-}
-
-void Gateway::Request::onBody(std::string bytes)
-{
-    m_answerBytes += bytes.size();
-    if (m_isEventStream) {
-        forwardEvents(std::move(bytes));
-        return;
-    }
-    m_body += bytes;
-    if (m_streaming || m_body.size() > BufferedAnswerLimitBytes) {
-        beginStream();
-        m_responder->write(std::exchange(m_body, {}));
-        applyBackpressure();
-    }
-}
-
-void Gateway::Request::forwardEvents(std::string bytes)
-{
-    bytes = m_events.feed(std::move(bytes));
-    if (m_events.incompleteBytes() > EventLimitBytes) {
-        m_exchange->cancel();
-        endpointFailed(Reason::OversizedAnswer, true, true);
-        return;
-    }
-    if (bytes.empty()) {
-        return;
-    }
-    const TimePoint now = currentTime();
-    if (m_lastEventAt == TimePoint{}) {
-        onFirstEvent();
-        m_firstByte = now - m_arrivedAt;
-        m_gateway.m_metrics.observeFirstToken(*m_firstByte);
-    } else {
-        m_longestGap = std::max(m_longestGap, std::chrono::duration_cast<Duration>(now - m_lastEventAt));
-    }
-    m_lastEventAt = now;
-    m_history.response = m_events.lastEventId().empty() ? ResponseProgress::UnresumableBytes : ResponseProgress::ResumableEvents;
-    m_responder->write(std::move(bytes));
-    applyBackpressure();
-}
-
-void Gateway::Request::onFirstEvent()
-{
-    if (!m_route.resumable) {
-        return;
-    }
-    m_requirements.softwareVersion = m_endpointVersion;
-    const RequestId &first = resumesStream() ? m_head.resumedRequest : m_head.id;
-    if (m_gateway.onStreamBegun && !first.empty() && !m_endpointVersion.empty()) {
-        m_gateway.onStreamBegun({first, m_endpointVersion});
-    }
-}
-
-// Applies backpressure: pauses reading from the endpoint while the caller reads too slowly.
-void Gateway::Request::applyBackpressure()
-{
-    if (m_responder->pendingBytes() < PendingLimitBytes || !m_exchange) {
-        return;
-    }
-    m_exchange->pause();
-    m_responder->onDrained = [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (self && self->m_exchange) {
-            self->m_exchange->resume();
-        }
-    };
-}
-
 void Gateway::Request::onEnd()
 {
     if (m_streaming) {
@@ -440,17 +336,6 @@
     answerBuffered();
 }
 
-void Gateway::Request::answerBuffered()
-{
-    HttpResponse response;
-    response.status = m_status;
-    response.contentType.clear();
-    response.headers = m_gateway.m_dialect.answerHeaders(m_headers);
-    response.body = std::move(m_body);
-    m_responder->answer(std::move(response));
-    finish("whole", m_status);
-}
-
 void Gateway::Request::onExchangeFailed(const ExchangeFailure &failure)
 {
     const bool keepsReason = m_status == 0 || failure.reason == Reason::OversizedAnswer;
@@ -542,34 +427,6 @@
     finish("caller gone", 0);
 }
 
-void Gateway::Request::refuse(Reason reason, std::string detail)
-{
-    Refusal refusal;
-    refusal.reason = reason;
-    refusal.ran = Ran::No;
-    refusal.detail = std::move(detail);
-    HttpResponse response = refusalAnswer(refusal, m_head.id);
-    response.headers.push_back({"Retry-After", fractionalSeconds(retryAfter())});
-    const unsigned status = response.status;
-    m_responder->answer(std::move(response));
-    m_lastFailure = reason;
-    m_gateway.m_metrics.countRefusal(reason);
-    finish("refused", status);
-}
-
-void Gateway::Request::fail(Reason reason)
-{
-    Refusal refusal;
-    refusal.reason = traitsOf(reason).httpStatus == 503 ? Reason::EndpointLost : reason;
-    refusal.ran = Ran::Unknown;
-    HttpResponse response = refusalAnswer(refusal, m_head.id);
-    const unsigned status = response.status;
-    m_responder->answer(std::move(response));
-    m_lastFailure = reason;
-    m_gateway.m_metrics.countRefusal(reason);
-    finish("failed", status);
-}
-
 void Gateway::Request::releaseEndpoint()
 {
     m_exchange.reset();
@@ -577,71 +434,9 @@
     m_gateway.notifyOtherNodes(m_endpoint, TokenCount{0});
 }
 
-void Gateway::Request::finish(std::string_view outcome, unsigned status)
-{
-    if (std::exchange(m_done, true)) {
-        return;
-    }
-    const auto self = shared_from_this();
-    m_waitingSince.reset();
-    m_gateway.m_timers.cancel(m_deadlineTimer);
-    if (outcome == "whole") {
-        m_gateway.m_metrics.observeWholeAnswer(currentTime() - m_arrivedAt);
-    }
-    logOutcome(outcome, status);
-    m_gateway.m_requests.erase(m_number);
-    m_gateway.dispatchWaiting();
-}
-
-void Gateway::Request::logOutcome(std::string_view outcome, unsigned status) const
-{
-    const TimePoint now = currentTime();
-    boost::json::object fields{{"request", m_head.id.value},
-                               {"route", m_route.id.value},
-                               {"service", m_requirements.service.value},
-                               {"outcome", outcome},
-                               {"status", status},
-                               {"endpoint", m_endpoint.value},
-                               {"exchanges", m_history.exchanges},
-                               {"possible_runs", m_history.possibleRuns},
-                               {"waited_ms", milliseconds(m_waited)},
-                               {"total_ms", milliseconds(now - m_arrivedAt)},
-                               {"time_left_ms", milliseconds(m_deadline - now)},
-                               {"deployment", m_deployment->version.value},
-                               {"listing_age_ms", milliseconds(m_listingAge)}};
-    if (!m_head.target.model.empty()) {
-        fields["model"] = m_head.target.model.value;
-        fields["adapter"] = m_head.target.adapter.value;
-    }
-    if (m_status != 0) {
-        fields["framing"] = toText(bodyFraming(m_headers));
-        fields["answer_bytes"] = m_answerBytes;
-    }
-    if (m_isEventStream) {
-        fields["longest_gap_ms"] = milliseconds(m_longestGap);
-        fields["events"] = m_events.completeEvents();
-        fields["inside_event"] = m_events.isInsideEvent();
-    }
-    if (m_firstByte) {
-        fields["first_byte_ms"] = milliseconds(*m_firstByte);
-    }
-    if (m_lastFailure) {
-        fields["reason"] = toText(*m_lastFailure);
-    }
-    logEvent(Severity::Info, "request ended", std::move(fields));
-}
-
 Duration Gateway::Request::timeLeft() const
 {
     return std::max(Duration(0), std::chrono::duration_cast<Duration>(m_deadline - currentTime()));
 }
 
-// Draws a random delay, so that refused callers do not all retry at the same time.
-Duration Gateway::Request::retryAfter() const
-{
-    const auto spread =
-        std::chrono::duration_cast<Duration>(MinimumRetryAfter + (MaximumRetryAfter - MinimumRetryAfter) * m_gateway.randomFraction());
-    return std::min(spread, std::max(MinimumRetryAfter, timeLeft() / 4));
-}
-
 } // namespace Hemlockhill
