Hash each node once when the owners of a stream are selected

Cause: the comparison hashed both nodes each time, some 6,000 hashes for 350 nodes with every resumable stream.

Change: each node is hashed once, then the hashes are sorted. The order is the same.

Result: stream_origins_test passes as before, the order of 40 and 350 nodes included.

--- a/src/libhemlockhill/routing/stream_origins.cpp
+++ b/src/libhemlockhill/routing/stream_origins.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Hemlockhill
@@ -33,12 +34,20 @@
     return "nowhere";
 }
 
-std::vector<VmId> rankNodes(const RequestId &request, std::vector<VmId> nodes)
+std::vector<VmId> rankNodes(const RequestId &request, const std::vector<VmId> &nodes)
 {
-    std::sort(nodes.begin(), nodes.end(), [&request](const VmId &left, const VmId &right) {
-        return std::pair(rank(request, left), left) > std::pair(rank(request, right), right);
-    });
-    return nodes;
+    std::vector<std::pair<std::uint64_t, VmId>> ranked;
+    ranked.reserve(nodes.size());
+    for (const VmId &node : nodes) {
+        ranked.emplace_back(rank(request, node), node);
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    std::vector<VmId> result;
+    result.reserve(nodes.size());
+    for (auto &[hash, node] : ranked) {
+        result.push_back(std::move(node));
+    }
+    return result;
 }
 
 StreamOrigins::StreamOrigins(VmId self, StreamOriginLimits limits, Metrics &metrics, Send send)
