Bound the request ids and versions that are kept as origins of streams

What was seen: found on reading the whole change again. A node keeps up to 50,000 origins of streams and 1,000 lookups, but callers choose the ids of their requests, and a header may have tens of kilobytes: more than a gigabyte at the limits, and a query of that size to up to 20 nodes for each resumption.

Change: an id or a version of more than 128 bytes is neither kept, sent nor asked for. Such a stream counts as unknown when its caller takes it up: the only version goes on, or it is refused as stream_origin_unknown.

--- a/src/libhemlockhill/routing/stream_origins.cpp
+++ b/src/libhemlockhill/routing/stream_origins.cpp
@@ -13,6 +13,19 @@
 namespace
 {
 
+// Maximum length of a request id and of a version. Callers choose the ids of their requests.
+constexpr std::size_t NameLimitBytes = 128;
+
+bool isAcceptable(const RequestId &request)
+{
+    return !request.empty() && request.value.size() <= NameLimitBytes;
+}
+
+bool isAcceptable(const StreamOrigin &origin)
+{
+    return isAcceptable(origin.request) && !origin.version.empty() && origin.version.value.size() <= NameLimitBytes;
+}
+
 std::uint64_t rank(const RequestId &request, const VmId &node)
 {
     const std::string key = request.value + '\n' + node.value;
@@ -66,6 +79,9 @@
 
 void StreamOrigins::onStreamBegun(const StreamOrigin &origin, TimePoint now)
 {
+    if (!isAcceptable(origin)) {
+        return;
+    }
     store(origin, now);
     const std::vector<VmId> ranked = rankNodes(origin.request, m_others);
     for (std::size_t position = 0; position < std::min(m_limits.owners, ranked.size()); ++position) {
@@ -79,7 +95,8 @@
         found({version, OriginSource::OwnMemory});
         return;
     }
-    if (m_lookups.size() >= m_limits.lookups && !m_lookups.contains(request)) {
+    const bool isFull = m_lookups.size() >= m_limits.lookups && !m_lookups.contains(request);
+    if (isFull || !isAcceptable(request)) {
         m_metrics.countEvent("stream_lookup_refused");
         found({});
         return;
@@ -146,7 +163,7 @@
 void StreamOrigins::store(const StreamOrigin &origin, TimePoint now)
 {
     dropOutdated(now);
-    if (origin.request.empty() || origin.version.empty()) {
+    if (!isAcceptable(origin)) {
         return;
     }
     if (m_origins.try_emplace(origin.request, Entry{origin.version, now}).second) {
--- a/src/libhemlockhill/routing/stream_origins_test.cpp
+++ b/src/libhemlockhill/routing/stream_origins_test.cpp
@@ -287,3 +287,15 @@
     BOOST_TEST_MESSAGE("found " << found << ", unknown " << unknown);
     BOOST_CHECK_GE(found, Steps / 10);
 }
+
+// Guards against callers whose long request ids fill a node's memory, since origins are bounded by count.
+BOOST_AUTO_TEST_CASE(long_request_ids_are_kept_and_sent)
+{
+    Fleet fleet(9);
+    const RequestId longId{std::string(30'000, 'x')};
+    fleet.begin(fleet.nodes[0], longId, First);
+    fleet.begin(fleet.nodes[0], Request, SoftwareVersion{longId.value});
+    BOOST_CHECK_EQUAL(fleet.at(fleet.nodes[0]).size(), 0);
+    BOOST_CHECK(fleet.find(fleet.nodes[1], longId).version.empty());
+    BOOST_CHECK_EQUAL(fleet.messages, 0);
+}
