Log the rate limits that endpoints declare

Unclear: whether nodes see that an endpoint names a limit, and which of them; no line and no counter said so. Nothing is decided by it yet.

--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -121,6 +121,8 @@
     // Decides at which software version a stream may go on; empty if it may at none.
     SoftwareVersion versionToResume(const ServiceId &service, const OriginLookupResult &origin);
     void notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt);
+    // Logs what an endpoint says of its capacity when it differs from what it said before.
+    void onDeclaredCapacity(const EndpointId &endpoint, const DeclaredCapacity &declared);
     // Forgets losses of endpoints that run, and suspects that have expired.
     void reviewSuspects();
     // Notifies the other nodes of changed suspects, once for all that changes in one turn of the event loop.
@@ -142,6 +144,8 @@
     CrashGuard m_crashGuard;
     bool m_suspectNoticesScheduled = false;
     VersionHistory m_versions;
+    // Endpoints that limit the rate of their requests, by their last answer to this node.
+    std::map<EndpointId, DeclaredCapacity> m_limitedEndpoints;
     std::map<std::uint64_t, std::shared_ptr<Request>> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
     bool m_isStopping = false;
--- a/src/include/hemlockhill/request_dialect.h
+++ b/src/include/hemlockhill/request_dialect.h
@@ -2,6 +2,7 @@
 // standard HTTP headers.
 #pragma once
 
+#include "hemlockhill/declared_capacity.h"
 #include "hemlockhill/engine_api.h"
 #include "hemlockhill/http.h"
 #include "hemlockhill/prefix_index.h"
@@ -68,6 +69,8 @@
     // The answer carries the endpoint's signature.
     bool isSigned = false;
     bool isEventStream = false;
+    // What the endpoint says of its capacity.
+    DeclaredCapacity capacity;
 };
 
 // All hooks must be set.
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -150,6 +150,7 @@
 void Gateway::onDirectoryChanged()
 {
     m_chooser.onDirectory(m_directory.endpoints());
+    std::erase_if(m_limitedEndpoints, [this](const auto &entry) { return !m_directory.endpoints().contains(entry.first); });
     m_versions.onDirectory(m_directory.endpoints(), currentTime());
     dispatchWaiting();
 }
@@ -217,6 +218,26 @@
     }
 }
 
+void Gateway::onDeclaredCapacity(const EndpointId &endpoint, const DeclaredCapacity &declared)
+{
+    const auto known = m_limitedEndpoints.find(endpoint);
+    const bool wasLimited = known != m_limitedEndpoints.end();
+    const bool isLimited = declared.rateLimit == RateLimitStatement::Limited;
+    const bool isUnchanged = isLimited ? wasLimited && known->second == declared : !wasLimited;
+    if (isUnchanged || declared.rateLimit == RateLimitStatement::Nothing) {
+        return;
+    }
+    if (isLimited) {
+        m_limitedEndpoints.insert_or_assign(endpoint, declared);
+    } else {
+        m_limitedEndpoints.erase(known);
+    }
+    logEvent(Severity::Info,
+             "endpoint rate limit changed",
+             {{"endpoint", endpoint.value}, {"limited", isLimited}, {"requests_per_second", declared.rate.value}});
+    m_metrics.countEvent(isLimited ? "endpoint_rate_limit_declared" : "endpoint_rate_limit_ended");
+}
+
 DemandByTarget Gateway::takeTargetDemand()
 {
     DemandByTarget demand = std::exchange(m_demand, {});
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -318,6 +318,7 @@
         endpointFailed(Reason::IncompleteAnswer, true, false);
         return;
     }
+    m_gateway.onDeclaredCapacity(m_endpoint, answer.capacity);
     if (answer.notRun) {
         m_exchange->discard();
         endpointFailed(Reason::EndpointRefused, false, false);
