Keep the rate limit that an endpoint declares, over all nodes together

Callers saw: nothing, as long as the endpoint bore it. The users' record has endpoints in need that named 1.8 and 2 requests a second and got 26 and 21 in 4 s; allowed were 16 and 17.

The class: what an endpoint says of its own capacity is handed on and not obeyed.

Change: each node keeps a token bucket for each limited endpoint (EndpointRateLimiter) and draws from it for its own dispatches and for those that the others announce by datagram, first tries, retries and resumptions alike. Why it works: - The announced count is cumulative, repeated after 60 and 300 ms, and answered by the receivers: a lost notice is made good, a repeated one has no effect. - Nodes that wait for the same token must reach a random surplus of up to half a token, so that they rarely claim it at the same moment; where they do, the level becomes negative and all wait longer. - A node whose notice nobody answers for 150 ms, or that has heard nothing of the others, keeps to its share of the rate. - A limit ends with an answer without one to a request that was sent after it was last named, and with the endpoint's incarnation. Nodes that have just started ask the others. - Where all endpoints are limited, a request whose turn would come too late is refused at once as not run; those further back in the queue are told to return later.

Weighed in docs/design/platform.md: shares for each node alone, and allotments by the leader.

--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -7,6 +7,7 @@
 
 #include "hemlockhill/dispatch_notices.h"
 #include "hemlockhill/endpoint_directory.h"
+#include "hemlockhill/endpoint_rate_limiter.h"
 #include "hemlockhill/prompt_rate_limiter.h"
 #include "hemlockhill/request_dialect.h"
 
@@ -50,7 +51,9 @@
     // Every suitable endpoint is at its limit of requests.
     Full,
     // Every suitable endpoint has reached its rate limit for prompt tokens.
-    RateLimited
+    RateLimited,
+    // Every suitable endpoint accepts a limited rate of requests from all nodes, which is used up.
+    RequestLimited
 };
 
 std::string_view toText(NoEndpointReason reason);
@@ -61,6 +64,8 @@
     NoEndpointReason reason = NoEndpointReason::NoEndpoint;
     // With rate-limited endpoints: time until the first of them accepts the request.
     Duration delay{0};
+    // With endpoints that limit the rate of requests: the rate that they accept from this node, all of them together.
+    RequestRate acceptedRate;
 };
 
 // Limits on the load and the failures of an endpoint.
@@ -74,6 +79,7 @@
     // Failure rate, as a moving average, at or above which an endpoint backs off after every failure.
     double failureRateThreshold = 0.3;
     PromptRateLimit promptRateLimit;
+    EndpointRateLimits requestRateLimits;
 };
 
 // Selects endpoints and tracks their load, failures and cached prefixes.
@@ -98,9 +104,11 @@
     // The endpoint was unreachable, closed the connection early, or returned an error of its own.
     void onFailed(const EndpointId &endpoint, TimePoint now);
     // Discards the records of endpoints that are no longer listed and have no requests in flight from this node.
-    void onDirectory(const EndpointsById &endpoints);
+    void onDirectory(const EndpointsById &endpoints, TimePoint now);
     // Number of this node's requests in flight at the endpoint.
     std::uint32_t inFlight(const EndpointId &endpoint) const;
+    // The limits that endpoints declare for the requests of all nodes.
+    EndpointRateLimiter &requestRates() { return m_requestRates; }
 
 private:
     struct PeerLoad {
@@ -124,6 +132,7 @@
     EndpointChooserLimits m_limits;
     boost::random::mt19937_64 m_random;
     PromptRateLimiter m_rateLimiter;
+    EndpointRateLimiter m_requestRates;
     PrefixIndex m_prefixes;
     std::map<EndpointId, Record> m_records;
 };
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -67,6 +67,14 @@
     std::function<void(const DispatchNotice &notice)> onDispatch;
     // Takes into account that another node has dispatched a request to an endpoint, or that one has ended there.
     void onRemoteDispatch(const VmId &node, const DispatchNotice &notice);
+    // Called when the other nodes must learn about the rate limit of an endpoint, or about a request that was dispatched under it.
+    std::function<void(const RateLimitNotice &notice)> onRateLimit;
+    // Another node has sent such a notice. Returns the notice to send back, if any.
+    std::optional<RateLimitNotice> onRemoteRateLimit(const VmId &node, const RateLimitNotice &notice);
+    // Returns what this node knows of the endpoints' rate limits.
+    std::vector<RateLimitNotice> rateLimits();
+    // Sets the number of nodes that dispatch requests, including this one.
+    void setNodeCount(std::size_t nodes);
     // Called when the other nodes must learn about requests that crash endpoints.
     std::function<void(const CrashSuspectNotice &notice)> onCrashSuspects;
     // Another node has sent such a notice.
@@ -121,8 +129,11 @@
     // Decides at which software version a stream may go on; empty if it may at none.
     SoftwareVersion versionToResume(const ServiceId &service, const OriginLookupResult &origin);
     void notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt);
-    // Logs what an endpoint says of its capacity when it differs from what it said before.
-    void onDeclaredCapacity(const EndpointId &endpoint, const DeclaredCapacity &declared);
+    // Takes what an endpoint has said of its capacity in the answer to a request that was sent at the given time.
+    void onDeclaredCapacity(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint sentAt);
+    // Notifies the other nodes of a request that was dispatched to an endpoint that limits their rate.
+    void announceLimitedDispatch(const EndpointId &endpoint);
+    void announceRateLimit(const EndpointId &endpoint, bool wantsReply);
     // Forgets losses of endpoints that run, and suspects that have expired.
     void reviewSuspects();
     // Notifies the other nodes of changed suspects, once for all that changes in one turn of the event loop.
@@ -144,8 +155,6 @@
     CrashGuard m_crashGuard;
     bool m_suspectNoticesScheduled = false;
     VersionHistory m_versions;
-    // Endpoints that limit the rate of their requests, by their last answer to this node.
-    std::map<EndpointId, DeclaredCapacity> m_limitedEndpoints;
     std::map<std::uint64_t, std::shared_ptr<Request>> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
     bool m_isStopping = false;
--- a/src/include/hemlockhill/peer_datagrams.h
+++ b/src/include/hemlockhill/peer_datagrams.h
@@ -1,8 +1,9 @@
-// UDP datagrams between nodes, for messages whose loss does little harm: notices of dispatched requests and of requests that crash
-// endpoints, and the origins of streams.
+// UDP datagrams between nodes, for messages whose loss does little harm: notices of dispatched requests, of endpoints' rate limits and of
+// requests that crash endpoints, and the origins of streams.
 #pragma once
 
 #include "hemlockhill/crash_suspects.h"
+#include "hemlockhill/declared_capacity.h"
 #include "hemlockhill/dispatch_notices.h"
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/stream_origins.h"
@@ -26,7 +27,7 @@
 inline constexpr std::size_t DatagramLimitBytes = 2048;
 
 // The content of one datagram.
-using PeerDatagram = std::variant<DispatchNotice, StreamOriginMessage, CrashSuspectNotice>;
+using PeerDatagram = std::variant<DispatchNotice, StreamOriginMessage, CrashSuspectNotice, RateLimitNotice>;
 
 // Serializes a message to the payload of one datagram.
 std::string encode(const PeerDatagram &message);
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -13,6 +13,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <utility>
 
@@ -28,6 +29,8 @@
 constexpr Duration DispatchPeriod = std::chrono::milliseconds(10);
 // Period at which suspects that have expired, and losses of endpoints that still run, are dropped.
 constexpr Duration SuspectReviewPeriod = std::chrono::seconds(1);
+// Delays after which the count of requests under a rate limit is announced again, as the first notice may have been lost.
+constexpr std::array<Duration, 2> RateLimitRepeats{std::chrono::milliseconds(60), std::chrono::milliseconds(300)};
 // Additional time for receiving a request after the header timeout.
 constexpr Duration BodyTimeout = std::chrono::seconds(7);
 
@@ -149,8 +152,7 @@
 
 void Gateway::onDirectoryChanged()
 {
-    m_chooser.onDirectory(m_directory.endpoints());
-    std::erase_if(m_limitedEndpoints, [this](const auto &entry) { return !m_directory.endpoints().contains(entry.first); });
+    m_chooser.onDirectory(m_directory.endpoints(), currentTime());
     m_versions.onDirectory(m_directory.endpoints(), currentTime());
     dispatchWaiting();
 }
@@ -160,6 +162,60 @@
     m_chooser.onDispatchNotice(node, notice, currentTime());
 }
 
+std::optional<RateLimitNotice> Gateway::onRemoteRateLimit(const VmId &node, const RateLimitNotice &notice)
+{
+    const TimePoint now = currentTime();
+    if (!m_chooser.requestRates().onNotice(node, notice, now)) {
+        return std::nullopt;
+    }
+    return m_chooser.requestRates().notice(notice.endpoint, false, now);
+}
+
+std::vector<RateLimitNotice> Gateway::rateLimits()
+{
+    return m_chooser.requestRates().notices(currentTime());
+}
+
+void Gateway::setNodeCount(std::size_t nodes)
+{
+    m_chooser.requestRates().setNodeCount(nodes);
+}
+
+void Gateway::onDeclaredCapacity(const EndpointId &endpoint,
+                                 const Incarnation &incarnation,
+                                 const DeclaredCapacity &declared,
+                                 TimePoint sentAt)
+{
+    if (!m_chooser.requestRates().onAnswer(endpoint, incarnation, declared, sentAt, currentTime())) {
+        return;
+    }
+    const bool isLimited = declared.rateLimit == RateLimitStatement::Limited;
+    logEvent(Severity::Info,
+             "endpoint rate limit changed",
+             {{"endpoint", endpoint.value}, {"limited", isLimited}, {"requests_per_second", declared.rate.value}});
+    m_metrics.countEvent(isLimited ? "endpoint_rate_limit_declared" : "endpoint_rate_limit_ended");
+    announceRateLimit(endpoint, true);
+}
+
+void Gateway::announceRateLimit(const EndpointId &endpoint, bool wantsReply)
+{
+    const auto notice = m_chooser.requestRates().notice(endpoint, wantsReply, currentTime());
+    if (notice && onRateLimit) {
+        onRateLimit(*notice);
+    }
+}
+
+void Gateway::announceLimitedDispatch(const EndpointId &endpoint)
+{
+    if (!m_chooser.requestRates().isLimited(endpoint)) {
+        return;
+    }
+    announceRateLimit(endpoint, true);
+    for (const Duration delay : RateLimitRepeats) {
+        m_timers.after(delay, m_loop, [this, endpoint] { announceRateLimit(endpoint, false); });
+    }
+}
+
 void Gateway::onRemoteCrashSuspects(const CrashSuspectNotice &notice)
 {
     m_crashGuard.onNotice(notice, currentTime());
@@ -218,26 +274,6 @@
     }
 }
 
-void Gateway::onDeclaredCapacity(const EndpointId &endpoint, const DeclaredCapacity &declared)
-{
-    const auto known = m_limitedEndpoints.find(endpoint);
-    const bool wasLimited = known != m_limitedEndpoints.end();
-    const bool isLimited = declared.rateLimit == RateLimitStatement::Limited;
-    const bool isUnchanged = isLimited ? wasLimited && known->second == declared : !wasLimited;
-    if (isUnchanged || declared.rateLimit == RateLimitStatement::Nothing) {
-        return;
-    }
-    if (isLimited) {
-        m_limitedEndpoints.insert_or_assign(endpoint, declared);
-    } else {
-        m_limitedEndpoints.erase(known);
-    }
-    logEvent(Severity::Info,
-             "endpoint rate limit changed",
-             {{"endpoint", endpoint.value}, {"limited", isLimited}, {"requests_per_second", declared.rate.value}});
-    m_metrics.countEvent(isLimited ? "endpoint_rate_limit_declared" : "endpoint_rate_limit_ended");
-}
-
 DemandByTarget Gateway::takeTargetDemand()
 {
     DemandByTarget demand = std::exchange(m_demand, {});
@@ -330,19 +366,19 @@
     const TimePoint now = currentTime();
     std::sort(waiting.begin(), waiting.end(), [now](const auto &left, const auto &right) { return left->rank(now) < right->rank(now); });
     // Requests for the same service and model are dispatched in order: while one waits for capacity, those behind it wait too.
-    std::set<std::pair<ServiceId, ModelId>> queues;
+    std::map<std::pair<ServiceId, ModelId>, QueueForecast> queues;
     for (const auto &request : waiting) {
         const std::pair queue{request->service(), request->target().model};
         if (request->refuseIfSuspect()) {
             continue;
         }
-        if (queues.contains(queue)) {
-            request->refuseIfExpired();
+        if (const auto found = queues.find(queue); found != queues.end()) {
+            request->waitBehind(found->second);
             continue;
         }
         request->tryDispatch();
         if (request->waitsForCapacity()) {
-            queues.insert(queue);
+            queues.emplace(queue, request->forecast());
         }
     }
 }
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -33,11 +33,20 @@
     if (reason == NoEndpointReason::VersionAbsent) {
         return Reason::VersionAbsent;
     }
-    return reason == NoEndpointReason::Full || reason == NoEndpointReason::RateLimited ? Reason::QueueFull : Reason::NoEndpoint;
+    const bool lacksCapacity =
+        reason == NoEndpointReason::Full || reason == NoEndpointReason::RateLimited || reason == NoEndpointReason::RequestLimited;
+    return lacksCapacity ? Reason::QueueFull : Reason::NoEndpoint;
 }
 
 } // namespace
 
+void QueueForecast::advance()
+{
+    if (rate.value > 0) {
+        delay += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate.value));
+    }
+}
+
 Gateway::Request::Request(Gateway &gateway,
                           std::uint64_t number,
                           HttpRequest request,
@@ -177,7 +186,7 @@
     }
     const TimePoint now = currentTime();
     if (!m_gateway.m_directory.mayDispatch(now)) {
-        wait(NoEndpointReason::DirectoryOutdated);
+        wait(EndpointChoice{std::nullopt, NoEndpointReason::DirectoryOutdated});
         return;
     }
     const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_directory.endpoints(), m_requirements, now);
@@ -189,11 +198,14 @@
         send(*choice.endpoint);
         return;
     }
-    wait(choice.reason);
+    wait(choice);
 }
 
-void Gateway::Request::wait(NoEndpointReason reason)
+void Gateway::Request::wait(const EndpointChoice &choice)
 {
+    const NoEndpointReason reason = choice.reason;
+    const bool isLimited = reason == NoEndpointReason::RequestLimited;
+    m_forecast = isLimited ? QueueForecast{choice.delay, choice.acceptedRate} : QueueForecast{};
     const TimePoint now = currentTime();
     const bool isNew = !m_waitingSince;
     if (isNew) {
@@ -214,18 +226,30 @@
     }
 }
 
-void Gateway::Request::refuseIfExpired()
+void Gateway::Request::waitBehind(QueueForecast &forecast)
 {
-    if (m_waitingSince && !m_done && isWaitExpired(currentTime())) {
+    if (!m_waitingSince || m_done) {
+        return;
+    }
+    QueueForecast own = forecast;
+    own.advance();
+    m_forecast = own;
+    if (isWaitExpired(currentTime())) {
         endWait();
+        return;
     }
+    forecast = own;
 }
 
 // No request waits on a node that is shutting down, because its connection would be closed before it is answered.
 bool Gateway::Request::isWaitExpired(TimePoint now) const
 {
-    return m_gateway.m_isStopping || now - *m_waitingSince >= waitLimit(m_waitingFor)
-           || now >= m_arrivedAt + maximumQueueWait(m_route, m_deadline - m_arrivedAt);
+    return m_gateway.m_isStopping || now + m_forecast.delay >= waitEnd();
+}
+
+TimePoint Gateway::Request::waitEnd() const
+{
+    return std::min(*m_waitingSince + waitLimit(m_waitingFor), m_arrivedAt + maximumQueueWait(m_route, m_deadline - m_arrivedAt));
 }
 
 void Gateway::Request::endWait()
@@ -255,6 +279,7 @@
     const TimePoint now = currentTime();
     const LiveEndpoint &live = m_gateway.m_directory.endpoints().at(endpoint);
     m_endpoint = endpoint;
+    m_endpointIncarnation = live.incarnation;
     m_endpointVersion = live.softwareVersion;
     m_endpointLoss = lossIdOf(live.id, live.incarnation);
     m_sentAt = now;
@@ -270,6 +295,7 @@
     const TokenCount unread = m_gateway.m_chooser.uncachedTokens(endpoint, m_requirements);
     m_gateway.m_chooser.onDispatched(endpoint, m_requirements, now);
     m_gateway.notifyOtherNodes(endpoint, m_requirements.target.model.empty() ? TokenCount{0} : unread);
+    m_gateway.announceLimitedDispatch(endpoint);
     ForwardOptions options;
     options.endpoint = endpoint;
     options.timeLeft = timeLeft();
@@ -318,7 +344,7 @@
         endpointFailed(Reason::IncompleteAnswer, true, false);
         return;
     }
-    m_gateway.onDeclaredCapacity(m_endpoint, answer.capacity);
+    m_gateway.onDeclaredCapacity(m_endpoint, m_endpointIncarnation, answer.capacity, m_sentAt);
     if (answer.notRun) {
         m_exchange->discard();
         endpointFailed(Reason::EndpointRefused, false, false);
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -10,6 +10,16 @@
 namespace Hemlockhill
 {
 
+// When the endpoints that limit the rate of requests accept the next ones of a queue.
+struct QueueForecast {
+    Duration delay{0};
+    // Zero if the endpoints do not limit the rate.
+    RequestRate rate;
+
+    // Advances to the next request in the queue.
+    void advance();
+};
+
 // Waits for an endpoint, forwards the request, retries it on failure and answers the caller exactly once.
 class Gateway::Request : public std::enable_shared_from_this<Gateway::Request>
 {
@@ -27,14 +37,19 @@
     // Dispatches the request if an endpoint can accept it now. Otherwise lets it wait, or refuses it if it has waited too long.
     void tryDispatch();
     bool isWaiting() const { return m_waitingSince.has_value(); }
-    // Refuses the request if it has waited too long.
-    void refuseIfExpired();
+    // Waits behind another request for the same endpoints. Refuses the request if it has waited too long, or would have to. Advances the
+    // forecast if the request goes on waiting.
+    void waitBehind(QueueForecast &forecast);
+    // When a request that waits for capacity is expected to be dispatched.
+    const QueueForecast &forecast() const { return m_forecast; }
     // Ends the request if it crashes the endpoints that run it. Returns whether it has ended.
     bool refuseIfSuspect();
     // True if the request waits for capacity, for which other requests for its model compete.
     bool waitsForCapacity() const
     {
-        return isWaiting() && (m_waitingFor == NoEndpointReason::Full || m_waitingFor == NoEndpointReason::RateLimited);
+        return isWaiting()
+               && (m_waitingFor == NoEndpointReason::Full || m_waitingFor == NoEndpointReason::RateLimited
+                   || m_waitingFor == NoEndpointReason::RequestLimited);
     }
     WaitingRank rank(TimePoint now) const;
     const RoutingTarget &target() const { return m_head.target; }
@@ -49,7 +64,9 @@
     void dispatchOrQueue();
     // Records the version of the stream that the first event has begun.
     void onFirstEvent();
-    void wait(NoEndpointReason reason);
+    void wait(const EndpointChoice &choice);
+    // Time at which waiting for the present reason ends.
+    TimePoint waitEnd() const;
     Duration waitLimit(NoEndpointReason reason) const;
     bool isWaitExpired(TimePoint now) const;
     // Answers a request that has waited too long.
@@ -102,11 +119,13 @@
     AttemptHistory m_history;
     std::optional<TimePoint> m_waitingSince;
     NoEndpointReason m_waitingFor = NoEndpointReason::NoEndpoint;
+    QueueForecast m_forecast;
     Duration m_waited{0};
     std::shared_ptr<HttpExchange> m_exchange;
     // Sequence number of the current exchange. Callbacks of earlier exchanges are ignored.
     std::uint32_t m_currentExchange = 0;
     EndpointId m_endpoint;
+    Incarnation m_endpointIncarnation;
     SoftwareVersion m_endpointVersion;
     // Identifies the loss of the endpoint's incarnation, if it is lost.
     LossId m_endpointLoss;
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -237,9 +237,16 @@
 // Draws a random delay, so that refused callers do not all retry at the same time.
 Duration Gateway::Request::retryAfter() const
 {
-    const auto spread =
-        std::chrono::duration_cast<Duration>(MinimumRetryAfter + (MaximumRetryAfter - MinimumRetryAfter) * m_gateway.randomFraction());
-    return std::min(spread, std::max(MinimumRetryAfter, timeLeft() / 4));
+    const Duration limit = std::max(MinimumRetryAfter, timeLeft() / 4);
+    Duration earliest = MinimumRetryAfter;
+    Duration latest = MaximumRetryAfter;
+    if (m_forecast.delay > Duration(0)) {
+        // Where endpoints limit the rate, callers that stand further back in the queue return later.
+        latest = std::min(latest, limit);
+        earliest += std::min(m_forecast.delay, latest - earliest) / 2;
+    }
+    const auto spread = std::chrono::duration_cast<Duration>(earliest + (latest - earliest) * m_gateway.randomFraction());
+    return std::min(spread, limit);
 }
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -158,6 +158,21 @@
   streamOrigin @3 :StreamOriginMessage;
   # Set in a notice about requests that crash endpoints, likewise.
   crashSuspects @4 :CrashSuspectNotice;
+  # Set in a notice about the rate limit of an endpoint, likewise.
+  rateLimit @5 :RateLimitNotice;
+}
+
+struct RateLimitNotice {
+  endpoint @0 :Text;
+  incarnation @1 :Text;
+  # Requests per second; 0 when the endpoint no longer limits the rate.
+  rate @2 :Float64;
+  # Time since the answer that this is based on.
+  ageMs @3 :UInt32;
+  # Identifies the sender's count of requests that it has dispatched to the endpoint.
+  count @4 :UInt64;
+  dispatched @5 :UInt64;
+  wantsReply @6 :Bool;
 }
 
 struct CrashSuspect {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -36,6 +36,7 @@
 CAPNP_DECLARE_SCHEMA(fdf497fe4a97a6be);
 CAPNP_DECLARE_SCHEMA(b03c630585afb38c);
 CAPNP_DECLARE_SCHEMA(fd8ded1fa830a9ad);
+CAPNP_DECLARE_SCHEMA(f8cde4e13480126b);
 CAPNP_DECLARE_SCHEMA(af549ea9e3caf259);
 CAPNP_DECLARE_SCHEMA(f51724eff50c6a5c);
 CAPNP_DECLARE_SCHEMA(e5338535c87cfbe6);
@@ -323,7 +324,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd8ded1fa830a9ad, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fd8ded1fa830a9ad, 2, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateLimitNotice {
+  RateLimitNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f8cde4e13480126b, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2331,6 +2347,9 @@
   inline bool hasCrashSuspects() const;
   inline  ::Hemlockhill::Wire::CrashSuspectNotice::Reader getCrashSuspects() const;
 
+  inline bool hasRateLimit() const;
+  inline  ::Hemlockhill::Wire::RateLimitNotice::Reader getRateLimit() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2386,6 +2405,13 @@
   inline void adoptCrashSuspects(::capnp::Orphan< ::Hemlockhill::Wire::CrashSuspectNotice>&& value);
   inline ::capnp::Orphan< ::Hemlockhill::Wire::CrashSuspectNotice> disownCrashSuspects();
 
+  inline bool hasRateLimit();
+  inline  ::Hemlockhill::Wire::RateLimitNotice::Builder getRateLimit();
+  inline void setRateLimit( ::Hemlockhill::Wire::RateLimitNotice::Reader value);
+  inline  ::Hemlockhill::Wire::RateLimitNotice::Builder initRateLimit();
+  inline void adoptRateLimit(::capnp::Orphan< ::Hemlockhill::Wire::RateLimitNotice>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::RateLimitNotice> disownRateLimit();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2406,6 +2432,123 @@
 
   inline  ::Hemlockhill::Wire::StreamOriginMessage::Pipeline getStreamOrigin();
   inline  ::Hemlockhill::Wire::CrashSuspectNotice::Pipeline getCrashSuspects();
+  inline  ::Hemlockhill::Wire::RateLimitNotice::Pipeline getRateLimit();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RateLimitNotice::Reader {
+public:
+  typedef RateLimitNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
+
+  inline double getRate() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::uint64_t getCount() const;
+
+  inline  ::uint64_t getDispatched() const;
+
+  inline bool getWantsReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateLimitNotice::Builder {
+public:
+  typedef RateLimitNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+
+  inline double getRate();
+  inline void setRate(double value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::uint64_t getCount();
+  inline void setCount( ::uint64_t value);
+
+  inline  ::uint64_t getDispatched();
+  inline void setDispatched( ::uint64_t value);
+
+  inline bool getWantsReply();
+  inline void setWantsReply(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateLimitNotice::Pipeline {
+public:
+  typedef RateLimitNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6315,6 +6458,183 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool PeerDatagram::Reader::hasRateLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasRateLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hemlockhill::Wire::RateLimitNotice::Reader PeerDatagram::Reader::getRateLimit() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::RateLimitNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::RateLimitNotice::Builder PeerDatagram::Builder::getRateLimit() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::RateLimitNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::RateLimitNotice::Pipeline PeerDatagram::Pipeline::getRateLimit() {
+  return  ::Hemlockhill::Wire::RateLimitNotice::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void PeerDatagram::Builder::setRateLimit( ::Hemlockhill::Wire::RateLimitNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::RateLimitNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::RateLimitNotice::Builder PeerDatagram::Builder::initRateLimit() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::RateLimitNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptRateLimit(
+    ::capnp::Orphan< ::Hemlockhill::Wire::RateLimitNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::RateLimitNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::RateLimitNotice> PeerDatagram::Builder::disownRateLimit() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::RateLimitNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool RateLimitNotice::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateLimitNotice::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RateLimitNotice::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RateLimitNotice::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateLimitNotice::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RateLimitNotice::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RateLimitNotice::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RateLimitNotice::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RateLimitNotice::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateLimitNotice::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RateLimitNotice::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RateLimitNotice::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RateLimitNotice::Builder::setIncarnation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RateLimitNotice::Builder::initIncarnation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RateLimitNotice::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RateLimitNotice::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline double RateLimitNotice::Reader::getRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double RateLimitNotice::Builder::getRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RateLimitNotice::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RateLimitNotice::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateLimitNotice::Reader::getCount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateLimitNotice::Builder::getCount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setCount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateLimitNotice::Reader::getDispatched() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateLimitNotice::Builder::getDispatched() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setDispatched( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RateLimitNotice::Reader::getWantsReply() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool RateLimitNotice::Builder::getWantsReply() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setWantsReply(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CrashSuspect::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -8,6 +8,7 @@
 #include <capnp/serialize.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <utility>
 
@@ -115,6 +116,41 @@
                                                                       : Wire::CrashSuspectNotice::Subject::PROMPT_PART);
 }
 
+std::uint32_t ageMs(Duration age)
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(milliseconds, 0, AgeLimitMs));
+}
+
+void write(Wire::PeerDatagram::Builder builder, const RateLimitNotice &notice)
+{
+    auto message = builder.initRateLimit();
+    message.setEndpoint(notice.endpoint.value);
+    message.setIncarnation(notice.incarnation.value);
+    message.setRate(notice.rate ? notice.rate->value : 0);
+    message.setAgeMs(ageMs(notice.age));
+    message.setCount(notice.count.value);
+    message.setDispatched(notice.dispatched);
+    message.setWantsReply(notice.wantsReply);
+}
+
+RateLimitNotice read(Wire::RateLimitNotice::Reader reader)
+{
+    const double rate = reader.getRate();
+    if (!std::isfinite(rate) || rate < 0) {
+        throw DecodeError("rate limit in a notice is not a rate");
+    }
+    RateLimitNotice notice;
+    notice.endpoint = EndpointId{std::string(reader.getEndpoint().cStr())};
+    notice.incarnation = Incarnation{std::string(reader.getIncarnation().cStr())};
+    notice.rate = rate > 0 ? std::optional(RequestRate{rate}) : std::nullopt;
+    notice.age = std::chrono::milliseconds(reader.getAgeMs());
+    notice.count = CountId{reader.getCount()};
+    notice.dispatched = reader.getDispatched();
+    notice.wantsReply = reader.getWantsReply();
+    return notice;
+}
+
 CrashSuspectSubject readSubject(Wire::CrashSuspectNotice::Subject subject)
 {
     switch (subject) {
@@ -163,6 +199,9 @@
     if (reader.hasCrashSuspects()) {
         return read(reader.getCrashSuspects());
     }
+    if (reader.hasRateLimit()) {
+        return read(reader.getRateLimit());
+    }
     return DispatchNotice{EndpointId{std::string(reader.getEndpoint().cStr())}, TokenCount{reader.getPromptTokens()}, reader.getInFlight()};
 }
 
--- a/src/libhemlockhill/peers/peer_datagrams_test.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams_test.cpp
@@ -28,7 +28,9 @@
                            {Fingerprint{8}},
                            {LossId{3}},
                            {Fingerprint{9}},
-                           false}};
+                           false},
+        RateLimitNotice{EndpointId{"i-7f3a91c2"}, Incarnation{"17"}, RequestRate{1.8}, std::chrono::milliseconds(40), CountId{5}, 12, true},
+        RateLimitNotice{EndpointId{"i-7f3a91c2"}, {}, {}, std::chrono::milliseconds(40), {}, 0, false}};
     return all;
 }
 
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -57,9 +57,11 @@
     case NoEndpointReason::Full:
         return "full";
     case NoEndpointReason::RateLimited:
+        return "paced";
+    case NoEndpointReason::RequestLimited:
         break;
     }
-    return "paced";
+    return "request_limited";
 }
 
 EndpointChooser::EndpointChooser(DataCentreId dataCentre, EndpointChooserLimits limits, std::uint64_t seed)
@@ -67,6 +69,7 @@
     , m_limits(limits)
     , m_random(seed)
     , m_rateLimiter(m_limits.promptRateLimit)
+    , m_requestRates(m_limits.requestRateLimits, seed)
     , m_prefixes(PrefixLimit)
 {
 }
@@ -82,7 +85,9 @@
     bool anyModel = false;
     bool anyLoaded = false;
     bool anyUsable = false;
+    bool anyFull = false;
     bool anyRateLimited = false;
+    Duration requestDelay = Duration::max();
     for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
         anyActive = true;
         if (need.softwareVersion && !endpoint->continuesStreamsOf(*need.softwareVersion)) {
@@ -100,6 +105,12 @@
         anyUsable = true;
         const double load = estimatedLoad(endpoint->id, now);
         if (load >= endpoint->slots * (1 + m_limits.queueRatio)) {
+            anyFull = true;
+            continue;
+        }
+        if (const Duration delay = m_requestRates.delay(endpoint->id, now); delay > Duration(0)) {
+            choice.acceptedRate += m_requestRates.expectedRate(endpoint->id);
+            requestDelay = std::min(requestDelay, delay);
             continue;
         }
         const TokenCount uncached = needsModel ? uncachedTokens(endpoint->id, need) : TokenCount{0};
@@ -126,6 +137,9 @@
         choice.reason = anyModel ? NoEndpointReason::NotLoadedYet : NoEndpointReason::ModelAbsent;
     } else if (anyRateLimited) {
         choice.reason = NoEndpointReason::RateLimited;
+    } else if (anyUsable && !anyFull) {
+        choice.reason = NoEndpointReason::RequestLimited;
+        choice.delay = requestDelay;
     } else {
         choice.reason = anyUsable ? NoEndpointReason::Full : NoEndpointReason::NoneLeft;
     }
@@ -173,6 +187,7 @@
 {
     ++m_records[endpoint].inFlight;
     m_rateLimiter.onDispatched(endpoint, uncachedTokens(endpoint, need), now);
+    m_requestRates.onDispatched(endpoint, now);
     m_prefixes.onPromptSent(endpoint, prefixesOf(need.sharedParts));
 }
 
@@ -214,8 +229,9 @@
     record.backoffUntil = now + std::min(m_limits.initialBackoff * (1U << doublings), m_limits.maximumBackoff);
 }
 
-void EndpointChooser::onDirectory(const EndpointsById &endpoints)
+void EndpointChooser::onDirectory(const EndpointsById &endpoints, TimePoint now)
 {
+    m_requestRates.onDirectory(endpoints, now);
     std::erase_if(m_records, [&](const auto &entry) { return !endpoints.contains(entry.first) && entry.second.inFlight == 0; });
 }
 
