Decide in one place which headers apply to a single connection

The list stood twice, in platform/ and with the calls to plain services, with two parsers of the Connection header. Both use endToEndHeaders() of http.h now; what calls to services leave out beside it stands there.

--- a/src/include/hemlockhill/http.h
+++ b/src/include/hemlockhill/http.h
@@ -38,6 +38,9 @@
 // The value of the first header with this name (case-insensitive), or an empty view.
 std::string_view findHeader(const std::vector<HttpHeader> &headers, std::string_view name);
 
+// Returns the headers without those that apply to a single connection (RFC 9110, section 7.6.1) or describe the framing of the body.
+std::vector<HttpHeader> endToEndHeaders(const std::vector<HttpHeader> &headers);
+
 // How the end of a response body is marked (RFC 9112, section 6.3).
 enum class BodyFraming {
     Length,
--- a/src/include/hemlockhill/service_call.h
+++ b/src/include/hemlockhill/service_call.h
@@ -25,8 +25,8 @@
 // Parses a request target. Empty when it does not start with "/services/" or names no service.
 std::optional<ServiceTarget> parseServiceTarget(std::string_view target);
 
-// Returns the headers to forward: all but hop-by-hop headers, those listed in the Connection header, and Hemlockhill-Request.
-std::vector<HttpHeader> endToEndHeaders(const std::vector<HttpHeader> &headers);
+// Returns the headers to forward: the end-to-end headers without those that this node sets or consumes.
+std::vector<HttpHeader> forwardedServiceHeaders(const std::vector<HttpHeader> &headers);
 
 // Whether the method is safe in the sense of HTTP (GET, OPTIONS), so that a call may be sent again after it may have run.
 bool isSafeMethod(std::string_view method);
--- a/src/libhemlockhill/node/service_calls.cpp
+++ b/src/libhemlockhill/node/service_calls.cpp
@@ -64,7 +64,7 @@
         m_answer = StoredAnswer{};
         m_answer.status = head.status;
         m_answer.contentType = std::string(findHeader(head.headers, "Content-Type"));
-        m_answer.headers = endToEndHeaders(head.headers);
+        m_answer.headers = forwardedServiceHeaders(head.headers);
         std::erase_if(m_answer.headers, [](const HttpHeader &header) { return boost::beast::iequals(header.name, "Content-Type"); });
     }
 
@@ -395,7 +395,7 @@
         return;
     }
     request.target = target->target;
-    request.headers = endToEndHeaders(request.headers);
+    request.headers = forwardedServiceHeaders(request.headers);
     request.headers.push_back({"Hemlockhill-Request", id.value});
     CallPtr call;
     if (auto *once = std::get_if<OnceOnly>(&kind)) {
--- a/src/libhemlockhill/once/service_call.cpp
+++ b/src/libhemlockhill/once/service_call.cpp
@@ -1,8 +1,6 @@
 // Parsing of requests to plain services.
 #include "hemlockhill/service_call.h"
 
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <boost/beast/core/string.hpp>
 
@@ -47,33 +45,11 @@
     return ServiceTarget{ServiceId{std::string(named.substr(0, end))}, rest.starts_with('/') ? rest : "/" + rest};
 }
 
-std::vector<HttpHeader> endToEndHeaders(const std::vector<HttpHeader> &headers)
+std::vector<HttpHeader> forwardedServiceHeaders(const std::vector<HttpHeader> &headers)
 {
-    static constexpr std::array<std::string_view, 13> HopByHop{"Connection",
-                                                               "Content-Length",
-                                                               "Expect",
-                                                               "Host",
-                                                               "Keep-Alive",
-                                                               "Proxy-Authenticate",
-                                                               "Proxy-Authorization",
-                                                               "Proxy-Connection",
-                                                               "TE",
-                                                               "Trailer",
-                                                               "Transfer-Encoding",
-                                                               "Upgrade",
-                                                               "Hemlockhill-Request"};
-    std::vector<std::string> named;
-    const std::string connection(findHeader(headers, "Connection"));
-    boost::algorithm::split(named, connection, boost::algorithm::is_any_of(","));
-    for (std::string &name : named) {
-        boost::algorithm::trim(name);
-    }
-    std::vector<HttpHeader> kept;
-    for (const HttpHeader &header : headers) {
-        if (!isOneOf(header.name, HopByHop) && !isOneOf(header.name, named)) {
-            kept.push_back(header);
-        }
-    }
+    static constexpr std::array<std::string_view, 3> OwnHeaders{"Expect", "Host", "Hemlockhill-Request"};
+    std::vector<HttpHeader> kept = endToEndHeaders(headers);
+    std::erase_if(kept, [](const HttpHeader &header) { return isOneOf(header.name, OwnHeaders); });
     return kept;
 }
 
--- a/src/libhemlockhill/once/service_call_test.cpp
+++ b/src/libhemlockhill/once/service_call_test.cpp
@@ -16,12 +16,12 @@
 
 BOOST_AUTO_TEST_CASE(hop_by_hop_headers_are_removed)
 {
-    const std::vector<HttpHeader> kept = endToEndHeaders({{"Host", "a"},
-                                                          {"connection", "close, X-Hop"},
-                                                          {"x-hop", "1"},
-                                                          {"Content-Type", "text/plain"},
-                                                          {"transfer-encoding", "chunked"},
-                                                          {"Idempotency-Key", "k"}});
+    const std::vector<HttpHeader> kept = forwardedServiceHeaders({{"Host", "a"},
+                                                                  {"connection", "close, X-Hop"},
+                                                                  {"x-hop", "1"},
+                                                                  {"Content-Type", "text/plain"},
+                                                                  {"transfer-encoding", "chunked"},
+                                                                  {"Idempotency-Key", "k"}});
     BOOST_CHECK((kept == std::vector<HttpHeader>{{"Content-Type", "text/plain"}, {"Idempotency-Key", "k"}}));
 }
 
