--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -14,6 +14,7 @@
 #include <boost/random/mersenne_twister.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -88,6 +89,9 @@
 public:
     EndpointChooser(DataCentreId dataCentre, EndpointChooserLimits limits, std::uint64_t seed);
 
+    // Additional cost of the way to an endpoint, in requests per slot; empty if there is none at this moment. Optional.
+    std::function<std::optional<double>(const LiveEndpoint &endpoint)> pathCost;
+
     // Selects the suitable endpoint with the lowest cost: load and uncached prompt tokens per slot, and a penalty for other data centres.
     EndpointChoice choose(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now);
 
@@ -103,6 +107,8 @@
     void onSucceeded(const EndpointId &endpoint);
     // The endpoint was unreachable, closed the connection early, or returned an error of its own.
     void onFailed(const EndpointId &endpoint, TimePoint now);
+    // Neither this node nor others can connect to the endpoint.
+    void onUnreachable(const EndpointId &endpoint, TimePoint now);
     // Discards the records of endpoints that are no longer listed and have no requests in flight from this node.
     void onDirectory(const EndpointsById &endpoints, TimePoint now);
     // Number of this node's requests in flight at the endpoint.
@@ -125,6 +131,7 @@
         TimePoint backoffUntil;
     };
 
+    void backOff(Record &record, TimePoint now) const;
     bool isInBackoff(const EndpointId &endpoint, TimePoint now) const;
     double estimatedLoad(const EndpointId &endpoint, TimePoint now) const;
 
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -7,6 +7,7 @@
 #include "hemlockhill/dispatch_notices.h"
 #include "hemlockhill/endpoint_choice.h"
 #include "hemlockhill/endpoint_directory.h"
+#include "hemlockhill/forwarding_peers.h"
 #include "hemlockhill/http_exchange.h"
 #include "hemlockhill/http_server.h"
 #include "hemlockhill/metrics.h"
@@ -21,13 +22,21 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace Hemlockhill
 {
 
+class EndpointPaths;
+
 struct GatewaySettings {
     Address listen;
+    // Address for requests that other nodes forward through this one; empty if nodes do not forward through each other.
+    std::optional<Address> forwardingListen;
+    // Maximum number of such requests in progress, so that this node's own callers keep most of its capacity.
+    std::uint32_t forwardedRequests = 100;
     DataCentreId dataCentre;
     // Idle connections kept open to each endpoint.
     std::size_t idleConnections = 24;
@@ -73,8 +82,12 @@
     std::optional<RateLimitNotice> onRemoteRateLimit(const VmId &node, const RateLimitNotice &notice);
     // Returns what this node knows of the endpoints' rate limits.
     std::vector<RateLimitNotice> rateLimits();
-    // Sets the number of nodes that dispatch requests, including this one.
-    void setNodeCount(std::size_t nodes);
+    // Sets the nodes of the group, including this one. Only they may forward requests through this node.
+    void setNodes(const std::vector<VmId> &nodes);
+    // Called to ask some of the other nodes whether requests can be forwarded through them.
+    std::function<void(const ForwardingMessage &query)> onForwardingQuery;
+    // Another node asks or offers. Returns this node's offer, if it is asked and takes requests of others.
+    std::optional<ForwardingMessage> onForwardingMessage(const VmId &node, const ForwardingMessage &message);
     // Called when the other nodes must learn about requests that crash endpoints.
     std::function<void(const CrashSuspectNotice &notice)> onCrashSuspects;
     // Another node has sent such a notice.
@@ -112,14 +125,20 @@
     void beginDraining();
     // Accepts no more requests and refuses those that are waiting. Requests dispatched to endpoints continue.
     void stopAccepting();
-    std::size_t requestsInProgress() const { return m_requests.size(); }
+    std::size_t requestsInProgress() const { return m_requests.size() + m_forwardedRequests.size(); }
     // True when no request is in progress and every answer has been written and its connection closed.
     bool isIdle() const;
 
 private:
     class Request;
     friend class Request;
+    class ForwardedRequest;
+    friend class ForwardedRequest;
 
+    void startForwardingServer();
+    void onForwardedRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
+    // Looks for endpoints that this node does not reach, and probes them.
+    void reviewPaths();
     void onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
     void refuse(HttpResponder &responder, Reason reason, const RoutedRequestHead &head, std::string detail);
     void dispatchWaiting();
@@ -148,15 +167,20 @@
     Metrics &m_metrics;
     RequestDialect m_dialect;
     ConnectionPool m_pool;
+    std::unique_ptr<EndpointPaths> m_paths;
     EndpointChooser m_chooser;
     std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<HttpServer> m_forwardingServer;
+    std::set<VmId> m_nodes;
     std::shared_ptr<const Deployment> m_deployment;
     DirectoryView m_directory;
     CrashGuard m_crashGuard;
     bool m_suspectNoticesScheduled = false;
     VersionHistory m_versions;
     std::map<std::uint64_t, std::shared_ptr<Request>> m_requests;
+    std::map<std::uint64_t, std::shared_ptr<ForwardedRequest>> m_forwardedRequests;
     std::uint64_t m_lastRequestNumber = 0;
+    bool m_isDraining = false;
     bool m_isStopping = false;
     std::map<ServiceId, RetryBudget> m_budgets;
     DemandByTarget m_demand;
--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -91,7 +91,8 @@
 class ConnectionPool
 {
 public:
-    ConnectionPool(boost::asio::io_context &loop, std::size_t idleLimit);
+    // Connections are made from the given IP address, unless it is empty.
+    ConnectionPool(boost::asio::io_context &loop, std::size_t idleLimit, std::string sourceHost = {});
     ~ConnectionPool();
     ConnectionPool(const ConnectionPool &) = delete;
     ConnectionPool &operator=(const ConnectionPool &) = delete;
@@ -108,6 +109,7 @@
 private:
     class Exchange;
     std::shared_ptr<IdleConnections> m_idle;
+    std::string m_sourceHost;
 };
 
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/http_server.h
+++ b/src/include/hemlockhill/http_server.h
@@ -47,6 +47,8 @@
     virtual std::size_t pendingBytes() const = 0;
     // Sequence number of the connection, counted from 1 in the order of acceptance by this server.
     virtual std::uint64_t connection() const = 0;
+    // IP address of the client; empty if it is no longer known.
+    virtual std::string remoteHost() const = 0;
 
     // Called once if the client disconnects before the response is complete.
     std::function<void()> onDisconnected;
--- a/src/include/hemlockhill/peer_datagrams.h
+++ b/src/include/hemlockhill/peer_datagrams.h
@@ -1,10 +1,11 @@
 // UDP datagrams between nodes, for messages whose loss does little harm: notices of dispatched requests, of endpoints' rate limits and of
-// requests that crash endpoints, and the origins of streams.
+// requests that crash endpoints, the origins of streams, and the search for nodes to forward through.
 #pragma once
 
 #include "hemlockhill/crash_suspects.h"
 #include "hemlockhill/declared_capacity.h"
 #include "hemlockhill/dispatch_notices.h"
+#include "hemlockhill/forwarding_peers.h"
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/stream_origins.h"
 #include "hemlockhill/world.h"
@@ -27,7 +28,7 @@
 inline constexpr std::size_t DatagramLimitBytes = 2048;
 
 // The content of one datagram.
-using PeerDatagram = std::variant<DispatchNotice, StreamOriginMessage, CrashSuspectNotice, RateLimitNotice>;
+using PeerDatagram = std::variant<DispatchNotice, StreamOriginMessage, CrashSuspectNotice, RateLimitNotice, ForwardingMessage>;
 
 // Serializes a message to the payload of one datagram.
 std::string encode(const PeerDatagram &message);
@@ -50,6 +51,8 @@
     void send(const VmId &node, const PeerDatagram &message);
     // Sends to one of the nodes, each in its turn.
     void sendToNext(const PeerDatagram &message);
+    // Number of nodes to which sendToAll() sends.
+    std::size_t nodes() const { return m_nodes.size(); }
 
 private:
     void send(const std::string &datagram, const boost::asio::ip::udp::endpoint &node);
--- a/src/include/hemlockhill/request_dialect.h
+++ b/src/include/hemlockhill/request_dialect.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "hemlockhill/declared_capacity.h"
+#include "hemlockhill/deployment.h"
 #include "hemlockhill/engine_api.h"
 #include "hemlockhill/http.h"
 #include "hemlockhill/prefix_index.h"
@@ -83,6 +84,8 @@
     std::function<EndpointAnswerHead(unsigned status, const std::vector<HttpHeader> &headers)> readAnswer;
     // Selects the headers of an endpoint's answer that are returned to the caller.
     std::function<std::vector<HttpHeader>(const std::vector<HttpHeader> &headers)> answerHeaders;
+    // Builds a request that an endpoint of the service answers quickly, whatever the answer.
+    std::function<HttpRequest(const EndpointId &endpoint, const RoutedService &service)> probe;
 };
 
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/routed_attempt.h
+++ b/src/include/hemlockhill/routed_attempt.h
@@ -28,6 +28,8 @@
     // Number of exchanges after which the endpoint may have begun to run the request.
     std::uint32_t possibleRuns = 0;
     ResponseProgress response = ResponseProgress::Nothing;
+    // Number of exchanges that failed before anything was sent to an endpoint.
+    std::uint32_t unsent = 0;
 };
 
 // How a request proceeds after a failed exchange.
@@ -44,9 +46,11 @@
 
 // Maximum number of exchanges for one request, including those that the endpoint refused without running it.
 inline constexpr std::uint32_t ExchangeLimit = 4;
+// Maximum number of exchanges that fail before anything is sent. They load no endpoint, and are not limited by the retry budget.
+inline constexpr std::uint32_t UnsentExchangeLimit = 6;
 
 // Decides how to proceed after a failed exchange. timeLeft is the time until the caller's deadline; mayRetry is whether the retry
-// budget allows another exchange.
+// budget allows another exchange after one that was sent.
 RetryDecision decideRetry(const Route &route, const AttemptHistory &history, Duration timeLeft, bool mayRetry);
 
 // When the bytes of an incomplete event are forwarded.
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -62,8 +62,9 @@
 class ConnectionPool::Exchange : public HttpExchange, public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(std::shared_ptr<IdleConnections> idle, Address address, ExchangeLimits limits, ExchangeHooks hooks)
+    Exchange(std::shared_ptr<IdleConnections> idle, std::string sourceHost, Address address, ExchangeLimits limits, ExchangeHooks hooks)
         : m_idle(std::move(idle))
+        , m_sourceHost(std::move(sourceHost))
         , m_address(std::move(address))
         , m_limits(limits)
         , m_hooks(std::move(hooks))
@@ -96,7 +97,10 @@
     Duration firstByteTimeout() const { return m_connection->reused ? m_limits.reusedFirstByte : m_limits.firstByte; }
     void expireAfter(Duration delay);
 
+    void bindToSource();
+
     std::shared_ptr<IdleConnections> m_idle;
+    std::string m_sourceHost;
     Address m_address;
     ExchangeLimits m_limits;
     ExchangeHooks m_hooks;
@@ -163,6 +167,7 @@
         boost::asio::post(m_idle->loop(), [done = std::move(done), addressError] { done(addressError); });
         return;
     }
+    bindToSource();
     expireAfter(m_limits.connect);
     m_connection->stream.async_connect(tcp::endpoint(host, m_address.port),
                                        [self = shared_from_this(), done = std::move(done)](error_code error) {
@@ -175,6 +180,20 @@
                                        });
 }
 
+// Without the source address the peer would see the one of the route, which may be another of this VM's. Failures are left to the peer.
+void ConnectionPool::Exchange::bindToSource()
+{
+    error_code error;
+    const auto source = boost::asio::ip::make_address(m_sourceHost, error);
+    if (error) {
+        return;
+    }
+    const tcp::endpoint local(source, 0);
+    auto &socket = m_connection->stream.socket();
+    socket.open(local.protocol(), error);
+    socket.bind(local, error);
+}
+
 void ConnectionPool::Exchange::send()
 {
     if (m_ended) {
@@ -450,8 +469,9 @@
     resume();
 }
 
-ConnectionPool::ConnectionPool(boost::asio::io_context &loop, std::size_t idleLimit)
+ConnectionPool::ConnectionPool(boost::asio::io_context &loop, std::size_t idleLimit, std::string sourceHost)
     : m_idle(std::make_shared<IdleConnections>(loop, idleLimit))
+    , m_sourceHost(std::move(sourceHost))
 {
 }
 
@@ -460,7 +480,7 @@
 std::shared_ptr<HttpExchange> ConnectionPool::start(
     const Address &address, const HttpRequest &request, ExchangeLimits limits, ConnectionChoice choice, ExchangeHooks hooks)
 {
-    const auto exchange = std::make_shared<Exchange>(m_idle, address, limits, std::move(hooks));
+    const auto exchange = std::make_shared<Exchange>(m_idle, m_sourceHost, address, limits, std::move(hooks));
     exchange->start(request, choice);
     return exchange;
 }
--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -127,6 +127,7 @@
     void refuseConnection();
     void awaitRequest();
     void closeIfIdle();
+    std::string remoteHost() const;
 
 private:
     class Responder;
@@ -232,6 +233,8 @@
 
     std::uint64_t connection() const override { return m_number; }
 
+    std::string remoteHost() const override { return m_session ? m_session->remoteHost() : std::string(); }
+
     void notifyDisconnected()
     {
         const auto session = std::exchange(m_session, nullptr);
@@ -285,6 +288,13 @@
     }
 }
 
+std::string HttpServer::Listener::Session::remoteHost() const
+{
+    error_code error;
+    const tcp::endpoint remote = m_stream.socket().remote_endpoint(error);
+    return error ? std::string() : remote.address().to_string();
+}
+
 void HttpServer::Listener::Session::readRequest()
 {
     expireAfter(m_listener->limits().request);
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -1,6 +1,8 @@
 // Acceptance of requests, routing, and dispatch of waiting requests in order of priority.
 #include "hemlockhill/gateway.h"
 
+#include "endpoint_paths.h"
+#include "gateway_forwarded_request.h"
 #include "gateway_request.h"
 #include "hemlockhill/log.h"
 #include "hemlockhill/refusal_answer.h"
@@ -27,6 +29,12 @@
 
 // Period at which waiting requests are re-evaluated even if nothing has changed.
 constexpr Duration DispatchPeriod = std::chrono::milliseconds(10);
+// Period at which unreachable endpoints are looked for and probed.
+constexpr Duration PathReviewPeriod = std::chrono::milliseconds(50);
+// Size of the headers that nodes add to a forwarded request.
+constexpr Bytes ForwardingHeaders{4096};
+// Maximum number of connections from other nodes.
+constexpr std::uint32_t ForwardingConnectionLimit = 1024;
 // Period at which suspects that have expired, and losses of endpoints that still run, are dropped.
 constexpr Duration SuspectReviewPeriod = std::chrono::seconds(1);
 // Delays after which the count of requests under a rate limit is announced again, as the first notice may have been lost.
@@ -45,6 +53,13 @@
     return server;
 }
 
+HttpServerLimits forwardingServerLimits(const CallerLimits &limits)
+{
+    HttpServerLimits server = serverLimits(limits, ForwardingConnectionLimit);
+    server.header += ForwardingHeaders;
+    return server;
+}
+
 std::uint64_t randomSeed(const Address &listen)
 {
     const std::string text = listen.text();
@@ -92,6 +107,8 @@
     , m_metrics(metrics)
     , m_dialect(std::move(dialect))
     , m_pool(loop, m_settings.idleConnections)
+    , m_paths(std::make_unique<EndpointPaths>(
+          loop, EndpointPathSettings{m_settings.dataCentre, m_settings.forwardingListen}, m_pool, metrics, randomSeed(m_settings.listen)))
     , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen))
     , m_directory(m_settings.directoryAge)
     , m_crashGuard(m_settings.crashes)
@@ -113,14 +130,37 @@
             m_metrics.countRefusal(reason);
             logEvent(Severity::Info, "request refused before it was read", {{"reason", toText(reason)}});
         });
+    if (m_settings.forwardingListen) {
+        startForwardingServer();
+    }
     m_timers.every(DispatchPeriod, m_loop, [this] { dispatchWaiting(); });
     m_timers.every(SuspectReviewPeriod, m_loop, [this] { reviewSuspects(); });
 }
 
+void Gateway::startForwardingServer()
+{
+    m_forwardingServer = std::make_unique<HttpServer>(
+        m_loop,
+        *m_settings.forwardingListen,
+        forwardingServerLimits({}),
+        [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) { onForwardedRequest(std::move(request), responder); },
+        [this](Reason reason) { m_metrics.countRefusal(reason); });
+    m_paths->onQuery = [this](const ForwardingMessage &query) {
+        if (onForwardingQuery) {
+            onForwardingQuery(query);
+        }
+    };
+    m_chooser.pathCost = [this](const LiveEndpoint &endpoint) { return m_paths->cost(endpoint); };
+    m_timers.every(PathReviewPeriod, m_loop, [this] { reviewPaths(); });
+}
+
 void Gateway::setDeployment(std::shared_ptr<const Deployment> deployment)
 {
     m_deployment = std::move(deployment);
     m_server->setLimits(serverLimits(m_deployment->limits, m_settings.connectionLimit));
+    if (m_forwardingServer) {
+        m_forwardingServer->setLimits(forwardingServerLimits(m_deployment->limits));
+    }
 }
 
 void Gateway::onLeaderDirectory(EndpointsById endpoints, TimePoint listedAt)
@@ -153,6 +193,7 @@
 void Gateway::onDirectoryChanged()
 {
     m_chooser.onDirectory(m_directory.endpoints(), currentTime());
+    m_paths->onDirectory(m_directory.endpoints());
     m_versions.onDirectory(m_directory.endpoints(), currentTime());
     dispatchWaiting();
 }
@@ -176,9 +217,61 @@
     return m_chooser.requestRates().notices(currentTime());
 }
 
-void Gateway::setNodeCount(std::size_t nodes)
+void Gateway::setNodes(const std::vector<VmId> &nodes)
+{
+    m_nodes = std::set<VmId>(nodes.begin(), nodes.end());
+    m_chooser.requestRates().setNodeCount(nodes.size());
+}
+
+std::optional<ForwardingMessage> Gateway::onForwardingMessage(const VmId &node, const ForwardingMessage &message)
+{
+    if (!message.isQuery) {
+        m_paths->onOffer(node, message);
+        return std::nullopt;
+    }
+    const auto inProgress = static_cast<std::uint32_t>(m_forwardedRequests.size());
+    const bool takesRequests = m_forwardingServer && m_deployment && hasEndpoints() && !m_isDraining && !m_paths->isIsolated();
+    if (!takesRequests || inProgress >= m_settings.forwardedRequests) {
+        return std::nullopt;
+    }
+    return ForwardingMessage{false, m_settings.dataCentre, m_settings.forwardedRequests - inProgress};
+}
+
+void Gateway::onForwardedRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder)
+{
+    const VmId sender{responder->remoteHost()};
+    if (!m_nodes.contains(sender)) {
+        m_metrics.countEvent("forwarding_refused_outsider");
+        logEvent(Severity::Warning, "forwarded request from outside the group refused", {{"from", sender.value}});
+        responder->answer(forwardingFailureAnswer({Reason::MalformedRequest, false}));
+        return;
+    }
+    if (m_forwardedRequests.size() >= m_settings.forwardedRequests) {
+        m_metrics.countRefusal(Reason::QueueFull);
+        responder->answer(forwardingFailureAnswer({Reason::QueueFull, false}));
+        return;
+    }
+    m_metrics.countEvent("request_forwarded_for_peer");
+    const std::uint64_t number = ++m_lastRequestNumber;
+    const auto started = std::make_shared<ForwardedRequest>(*this, number, std::move(request), responder);
+    m_forwardedRequests.emplace(number, started);
+    started->start();
+}
+
+void Gateway::reviewPaths()
 {
-    m_chooser.requestRates().setNodeCount(nodes);
+    m_paths->review(m_directory.endpoints());
+    for (const EndpointId &id : m_paths->probesDue()) {
+        const auto endpoint = m_directory.endpoints().find(id);
+        if (endpoint == m_directory.endpoints().end() || !m_deployment) {
+            continue;
+        }
+        const auto service = m_deployment->services.find(endpoint->second.service);
+        const TimePoint now = currentTime();
+        if (service != m_deployment->services.end() && m_chooser.requestRates().delay(id, now) == Duration(0)) {
+            m_paths->probe(endpoint->second, m_dialect.probe(id, service->second));
+        }
+    }
 }
 
 void Gateway::onDeclaredCapacity(const EndpointId &endpoint,
@@ -287,19 +380,27 @@
 
 void Gateway::beginDraining()
 {
+    m_isDraining = true;
     m_server->closeAfterAnswers();
+    if (m_forwardingServer) {
+        m_forwardingServer->closeAfterAnswers();
+    }
 }
 
 void Gateway::stopAccepting()
 {
     m_isStopping = true;
     m_server->stopAccepting();
+    if (m_forwardingServer) {
+        m_forwardingServer->stopAccepting();
+    }
     dispatchWaiting();
 }
 
 bool Gateway::isIdle() const
 {
-    return m_requests.empty() && m_server->connections() == 0;
+    const std::size_t connections = m_server->connections() + (m_forwardingServer ? m_forwardingServer->connections() : 0);
+    return requestsInProgress() == 0 && connections == 0;
 }
 
 void Gateway::onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder)
--- /dev/null
+++ b/src/libhemlockhill/node/gateway_forwarded_request.cpp
@@ -0,0 +1,214 @@
+// Forwarding of requests for other nodes.
+#include "gateway_forwarded_request.h"
+
+#include "endpoint_paths.h"
+#include "hemlockhill/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Hemlockhill
+{
+
+namespace
+{
+
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
+constexpr Bytes AnswerLimit{16'777'216};
+// Answers up to this size are sent with their length, except for streams of events.
+constexpr std::size_t BufferedAnswerLimitBytes = 262'144;
+// Reading from the endpoint pauses while this many bytes have not been written to the other node.
+constexpr std::size_t PendingLimitBytes = 65'536;
+
+} // namespace
+
+Gateway::ForwardedRequest::ForwardedRequest(Gateway &gateway,
+                                            std::uint64_t number,
+                                            HttpRequest request,
+                                            std::shared_ptr<HttpResponder> responder)
+    : m_gateway(gateway)
+    , m_number(number)
+    , m_request(std::move(request))
+    , m_responder(std::move(responder))
+    , m_startedAt(currentTime())
+{
+}
+
+void Gateway::ForwardedRequest::start()
+{
+    m_responder->onDisconnected = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onDisconnected();
+        }
+    };
+    ForwardOptions options;
+    try {
+        options = takeForwardOptions(m_request);
+        m_head = m_gateway.m_dialect.readRequest(m_request);
+    } catch (const DecodeError &) {
+        fail({Reason::MalformedRequest, false});
+        return;
+    }
+    m_endpoint = options.endpoint;
+    const auto &endpoints = m_gateway.m_directory.endpoints();
+    const auto endpoint = endpoints.find(options.endpoint);
+    if (m_gateway.m_isDraining) {
+        fail({Reason::Draining, false});
+    } else if (m_gateway.m_crashGuard.refusal(m_head, m_startedAt)) {
+        fail({Reason::Quarantined, false});
+    } else if (endpoint == endpoints.end() || endpoint->second.leaving || !m_gateway.m_directory.mayDispatch(m_startedAt)) {
+        fail({Reason::NoEndpoint, false});
+    } else if (const auto obstacle = m_gateway.m_paths->obstacle(endpoint->second)) {
+        fail({*obstacle, false});
+    } else {
+        send(endpoint->second, options);
+    }
+}
+
+void Gateway::ForwardedRequest::send(const LiveEndpoint &endpoint, const ForwardOptions &options)
+{
+    m_incarnation = endpoint.incarnation;
+    m_exchange =
+        m_gateway.m_paths->startDirect(endpoint, m_gateway.m_dialect.forward(m_request, options), exchangeLimits(options), exchangeHooks());
+}
+
+ExchangeLimits Gateway::ForwardedRequest::exchangeLimits(const ForwardOptions &options) const
+{
+    ExchangeLimits limits;
+    limits.connect = std::min(ConnectTimeout, options.timeLeft);
+    limits.firstByte = options.timeLeft;
+    limits.reusedFirstByte = options.timeLeft;
+    // The other node knows how long its caller waits between events.
+    limits.betweenBytes = options.timeLeft;
+    limits.body = AnswerLimit;
+    limits.closeDelimited = CloseDelimitedResponse::Confirm;
+    limits.sendBefore = m_gateway.m_directory.sendBefore(currentTime());
+    limits.completeBefore = currentTime() + options.timeLeft;
+    return limits;
+}
+
+ExchangeHooks Gateway::ForwardedRequest::exchangeHooks()
+{
+    const auto guarded = [weak = weak_from_this()](auto action) {
+        return [weak, action](auto &&...arguments) {
+            const auto self = weak.lock();
+            if (self && !self->m_done) {
+                action(*self, std::forward<decltype(arguments)>(arguments)...);
+            }
+        };
+    };
+    ExchangeHooks hooks;
+    hooks.onHead =
+        guarded([](ForwardedRequest &self, unsigned status, const std::vector<HttpHeader> &headers) { self.onHead(status, headers); });
+    hooks.onBody = guarded([](ForwardedRequest &self, std::string bytes) { self.onBody(std::move(bytes)); });
+    hooks.onEnd = guarded([](ForwardedRequest &self) { self.onEnd(); });
+    hooks.onFailed = guarded([](ForwardedRequest &self, const ExchangeFailure &failure) { self.onExchangeFailed(failure); });
+    return hooks;
+}
+
+void Gateway::ForwardedRequest::onHead(unsigned status, const std::vector<HttpHeader> &headers)
+{
+    const EndpointAnswerHead answer = m_gateway.m_dialect.readAnswer(status, headers);
+    m_gateway.onDeclaredCapacity(m_endpoint, m_incarnation, answer.capacity, m_startedAt);
+    if (answer.isSigned) {
+        m_gateway.m_crashGuard.onEndpointAnswered(lossIdOf(m_endpoint, m_incarnation), m_startedAt);
+        m_gateway.scheduleSuspectNotices();
+    }
+    m_answer.status = status;
+    m_answer.contentType.clear();
+    m_answer.headers = endToEndHeaders(headers);
+    removeForwardingFailure(m_answer.headers);
+    if (answer.isEventStream) {
+        beginResponse();
+    }
+}
+
+void Gateway::ForwardedRequest::beginResponse()
+{
+    m_begun = true;
+    m_responder->begin(m_answer);
+}
+
+void Gateway::ForwardedRequest::onBody(std::string bytes)
+{
+    if (!m_begun) {
+        m_answer.body += bytes;
+        if (m_answer.body.size() <= BufferedAnswerLimitBytes) {
+            return;
+        }
+        beginResponse();
+        bytes = std::exchange(m_answer.body, {});
+    }
+    m_responder->write(std::move(bytes));
+    applyBackpressure();
+}
+
+void Gateway::ForwardedRequest::applyBackpressure()
+{
+    if (m_responder->pendingBytes() < PendingLimitBytes) {
+        return;
+    }
+    m_exchange->pause();
+    m_responder->onDrained = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->m_done) {
+            self->m_exchange->resume();
+        }
+    };
+}
+
+void Gateway::ForwardedRequest::onEnd()
+{
+    if (m_begun) {
+        m_responder->end();
+    } else {
+        m_responder->answer(std::move(m_answer));
+    }
+    finish("answered");
+}
+
+void Gateway::ForwardedRequest::onExchangeFailed(const ExchangeFailure &failure)
+{
+    const bool wasBrokenOff = failure.reason == Reason::EndpointLost || failure.reason == Reason::IncompleteAnswer;
+    if (wasBrokenOff && failure.mayHaveReached) {
+        m_gateway.m_metrics.countEvent("request_broken_off");
+        m_gateway.m_crashGuard.onBrokenOff(m_head, lossIdOf(m_endpoint, m_incarnation), currentTime());
+        m_gateway.scheduleSuspectNotices();
+    }
+    // Silence is what is said of an endpoint that is connected.
+    fail({failure.mayHaveReached ? failure.reason : Reason::EndpointLost, failure.mayHaveReached});
+}
+
+void Gateway::ForwardedRequest::onDisconnected()
+{
+    if (m_exchange) {
+        m_exchange->cancel();
+    }
+    finish("caller gone");
+}
+
+void Gateway::ForwardedRequest::fail(const ForwardingFailure &failure)
+{
+    m_gateway.m_metrics.countRefusal(failure.reason);
+    if (m_begun) {
+        m_responder->abort();
+    } else {
+        m_responder->answer(forwardingFailureAnswer(failure));
+    }
+    finish(toText(failure.reason));
+}
+
+void Gateway::ForwardedRequest::finish(std::string_view outcome)
+{
+    if (std::exchange(m_done, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const auto total = std::chrono::duration_cast<std::chrono::milliseconds>(currentTime() - m_startedAt);
+    logEvent(Severity::Info,
+             "request forwarded for another node",
+             {{"request", m_head.id.value}, {"endpoint", m_endpoint.value}, {"outcome", outcome}, {"total_ms", total.count()}});
+    m_gateway.m_forwardedRequests.erase(m_number);
+}
+
+} // namespace Hemlockhill
--- /dev/null
+++ b/src/libhemlockhill/node/gateway_forwarded_request.h
@@ -0,0 +1,51 @@
+// A request that this gateway forwards to an endpoint for another node, which took it from its caller.
+#pragma once
+
+#include "hemlockhill/forwarded_request.h"
+#include "hemlockhill/gateway.h"
+
+#include <string>
+#include <vector>
+
+namespace Hemlockhill
+{
+
+// Sends the request to the endpoint that the other node has chosen, once, over a connection of this node, and returns the answer as it
+// comes. The other node decides what follows a failure, counts the request and answers the caller.
+class Gateway::ForwardedRequest : public std::enable_shared_from_this<Gateway::ForwardedRequest>
+{
+public:
+    ForwardedRequest(Gateway &gateway, std::uint64_t number, HttpRequest request, std::shared_ptr<HttpResponder> responder);
+
+    void start();
+
+private:
+    void send(const LiveEndpoint &endpoint, const ForwardOptions &options);
+    ExchangeLimits exchangeLimits(const ForwardOptions &options) const;
+    ExchangeHooks exchangeHooks();
+    void onHead(unsigned status, const std::vector<HttpHeader> &headers);
+    void onBody(std::string bytes);
+    void onEnd();
+    void onExchangeFailed(const ExchangeFailure &failure);
+    void beginResponse();
+    void applyBackpressure();
+    void onDisconnected();
+    void fail(const ForwardingFailure &failure);
+    void finish(std::string_view outcome);
+
+    Gateway &m_gateway;
+    std::uint64_t m_number;
+    HttpRequest m_request;
+    std::shared_ptr<HttpResponder> m_responder;
+    RoutedRequestHead m_head;
+    EndpointId m_endpoint;
+    Incarnation m_incarnation;
+    std::shared_ptr<HttpExchange> m_exchange;
+    TimePoint m_startedAt;
+    HttpResponse m_answer;
+    // Whether the head of the answer has been sent.
+    bool m_begun = false;
+    bool m_done = false;
+};
+
+} // namespace Hemlockhill
--- /dev/null
+++ b/src/libhemlockhill/node/gateway_forwarding_test.cpp
@@ -0,0 +1,374 @@
+// Tests requests to endpoints that a node does not reach: what holds for a caller's request must hold when another node forwards it.
+#include "hemlockhill/forwarded_request.h"
+#include "hemlockhill/routed_attempt.h"
+#include "node/gateway_testing.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace Hemlockhill;
+using namespace Hemlockhill::Testing;
+
+namespace
+{
+
+constexpr std::uint16_t CallerPort = 9'270;
+constexpr std::uint16_t ForwardingPort = 9'271;
+constexpr std::uint16_t EndpointPort = 9'272;
+constexpr std::uint16_t EndpointCount = 2;
+// Nobody listens here: connections are refused.
+constexpr std::uint16_t ClosedPort = 9'278;
+constexpr Duration AnswerTimeout = std::chrono::seconds(4);
+
+// Nodes before two endpoints, which those that are cut off know by an address that refuses connections.
+class ForwardingFleet
+{
+public:
+    using Handler = std::function<void(const HttpRequest &, const std::shared_ptr<HttpResponder> &)>;
+
+    ForwardingFleet(const std::vector<bool> &cutOff, RouteKind kind, Handler handler, bool resumable = false)
+        : m_handler(std::move(handler))
+        , m_pool(m_loop, 4)
+    {
+        for (std::uint16_t endpoint = 0; endpoint < EndpointCount; ++endpoint) {
+            m_endpoints.push_back(std::make_unique<HttpServer>(
+                m_loop,
+                Address{"127.0.0.1", static_cast<std::uint16_t>(EndpointPort + endpoint)},
+                HttpServerLimits{},
+                [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) { onRequest(request, responder); },
+                [](Reason) {}));
+        }
+        for (std::size_t index = 0; index < cutOff.size(); ++index) {
+            addNode(index, cutOff[index], kind, resumable);
+        }
+        std::vector<VmId> names;
+        for (const auto &node : m_nodes) {
+            names.push_back(node->name);
+        }
+        for (const auto &node : m_nodes) {
+            node->gateway->setNodes(names);
+        }
+    }
+
+    std::optional<HttpResponse> exchange(std::size_t node, const std::string &path)
+    {
+        std::optional<bool> complete;
+        auto answer = std::make_shared<HttpResponse>();
+        m_pool.start(m_nodes.at(node)->address,
+                     callersRequest(path),
+                     ExchangeLimits{},
+                     ConnectionChoice::FreshOnly,
+                     collectAnswer(answer, complete));
+        runUntil([&] { return complete.has_value(); });
+        partial = answer->body;
+        return complete.value_or(false) ? std::optional(*answer) : std::nullopt;
+    }
+
+    // The node reaches the endpoints again.
+    void heal(std::size_t node) { publish(*m_nodes.at(node), false); }
+
+    // Sends a request and leaves once the endpoint has received it.
+    void sendAndLeave(std::size_t node, const std::string &path)
+    {
+        std::optional<bool> complete;
+        const auto exchange = m_pool.start(m_nodes.at(node)->address,
+                                           callersRequest(path),
+                                           ExchangeLimits{},
+                                           ConnectionChoice::FreshOnly,
+                                           collectAnswer(std::make_shared<HttpResponse>(), complete));
+        runUntil([&] { return !runs.empty(); });
+        exchange->cancel();
+    }
+
+    // Sends a request to the address for forwarded requests, from an address outside the group.
+    std::optional<HttpResponse> exchangeFromOutside(std::size_t node)
+    {
+        HttpRequest request = callersRequest("/x/1");
+        setForwardOptions(request, {EndpointId{"e0"}, std::chrono::seconds(1), {}});
+        std::optional<bool> complete;
+        auto answer = std::make_shared<HttpResponse>();
+        const Address address{m_nodes.at(node)->name.value, ForwardingPort};
+        m_pool.start(address, request, ExchangeLimits{}, ConnectionChoice::FreshOnly, collectAnswer(answer, complete));
+        runUntil([&] { return complete.has_value(); });
+        return complete.value_or(false) ? std::optional(*answer) : std::nullopt;
+    }
+
+    template<typename Condition>
+    void runUntil(const Condition &condition)
+    {
+        for (const TimePoint end = currentTime() + AnswerTimeout; !condition() && currentTime() < end;) {
+            m_loop.run_one_for(std::chrono::milliseconds(5));
+        }
+    }
+
+    void run(Duration duration)
+    {
+        const TimePoint end = currentTime() + duration;
+        runUntil([end] { return currentTime() >= end; });
+    }
+
+    Gateway &gateway(std::size_t node) { return *m_nodes.at(node)->gateway; }
+    double counted(std::size_t node, const std::string &event) const
+    {
+        const std::string text = m_nodes.at(node)->metrics.exposition();
+        const std::string key = "event=\"" + event + "\"} ";
+        const std::size_t position = text.find(key);
+        return position == std::string::npos ? 0 : std::stod(text.substr(position + key.size()));
+    }
+
+    // Targets of the requests that the endpoint got.
+    std::vector<std::string> runs;
+    std::size_t probes = 0;
+    std::string partial;
+
+private:
+    struct Node {
+        VmId name;
+        Address address;
+        Metrics metrics;
+        std::unique_ptr<Gateway> gateway;
+    };
+
+    static HttpRequest callersRequest(const std::string &path)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = path;
+        request.headers = {{"Id", "request-" + path}};
+        request.body = "chassis 11";
+        return request;
+    }
+
+    void onRequest(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+    {
+        if (request.target == "/probe") {
+            ++probes;
+            responder->answer({});
+            return;
+        }
+        runs.push_back(request.target);
+        m_handler(request, responder);
+    }
+
+    void addNode(std::size_t index, bool isCutOff, RouteKind kind, bool resumable)
+    {
+        auto node = std::make_unique<Node>();
+        node->name = VmId{"127.0.27." + std::to_string(index + 1)};
+        node->address = {node->name.value, CallerPort};
+        GatewaySettings settings;
+        settings.listen = node->address;
+        settings.forwardingListen = Address{node->name.value, ForwardingPort};
+        node->gateway = std::make_unique<Gateway>(m_loop, settings, m_timers, node->metrics, plainDialect());
+        node->gateway->onForwardingQuery = [this, from = node->name](const ForwardingMessage &query) { ask(from, query); };
+        node->gateway->start();
+        node->gateway->setDeployment(singleRoute(node->address, kind, resumable));
+        publish(*node, isCutOff);
+        m_nodes.push_back(std::move(node));
+    }
+
+    static void publish(Node &node, bool isCutOff)
+    {
+        EndpointsById endpoints;
+        for (std::uint16_t number = 0; number < EndpointCount; ++number) {
+            LiveEndpoint endpoint;
+            endpoint.id = EndpointId{"e" + std::to_string(number)};
+            endpoint.service = Register;
+            endpoint.address = {"127.0.0.1", static_cast<std::uint16_t>((isCutOff ? ClosedPort : EndpointPort) + number)};
+            endpoint.softwareVersion = SoftwareVersion{"v1"};
+            endpoint.slots = 64;
+            endpoints.emplace(endpoint.id, endpoint);
+        }
+        node.gateway->onLeaderDirectory(std::move(endpoints), currentTime());
+    }
+
+    void ask(const VmId &from, const ForwardingMessage &query)
+    {
+        for (const auto &node : m_nodes) {
+            if (node->name == from) {
+                continue;
+            }
+            if (const auto offer = node->gateway->onForwardingMessage(from, query)) {
+                find(from).gateway->onForwardingMessage(node->name, *offer);
+            }
+        }
+    }
+
+    Node &find(const VmId &name)
+    {
+        return **std::find_if(m_nodes.begin(), m_nodes.end(), [&name](const auto &node) { return node->name == name; });
+    }
+
+    Handler m_handler;
+    boost::asio::io_context m_loop{1};
+    TimerService m_timers;
+    ConnectionPool m_pool;
+    std::vector<std::unique_ptr<HttpServer>> m_endpoints;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+};
+
+void serve(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+{
+    responder->answer(signedAnswer(request, 201));
+}
+
+HttpResponse streamHead(const HttpRequest &request)
+{
+    HttpResponse head = signedAnswer(request);
+    head.contentType = "text/event-stream";
+    return head;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(request_to_an_endpoint_that_only_another_node_reaches_is_refused)
+{
+    for (const RouteKind kind : {RouteKind::Safe, RouteKind::Unsafe}) {
+        ForwardingFleet fleet({true, false}, kind, serve);
+        for (int request = 0; request < 20; ++request) {
+            const auto answer = fleet.exchange(0, "/x/" + std::to_string(request));
+            BOOST_REQUIRE(answer);
+            BOOST_CHECK_EQUAL(answer->status, 201);
+            BOOST_CHECK_EQUAL(answer->body, "served");
+            BOOST_CHECK_EQUAL(findHeader(answer->headers, "Signature"), "s");
+        }
+        BOOST_CHECK_EQUAL(fleet.runs.size(), 20);
+        BOOST_CHECK_EQUAL(std::set<std::string>(fleet.runs.begin(), fleet.runs.end()).size(), 20);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(request_runs_twice_after_the_answer_through_another_node_is_lost)
+{
+    const auto abortConnection = [](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) { responder->abort(); };
+    ForwardingFleet fleet({true, false, false}, RouteKind::Unsafe, abortConnection);
+    const auto answer = fleet.exchange(0, "/x/1");
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->status, 502);
+    BOOST_CHECK_EQUAL(fleet.runs.size(), 1);
+}
+
+BOOST_AUTO_TEST_CASE(refusal_of_the_endpoint_is_not_told_as_such_through_another_node)
+{
+    ForwardingFleet fleet({true, false}, RouteKind::Unsafe, [](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
+        responder->answer({503, "text/plain", {{"Not-Run", "1"}}, "full"});
+    });
+    const auto answer = fleet.exchange(0, "/x/1");
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->status, 503);
+    BOOST_CHECK(!findHeader(answer->headers, "Retry-After").empty());
+}
+
+BOOST_AUTO_TEST_CASE(endpoint_works_on_for_a_caller_that_has_left_another_node)
+{
+    std::shared_ptr<HttpResponder> open;
+    bool isCancelled = false;
+    ForwardingFleet fleet({true, false}, RouteKind::Unsafe, [&](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
+        open = responder;
+        responder->onDisconnected = [&isCancelled] { isCancelled = true; };
+    });
+    fleet.sendAndLeave(0, "/x/1");
+    fleet.runUntil([&isCancelled] { return isCancelled; });
+    BOOST_CHECK(isCancelled);
+    BOOST_CHECK_EQUAL(fleet.gateway(0).requestsInProgress() + fleet.gateway(1).requestsInProgress(), 0);
+}
+
+BOOST_AUTO_TEST_CASE(stream_through_another_node_does_not_go_on_after_its_last_event)
+{
+    int answers = 0;
+    std::vector<std::shared_ptr<HttpResponder>> open;
+    const auto handler = [&](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+        open.push_back(responder);
+        responder->begin(streamHead(request));
+        if (++answers == 1) {
+            responder->write("id: 1\ndata: a\n\nid: 2\nda");
+            responder->onDrained = [weak = std::weak_ptr(responder)] { weak.lock()->abort(); };
+            return;
+        }
+        BOOST_CHECK_EQUAL(request.header("Resume-After"), "1");
+        responder->write("id: 2\ndata: b\n\n");
+        responder->end();
+    };
+    ForwardingFleet fleet({true, false}, RouteKind::Streaming, handler, true);
+    const auto answer = fleet.exchange(0, "/x/1");
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(truncated_stream_through_another_node_looks_complete)
+{
+    std::vector<std::shared_ptr<HttpResponder>> open;
+    const auto handler = [&open](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+        open.push_back(responder);
+        responder->begin(streamHead(request));
+        responder->write("id: 1\ndata: a\n\n");
+        responder->onDrained = [weak = std::weak_ptr(responder)] { weak.lock()->abort(); };
+    };
+    ForwardingFleet fleet({true, false}, RouteKind::Streaming, handler);
+    BOOST_CHECK(!fleet.exchange(0, "/x/1"));
+    BOOST_CHECK_EQUAL(fleet.partial, "id: 1\ndata: a\n\n");
+    BOOST_CHECK_EQUAL(fleet.runs.size(), 1);
+}
+
+// Guards against nodes that send a request to each other again and again.
+BOOST_AUTO_TEST_CASE(request_travels_on_between_nodes_that_are_all_cut_off)
+{
+    ForwardingFleet fleet({true, true, true}, RouteKind::Safe, serve);
+    for (int request = 0; request < 5; ++request) {
+        const auto answer = fleet.exchange(static_cast<std::size_t>(request) % 3, "/x/1");
+        BOOST_REQUIRE(answer);
+        BOOST_CHECK_EQUAL(answer->status, 503);
+    }
+    BOOST_CHECK(fleet.runs.empty());
+    const double forwarded = fleet.counted(0, "request_forwarded_for_peer") + fleet.counted(1, "request_forwarded_for_peer")
+                             + fleet.counted(2, "request_forwarded_for_peer");
+    BOOST_CHECK_LE(forwarded, 5 * UnsentExchangeLimit);
+}
+
+BOOST_AUTO_TEST_CASE(request_from_outside_the_group_is_forwarded)
+{
+    ForwardingFleet fleet({true, false}, RouteKind::Safe, serve);
+    const auto answer = fleet.exchangeFromOutside(1);
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->status, 502);
+    BOOST_CHECK(fleet.runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(leaving_node_takes_requests_of_others)
+{
+    ForwardingFleet fleet({true, false, false}, RouteKind::Unsafe, serve);
+    BOOST_CHECK_EQUAL(fleet.exchange(0, "/x/1").value().status, 201);
+    fleet.gateway(1).beginDraining();
+    for (int request = 0; request < 20; ++request) {
+        BOOST_CHECK_EQUAL(fleet.exchange(0, "/x/1").value().status, 201);
+    }
+    const double before = fleet.counted(1, "request_forwarded_for_peer");
+    fleet.exchange(0, "/x/1");
+    BOOST_CHECK_EQUAL(fleet.counted(1, "request_forwarded_for_peer"), before);
+}
+
+BOOST_AUTO_TEST_CASE(requests_are_still_forwarded_after_the_cut)
+{
+    ForwardingFleet fleet({true, false}, RouteKind::Safe, serve);
+    BOOST_CHECK_EQUAL(fleet.exchange(0, "/x/1").value().status, 201);
+    fleet.heal(0);
+    for (int request = 0; request < 20; ++request) {
+        BOOST_CHECK_EQUAL(fleet.exchange(0, "/x/1").value().status, 201);
+        fleet.run(std::chrono::milliseconds(60));
+    }
+    BOOST_CHECK_GT(fleet.probes, 0);
+    const double before = fleet.counted(0, "request_forwarded_through_peer");
+    BOOST_CHECK_EQUAL(fleet.exchange(0, "/x/1").value().status, 201);
+    BOOST_CHECK_EQUAL(fleet.counted(0, "request_forwarded_through_peer"), before);
+}
+
+BOOST_AUTO_TEST_CASE(node_that_reaches_its_endpoint_forwards_nothing)
+{
+    ForwardingFleet fleet({false, false}, RouteKind::Safe, serve);
+    for (int request = 0; request < 10; ++request) {
+        BOOST_CHECK_EQUAL(fleet.exchange(0, "/x/1").value().status, 201);
+    }
+    fleet.run(std::chrono::milliseconds(200));
+    BOOST_CHECK_EQUAL(fleet.counted(0, "request_forwarded_through_peer"), 0);
+    BOOST_CHECK_EQUAL(fleet.probes, 0);
+}
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -1,6 +1,7 @@
 // Waiting, dispatch and retries of a gateway request.
 #include "gateway_request.h"
 
+#include "endpoint_paths.h"
 #include "hemlockhill/log.h"
 
 #include <algorithm>
@@ -300,8 +301,17 @@
     options.endpoint = endpoint;
     options.timeLeft = timeLeft();
     options.resumeAfter = m_events.lastEventId().empty() ? m_head.lastEventId : m_events.lastEventId();
-    m_exchange = m_gateway.m_pool.start(
-        live.address, m_gateway.m_dialect.forward(m_request, options), exchangeLimits(), ConnectionChoice::PreferIdle, exchangeHooks());
+    HttpRequest forwarded = m_gateway.m_dialect.forward(m_request, options);
+    m_nothingSent = false;
+    m_peer = m_gateway.m_paths->choosePeer(live, m_avoidedPeers);
+    if (!m_peer) {
+        m_exchange = m_gateway.m_paths->startDirect(live, forwarded, exchangeLimits(), exchangeHooks());
+        return;
+    }
+    logEvent(Severity::Info,
+             "request forwarded through another node",
+             {{"request", m_head.id.value}, {"endpoint", endpoint.value}, {"peer", m_peer->value}});
+    m_exchange = m_gateway.m_paths->startThroughPeer(*m_peer, std::move(forwarded), options, exchangeLimits(), exchangeHooks());
 }
 
 ExchangeLimits Gateway::Request::exchangeLimits() const
@@ -337,6 +347,11 @@
 
 void Gateway::Request::onHead(unsigned status, const std::vector<HttpHeader> &headers)
 {
+    const auto forwardingFailure = m_peer ? readForwardingFailure(headers) : std::nullopt;
+    if (forwardingFailure) {
+        onForwardingFailure(*forwardingFailure);
+        return;
+    }
     const EndpointAnswerHead answer = m_gateway.m_dialect.readAnswer(status, headers);
     if (!answer.id.empty() && answer.id != m_head.id) {
         // A late answer to an earlier request. Answers on this connection can no longer be matched to requests.
@@ -412,13 +427,66 @@
 {
     const bool keepsReason = m_status == 0 || failure.reason == Reason::OversizedAnswer;
     const Reason reason = keepsReason ? failure.reason : Reason::IncompleteAnswer;
+    if (m_peer && m_status == 0) {
+        m_gateway.m_paths->onPeerFailed(*m_peer);
+        m_avoidedPeers.insert(*m_peer);
+    }
+    if (!failure.mayHaveReached) {
+        // Where this node does not reach the endpoint, another one may.
+        const bool mayBeForwarded = m_peer || !m_gateway.m_paths->lacksPeers();
+        onNothingSent(reason, mayBeForwarded ? EndpointLoss::Unlikely : EndpointLoss::Possible);
+        return;
+    }
+    // Where another node forwards the request, it sees what becomes of the endpoint.
     const bool wasBrokenOff = failure.reason == Reason::EndpointLost || failure.reason == Reason::IncompleteAnswer;
-    if (wasBrokenOff && failure.mayHaveReached) {
+    if (wasBrokenOff && !m_peer) {
         suspectCrash();
     }
+    if (m_peer) {
+        endpointFailed(reason, true, false);
+        return;
+    }
     endpointFailed(reason, failure.mayHaveReached, !failure.reusedConnection);
 }
 
+void Gateway::Request::onForwardingFailure(const ForwardingFailure &failure)
+{
+    m_exchange->discard();
+    if (failure.mayHaveReached) {
+        endpointFailed(failure.reason, true, true);
+        return;
+    }
+    m_avoidedPeers.insert(*m_peer);
+    switch (failure.reason) {
+    case Reason::EndpointSilent:
+        m_gateway.m_paths->onSilentElsewhere(m_endpoint);
+        onNothingSent(failure.reason, EndpointLoss::Unlikely);
+        return;
+    case Reason::EndpointLost:
+        onNothingSent(failure.reason,
+                      m_gateway.m_paths->confirmLoss(m_endpoint, *m_peer) ? EndpointLoss::Confirmed : EndpointLoss::Possible);
+        return;
+    default:
+        // The other node takes no such requests at present, or does not know the endpoint.
+        m_gateway.m_paths->onPeerFailed(*m_peer);
+        onNothingSent(failure.reason, EndpointLoss::Unlikely);
+    }
+}
+
+void Gateway::Request::onNothingSent(Reason reason, EndpointLoss loss)
+{
+    ++m_history.unsent;
+    m_nothingSent = true;
+    if (loss == EndpointLoss::Unlikely) {
+        m_requirements.avoided.erase(m_endpoint);
+    }
+    if (loss == EndpointLoss::Confirmed) {
+        m_gateway.m_chooser.onUnreachable(m_endpoint, currentTime());
+    }
+    const bool isFault = loss == EndpointLoss::Possible && !m_peer && m_gateway.m_paths->lacksPeers();
+    endpointFailed(reason, false, isFault);
+}
+
 void Gateway::Request::endpointFailed(Reason reason, bool possiblyRan, bool isEndpointFault)
 {
     if (possiblyRan) {
@@ -434,14 +502,15 @@
               {"endpoint", m_endpoint.value},
               {"reason", toText(reason)},
               {"possibly_ran", possiblyRan},
-              {"exchange", m_history.exchanges}});
+              {"exchange", m_history.exchanges},
+              {"peer", m_peer ? m_peer->value : std::string()}});
     releaseEndpoint();
     performStep(stepAfterFailure(), reason);
 }
 
 RetryDecision Gateway::Request::stepAfterFailure()
 {
-    const bool mayRetry = m_gateway.retryBudget(m_requirements.service).available() >= 1;
+    const bool mayRetry = m_nothingSent || m_gateway.retryBudget(m_requirements.service).available() >= 1;
     return decideRetry(m_route, m_history, timeLeft(), mayRetry);
 }
 
@@ -449,7 +518,9 @@
 {
     switch (step) {
     case RetryDecision::Retry:
-        m_gateway.retryBudget(m_requirements.service).spend();
+        if (!m_nothingSent) {
+            m_gateway.retryBudget(m_requirements.service).spend();
+        }
         m_gateway.m_metrics.countRetry(reason);
         tryDispatch();
         return;
@@ -506,6 +577,9 @@
 void Gateway::Request::releaseEndpoint()
 {
     m_exchange.reset();
+    if (m_peer) {
+        m_gateway.m_paths->onPeerDone(*m_peer);
+    }
     m_gateway.m_chooser.onEnded(m_endpoint);
     m_gateway.notifyOtherNodes(m_endpoint, TokenCount{0});
 }
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -1,11 +1,13 @@
 // A request in progress in the gateway.
 #pragma once
 
+#include "hemlockhill/forwarded_request.h"
 #include "hemlockhill/gateway.h"
 #include "hemlockhill/queue_policy.h"
 #include "hemlockhill/routed_attempt.h"
 
 #include <optional>
+#include <set>
 
 namespace Hemlockhill
 {
@@ -20,6 +22,9 @@
     void advance();
 };
 
+// What an exchange that failed before anything was sent shows about its endpoint.
+enum class EndpointLoss { Unlikely, Possible, Confirmed };
+
 // Waits for an endpoint, forwards the request, retries it on failure and answers the caller exactly once.
 class Gateway::Request : public std::enable_shared_from_this<Gateway::Request>
 {
@@ -90,6 +95,10 @@
     void applyBackpressure();
     // Handles a failed exchange. `isEndpointFault` tells whether the failure counts against the endpoint's health.
     void endpointFailed(Reason reason, bool possiblyRan, bool isEndpointFault);
+    // Handles an exchange through another node that has no answer of the endpoint.
+    void onForwardingFailure(const ForwardingFailure &failure);
+    // Handles an exchange that failed before anything was sent to the endpoint.
+    void onNothingSent(Reason reason, EndpointLoss loss);
     RetryDecision stepAfterFailure();
     void performStep(RetryDecision step, Reason reason);
     void answerBuffered();
@@ -125,6 +134,12 @@
     // Sequence number of the current exchange. Callbacks of earlier exchanges are ignored.
     std::uint32_t m_currentExchange = 0;
     EndpointId m_endpoint;
+    // The node through which the current exchange is forwarded; empty for a connection of this node.
+    std::optional<VmId> m_peer;
+    // Nodes through which this request could not be forwarded.
+    std::set<VmId> m_avoidedPeers;
+    // Whether the last exchange failed before anything was sent to the endpoint.
+    bool m_nothingSent = false;
     Incarnation m_endpointIncarnation;
     SoftwareVersion m_endpointVersion;
     // Identifies the loss of the endpoint's incarnation, if it is lost.
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -54,6 +54,12 @@
     dialect.answerHeaders = [](const std::vector<HttpHeader> &headers) {
         return std::vector<HttpHeader>{{"Signature", std::string(findHeader(headers, "Signature"))}};
     };
+    dialect.probe = [](const EndpointId &, const RoutedService &) {
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/probe";
+        return request;
+    };
     return dialect;
 }
 
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -160,6 +160,16 @@
   crashSuspects @4 :CrashSuspectNotice;
   # Set in a notice about the rate limit of an endpoint, likewise.
   rateLimit @5 :RateLimitNotice;
+  # Set in a message about forwarding through another node, likewise.
+  forwarding @6 :ForwardingMessage;
+}
+
+struct ForwardingMessage {
+  isQuery @0 :Bool;
+  # Data centre of the sender.
+  dataCentre @1 :Text;
+  # How many more requests of others the sender takes; 0 in a query.
+  capacity @2 :UInt32;
 }
 
 struct RateLimitNotice {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -36,6 +36,7 @@
 CAPNP_DECLARE_SCHEMA(fdf497fe4a97a6be);
 CAPNP_DECLARE_SCHEMA(b03c630585afb38c);
 CAPNP_DECLARE_SCHEMA(fd8ded1fa830a9ad);
+CAPNP_DECLARE_SCHEMA(9eafb832f321851f);
 CAPNP_DECLARE_SCHEMA(f8cde4e13480126b);
 CAPNP_DECLARE_SCHEMA(af549ea9e3caf259);
 CAPNP_DECLARE_SCHEMA(f51724eff50c6a5c);
@@ -324,7 +325,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd8ded1fa830a9ad, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fd8ded1fa830a9ad, 2, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ForwardingMessage {
+  ForwardingMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9eafb832f321851f, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2350,6 +2366,9 @@
   inline bool hasRateLimit() const;
   inline  ::Hemlockhill::Wire::RateLimitNotice::Reader getRateLimit() const;
 
+  inline bool hasForwarding() const;
+  inline  ::Hemlockhill::Wire::ForwardingMessage::Reader getForwarding() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2412,6 +2431,13 @@
   inline void adoptRateLimit(::capnp::Orphan< ::Hemlockhill::Wire::RateLimitNotice>&& value);
   inline ::capnp::Orphan< ::Hemlockhill::Wire::RateLimitNotice> disownRateLimit();
 
+  inline bool hasForwarding();
+  inline  ::Hemlockhill::Wire::ForwardingMessage::Builder getForwarding();
+  inline void setForwarding( ::Hemlockhill::Wire::ForwardingMessage::Reader value);
+  inline  ::Hemlockhill::Wire::ForwardingMessage::Builder initForwarding();
+  inline void adoptForwarding(::capnp::Orphan< ::Hemlockhill::Wire::ForwardingMessage>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::ForwardingMessage> disownForwarding();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2433,6 +2459,98 @@
   inline  ::Hemlockhill::Wire::StreamOriginMessage::Pipeline getStreamOrigin();
   inline  ::Hemlockhill::Wire::CrashSuspectNotice::Pipeline getCrashSuspects();
   inline  ::Hemlockhill::Wire::RateLimitNotice::Pipeline getRateLimit();
+  inline  ::Hemlockhill::Wire::ForwardingMessage::Pipeline getForwarding();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ForwardingMessage::Reader {
+public:
+  typedef ForwardingMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsQuery() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline  ::uint32_t getCapacity() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ForwardingMessage::Builder {
+public:
+  typedef ForwardingMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsQuery();
+  inline void setIsQuery(bool value);
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline  ::uint32_t getCapacity();
+  inline void setCapacity( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ForwardingMessage::Pipeline {
+public:
+  typedef ForwardingMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6497,6 +6615,107 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool PeerDatagram::Reader::hasForwarding() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasForwarding() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hemlockhill::Wire::ForwardingMessage::Reader PeerDatagram::Reader::getForwarding() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::ForwardingMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::ForwardingMessage::Builder PeerDatagram::Builder::getForwarding() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::ForwardingMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::ForwardingMessage::Pipeline PeerDatagram::Pipeline::getForwarding() {
+  return  ::Hemlockhill::Wire::ForwardingMessage::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void PeerDatagram::Builder::setForwarding( ::Hemlockhill::Wire::ForwardingMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::ForwardingMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::ForwardingMessage::Builder PeerDatagram::Builder::initForwarding() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::ForwardingMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptForwarding(
+    ::capnp::Orphan< ::Hemlockhill::Wire::ForwardingMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::ForwardingMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::ForwardingMessage> PeerDatagram::Builder::disownForwarding() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::ForwardingMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardingMessage::Reader::getIsQuery() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ForwardingMessage::Builder::getIsQuery() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ForwardingMessage::Builder::setIsQuery(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ForwardingMessage::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardingMessage::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardingMessage::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardingMessage::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ForwardingMessage::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardingMessage::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ForwardingMessage::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardingMessage::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ForwardingMessage::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ForwardingMessage::Builder::getCapacity() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ForwardingMessage::Builder::setCapacity( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RateLimitNotice::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -151,6 +151,19 @@
     return notice;
 }
 
+void write(Wire::PeerDatagram::Builder builder, const ForwardingMessage &message)
+{
+    auto forwarding = builder.initForwarding();
+    forwarding.setIsQuery(message.isQuery);
+    forwarding.setDataCentre(message.dataCentre.value);
+    forwarding.setCapacity(message.capacity);
+}
+
+ForwardingMessage read(Wire::ForwardingMessage::Reader reader)
+{
+    return {reader.getIsQuery(), DataCentreId{std::string(reader.getDataCentre().cStr())}, reader.getCapacity()};
+}
+
 CrashSuspectSubject readSubject(Wire::CrashSuspectNotice::Subject subject)
 {
     switch (subject) {
@@ -202,6 +215,9 @@
     if (reader.hasRateLimit()) {
         return read(reader.getRateLimit());
     }
+    if (reader.hasForwarding()) {
+        return read(reader.getForwarding());
+    }
     return DispatchNotice{EndpointId{std::string(reader.getEndpoint().cStr())}, TokenCount{reader.getPromptTokens()}, reader.getInFlight()};
 }
 
--- a/src/libhemlockhill/peers/peer_datagrams_test.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams_test.cpp
@@ -30,7 +30,9 @@
                            {Fingerprint{9}},
                            false},
         RateLimitNotice{EndpointId{"i-7f3a91c2"}, Incarnation{"17"}, RequestRate{1.8}, std::chrono::milliseconds(40), CountId{5}, 12, true},
-        RateLimitNotice{EndpointId{"i-7f3a91c2"}, {}, {}, std::chrono::milliseconds(40), {}, 0, false}};
+        RateLimitNotice{EndpointId{"i-7f3a91c2"}, {}, {}, std::chrono::milliseconds(40), {}, 0, false},
+        ForwardingMessage{true, DataCentreId{"np-central-a"}, 0},
+        ForwardingMessage{false, DataCentreId{"np-central-a"}, 40}};
     return all;
 }
 
--- a/src/libhemlockhill/request/routed_attempt.cpp
+++ b/src/libhemlockhill/request/routed_attempt.cpp
@@ -44,7 +44,8 @@
 RetryDecision decideRetry(const Route &route, const AttemptHistory &history, Duration timeLeft, bool mayRetry)
 {
     const bool mayRunAgain = history.possibleRuns == 0 || (route.idempotent() && history.possibleRuns < route.attemptLimit);
-    const bool retryAllowed = mayRetry && timeLeft >= MinimumRetryTime && history.exchanges < ExchangeLimit;
+    const bool isWithinLimits = history.exchanges - history.unsent < ExchangeLimit && history.unsent < UnsentExchangeLimit;
+    const bool retryAllowed = mayRetry && timeLeft >= MinimumRetryTime && isWithinLimits;
     if (history.response != ResponseProgress::Nothing) {
         const bool resumes = route.kind == RouteKind::Streaming && route.resumable && history.response == ResponseProgress::ResumableEvents;
         return resumes && mayRunAgain && retryAllowed ? RetryDecision::Retry : RetryDecision::Abort;
--- a/src/libhemlockhill/request/routed_attempt_test.cpp
+++ b/src/libhemlockhill/request/routed_attempt_test.cpp
@@ -32,6 +32,14 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(exchanges_that_sent_nothing_have_a_limit_of_their_own)
+{
+    AttemptHistory history{ExchangeLimit, 0, ResponseProgress::Nothing, ExchangeLimit};
+    BOOST_CHECK(decideRetry(route(RouteKind::Unsafe, false, 1), history, Enough, true) == RetryDecision::Retry);
+    history = {UnsentExchangeLimit, 0, ResponseProgress::Nothing, UnsentExchangeLimit};
+    BOOST_CHECK(decideRetry(route(RouteKind::Unsafe, false, 1), history, Enough, true) == RetryDecision::Refuse);
+}
+
 BOOST_AUTO_TEST_CASE(only_idempotent_requests_are_retried_after_a_possible_run)
 {
     const AttemptHistory ran{1, 1, ResponseProgress::Nothing};
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -102,6 +102,10 @@
         if (need.avoided.contains(endpoint->id) || isInBackoff(endpoint->id, now)) {
             continue;
         }
+        const auto path = pathCost ? pathCost(*endpoint) : std::optional<double>(0);
+        if (!path) {
+            continue;
+        }
         anyUsable = true;
         const double load = estimatedLoad(endpoint->id, now);
         if (load >= endpoint->slots * (1 + m_limits.queueRatio)) {
@@ -123,7 +127,7 @@
         boost::random::uniform_real_distribution<double> draw(0, TieBreakRange);
         const double dataCentreCost = endpoint->dataCentre == m_dataCentre ? 0 : OtherDataCentreCost;
         const double work = load + static_cast<double>(uncached.value) / TokensPerRequest;
-        const double cost = (work + draw(m_random)) / endpoint->slots + dataCentreCost;
+        const double cost = (work + draw(m_random)) / endpoint->slots + dataCentreCost + *path;
         if (!choice.endpoint || cost < best) {
             choice.endpoint = endpoint->id;
             best = cost;
@@ -222,9 +226,20 @@
     Record &record = m_records[endpoint];
     record.failureRate += (1 - record.failureRate) * FailureRateWeight;
     ++record.consecutiveFailures;
-    if (record.consecutiveFailures < 2 && record.failureRate < m_limits.failureRateThreshold) {
-        return;
+    if (record.consecutiveFailures >= 2 || record.failureRate >= m_limits.failureRateThreshold) {
+        backOff(record, now);
     }
+}
+
+void EndpointChooser::onUnreachable(const EndpointId &endpoint, TimePoint now)
+{
+    Record &record = m_records[endpoint];
+    record.consecutiveFailures = std::max(record.consecutiveFailures + 1, 2U);
+    backOff(record, now);
+}
+
+void EndpointChooser::backOff(Record &record, TimePoint now) const
+{
     const auto doublings = std::min<std::uint32_t>(record.consecutiveFailures, 4) - 1;
     record.backoffUntil = now + std::min(m_limits.initialBackoff * (1U << doublings), m_limits.maximumBackoff);
 }
