Never let requests queue at endpoints that fall under rejections

Cause: a node sends up to 12 in 100 of an endpoint's slots more than fit there, and nodes that see the same free slot send at the same moment. An ordinary endpoint lets the rest wait or rejects it; a brittle one falls after the Nth rejection in a second. What it says of itself (Server-Brittle) was passed on and not obeyed: the class of the rate limit, found again.

Change (BrittleEndpoints): no request queues at a brittle endpoint. Its slots are divided among the nodes that dispatch, the remainder by a hash that differs from endpoint to endpoint, so that nodes which dispatch at once do not exceed them together; while it is mostly idle a node may take more. Each rejection, announced with the notice that the request has ended, lowers the bound by a quarter at all nodes, and it rises by one a second; after half of the rejections that it bears within a second an endpoint gets nothing until the second is over. An endpoint of the service that has not answered yet begins with half of its slots, or less if others had to reject with less.

--- a/src/include/hemlockhill/declared_capacity.h
+++ b/src/include/hemlockhill/declared_capacity.h
@@ -27,6 +27,11 @@
     RateLimitStatement rateLimit = RateLimitStatement::Nothing;
     // Set when the rate is limited.
     RequestRate rate;
+    // Number of requests that a brittle endpoint bears to reject within a second; it fails if it has to reject more. Empty if it does not
+    // say that it is brittle.
+    std::optional<std::uint32_t> rejectionLimit;
+    // Whether the answer is the endpoint's own, so that what it leaves out does not hold.
+    bool isOwn = false;
 
     bool operator==(const DeclaredCapacity &) const = default;
 };
--- a/src/include/hemlockhill/dispatch_notices.h
+++ b/src/include/hemlockhill/dispatch_notices.h
@@ -17,6 +17,8 @@
     TokenCount prompt;
     // Requests of the sender that are in progress at the endpoint.
     std::uint32_t inFlight = 0;
+    // Whether the request that has ended was rejected for want of room.
+    bool rejected = false;
 
     bool operator==(const DispatchNotice &) const = default;
 };
--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -5,6 +5,7 @@
 // number of its own requests exactly, and learns the number of the others' from their dispatch notices.
 #pragma once
 
+#include "hemlockhill/brittle_endpoints.h"
 #include "hemlockhill/dispatch_notices.h"
 #include "hemlockhill/endpoint_directory.h"
 #include "hemlockhill/endpoint_rate_limiter.h"
@@ -81,13 +82,14 @@
     double failureRateThreshold = 0.3;
     PromptRateLimit promptRateLimit;
     EndpointRateLimits requestRateLimits;
+    BrittleEndpointLimits brittleEndpoints;
 };
 
 // Selects endpoints and tracks their load, failures and cached prefixes.
 class EndpointChooser
 {
 public:
-    EndpointChooser(DataCentreId dataCentre, EndpointChooserLimits limits, std::uint64_t seed);
+    EndpointChooser(DataCentreId dataCentre, EndpointChooserLimits limits, std::uint64_t seed, VmId self = {});
 
     // Additional cost of the way to an endpoint, in requests per slot; empty if there is none at this moment. Optional.
     std::function<std::optional<double>(const LiveEndpoint &endpoint)> pathCost;
@@ -115,6 +117,8 @@
     std::uint32_t inFlight(const EndpointId &endpoint) const;
     // The limits that endpoints declare for the requests of all nodes.
     EndpointRateLimiter &requestRates() { return m_requestRates; }
+    // The endpoints that fail when they have to reject too many requests.
+    BrittleEndpoints &brittleEndpoints() { return m_brittleEndpoints; }
 
 private:
     struct PeerLoad {
@@ -133,6 +137,7 @@
 
     void backOff(Record &record, TimePoint now) const;
     bool isInBackoff(const EndpointId &endpoint, TimePoint now) const;
+    bool isFull(const LiveEndpoint &endpoint, double load, TimePoint now);
     double estimatedLoad(const EndpointId &endpoint, TimePoint now) const;
 
     DataCentreId m_dataCentre;
@@ -140,6 +145,7 @@
     boost::random::mt19937_64 m_random;
     PromptRateLimiter m_rateLimiter;
     EndpointRateLimiter m_requestRates;
+    BrittleEndpoints m_brittleEndpoints;
     PrefixIndex m_prefixes;
     std::map<EndpointId, Record> m_records;
 };
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -147,7 +147,7 @@
     bool isQueued(const ServiceId &service, const ModelId &model) const;
     // Decides at which software version a stream may go on; empty if it may at none.
     SoftwareVersion versionToResume(const ServiceId &service, const OriginLookupResult &origin);
-    void notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt);
+    void notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt, bool rejected = false);
     // Takes what an endpoint has said of its capacity in the answer to a request that was sent at the given time.
     void onDeclaredCapacity(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint sentAt);
     // Notifies the other nodes of a request that was dispatched to an endpoint that limits their rate.
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -109,7 +109,7 @@
     , m_pool(loop, m_settings.idleConnections)
     , m_paths(std::make_unique<EndpointPaths>(
           loop, EndpointPathSettings{m_settings.dataCentre, m_settings.forwardingListen}, m_pool, metrics, randomSeed(m_settings.listen)))
-    , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen))
+    , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen), VmId{m_settings.listen.host})
     , m_directory(m_settings.directoryAge)
     , m_crashGuard(m_settings.crashes)
     , m_versions(StreamOriginLimits().retention)
@@ -279,6 +279,10 @@
                                  const DeclaredCapacity &declared,
                                  TimePoint sentAt)
 {
+    const auto listed = m_directory.endpoints().find(endpoint);
+    if (declared.isOwn && listed != m_directory.endpoints().end()) {
+        m_chooser.brittleEndpoints().onAnswer(listed->second, declared.rejectionLimit, currentTime());
+    }
     if (!m_chooser.requestRates().onAnswer(endpoint, incarnation, declared, sentAt, currentTime())) {
         return;
     }
@@ -360,10 +364,10 @@
     return only;
 }
 
-void Gateway::notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt)
+void Gateway::notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt, bool rejected)
 {
     if (onDispatch) {
-        onDispatch({endpoint, prompt, m_chooser.inFlight(endpoint)});
+        onDispatch({endpoint, prompt, m_chooser.inFlight(endpoint), rejected});
     }
 }
 
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -23,6 +23,7 @@
 // Maximum size of an answer that is forwarded.
 constexpr Bytes AnswerLimit{16'777'216};
 constexpr unsigned FirstServerError = 500;
+constexpr unsigned StatusServiceUnavailable = 503;
 
 bool isSuccess(unsigned status)
 {
@@ -361,6 +362,7 @@
     }
     m_gateway.onDeclaredCapacity(m_endpoint, m_endpointIncarnation, answer.capacity, m_sentAt);
     if (answer.notRun) {
+        m_rejected = status == StatusServiceUnavailable;
         m_exchange->discard();
         endpointFailed(Reason::EndpointRefused, false, false);
         return;
@@ -504,7 +506,7 @@
               {"possibly_ran", possiblyRan},
               {"exchange", m_history.exchanges},
               {"peer", m_peer ? m_peer->value : std::string()}});
-    releaseEndpoint();
+    releaseEndpoint(std::exchange(m_rejected, false));
     performStep(stepAfterFailure(), reason);
 }
 
@@ -574,14 +576,18 @@
     finish("caller gone", 0);
 }
 
-void Gateway::Request::releaseEndpoint()
+void Gateway::Request::releaseEndpoint(bool rejected)
 {
+    if (rejected) {
+        m_gateway.m_metrics.countEvent("request_rejected_by_endpoint");
+        m_gateway.m_chooser.brittleEndpoints().onRejected(m_endpoint, currentTime());
+    }
     m_exchange.reset();
     if (m_peer) {
         m_gateway.m_paths->onPeerDone(*m_peer);
     }
     m_gateway.m_chooser.onEnded(m_endpoint);
-    m_gateway.notifyOtherNodes(m_endpoint, TokenCount{0});
+    m_gateway.notifyOtherNodes(m_endpoint, TokenCount{0}, rejected);
 }
 
 Duration Gateway::Request::timeLeft() const
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -107,7 +107,7 @@
     void refuse(Reason reason, std::string detail, Duration retryAfter);
     // Tells the caller that the request failed and may have run.
     void fail(Reason reason);
-    void releaseEndpoint();
+    void releaseEndpoint(bool rejected = false);
     void finish(std::string_view outcome, unsigned status);
     void logOutcome(std::string_view outcome, unsigned status) const;
     Duration timeLeft() const;
@@ -140,6 +140,8 @@
     std::set<VmId> m_avoidedPeers;
     // Whether the last exchange failed before anything was sent to the endpoint.
     bool m_nothingSent = false;
+    // Whether the endpoint has rejected the current exchange for want of room.
+    bool m_rejected = false;
     Incarnation m_endpointIncarnation;
     SoftwareVersion m_endpointVersion;
     // Identifies the loss of the endpoint's incarnation, if it is lost.
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -162,6 +162,8 @@
   rateLimit @5 :RateLimitNotice;
   # Set in a message about forwarding through another node, likewise.
   forwarding @6 :ForwardingMessage;
+  # Set in a dispatch notice if the request that has ended was rejected for want of room.
+  rejected @7 :Bool;
 }
 
 struct ForwardingMessage {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -2369,6 +2369,8 @@
   inline bool hasForwarding() const;
   inline  ::Hemlockhill::Wire::ForwardingMessage::Reader getForwarding() const;
 
+  inline bool getRejected() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2438,6 +2440,9 @@
   inline void adoptForwarding(::capnp::Orphan< ::Hemlockhill::Wire::ForwardingMessage>&& value);
   inline ::capnp::Orphan< ::Hemlockhill::Wire::ForwardingMessage> disownForwarding();
 
+  inline bool getRejected();
+  inline void setRejected(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6654,6 +6659,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool PeerDatagram::Reader::getRejected() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerDatagram::Builder::getRejected() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void PeerDatagram::Builder::setRejected(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ForwardingMessage::Reader::getIsQuery() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -28,6 +28,7 @@
     builder.setEndpoint(notice.endpoint.value);
     builder.setPromptTokens(notice.prompt.value);
     builder.setInFlight(notice.inFlight);
+    builder.setRejected(notice.rejected);
 }
 
 void write(Wire::StreamOriginMessage::Builder builder, const StreamOrigin &origin)
@@ -218,7 +219,10 @@
     if (reader.hasForwarding()) {
         return read(reader.getForwarding());
     }
-    return DispatchNotice{EndpointId{std::string(reader.getEndpoint().cStr())}, TokenCount{reader.getPromptTokens()}, reader.getInFlight()};
+    return DispatchNotice{EndpointId{std::string(reader.getEndpoint().cStr())},
+                          TokenCount{reader.getPromptTokens()},
+                          reader.getInFlight(),
+                          reader.getRejected()};
 }
 
 } // namespace
--- a/src/libhemlockhill/peers/peer_datagrams_test.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams_test.cpp
@@ -17,7 +17,8 @@
 const std::vector<PeerDatagram> &messages()
 {
     static const std::vector<PeerDatagram> all{
-        DispatchNotice{EndpointId{"i-7f3a91c2"}, TokenCount{1460}, 3},
+        DispatchNotice{EndpointId{"i-7f3a91c2"}, TokenCount{1460}, 3, false},
+        DispatchNotice{EndpointId{"i-7f3a91c2"}, TokenCount{0}, 3, true},
         StreamOriginMessage{StreamOrigin{Request, Version}},
         StreamOriginMessage{StreamOriginQuery{Request}},
         StreamOriginMessage{StreamOriginReply{Request, Version}},
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -64,12 +64,13 @@
     return "request_limited";
 }
 
-EndpointChooser::EndpointChooser(DataCentreId dataCentre, EndpointChooserLimits limits, std::uint64_t seed)
+EndpointChooser::EndpointChooser(DataCentreId dataCentre, EndpointChooserLimits limits, std::uint64_t seed, VmId self)
     : m_dataCentre(std::move(dataCentre))
     , m_limits(limits)
     , m_random(seed)
     , m_rateLimiter(m_limits.promptRateLimit)
     , m_requestRates(m_limits.requestRateLimits, seed)
+    , m_brittleEndpoints(std::move(self), m_limits.brittleEndpoints)
     , m_prefixes(PrefixLimit)
 {
 }
@@ -108,7 +109,7 @@
         }
         anyUsable = true;
         const double load = estimatedLoad(endpoint->id, now);
-        if (load >= endpoint->slots * (1 + m_limits.queueRatio)) {
+        if (isFull(*endpoint, load, now)) {
             anyFull = true;
             continue;
         }
@@ -150,6 +151,14 @@
     return choice;
 }
 
+bool EndpointChooser::isFull(const LiveEndpoint &endpoint, double load, TimePoint now)
+{
+    if (m_brittleEndpoints.isBrittle(endpoint, now)) {
+        return !m_brittleEndpoints.accepts(endpoint, inFlight(endpoint.id), load, now);
+    }
+    return load >= endpoint.slots * (1 + m_limits.queueRatio);
+}
+
 bool EndpointChooser::isInBackoff(const EndpointId &endpoint, TimePoint now) const
 {
     const auto found = m_records.find(endpoint);
@@ -200,6 +209,10 @@
     if (notice.prompt > TokenCount{0}) {
         m_rateLimiter.onDispatched(notice.endpoint, notice.prompt, now);
     }
+    m_brittleEndpoints.onNode(node, now);
+    if (notice.rejected) {
+        m_brittleEndpoints.onRejected(notice.endpoint, now);
+    }
     auto &peerLoads = m_records[notice.endpoint].peerLoads;
     if (notice.inFlight > 0) {
         peerLoads[node] = {notice.inFlight, now};
@@ -247,6 +260,7 @@
 void EndpointChooser::onDirectory(const EndpointsById &endpoints, TimePoint now)
 {
     m_requestRates.onDirectory(endpoints, now);
+    m_brittleEndpoints.onDirectory(endpoints);
     std::erase_if(m_records, [&](const auto &entry) { return !endpoints.contains(entry.first) && entry.second.inFlight == 0; });
 }
 
