--- a/src/libhemlockhill/node/gateway_forwarding_test.cpp
+++ b/src/libhemlockhill/node/gateway_forwarding_test.cpp
@@ -162,6 +162,14 @@
         settings.forwardingListen = Address{node->name.value, ForwardingPort};
         node->gateway = std::make_unique<Gateway>(m_loop, settings, m_timers, node->metrics, plainDialect());
         node->gateway->onForwardingQuery = [this, from = node->name](const ForwardingMessage &query) { ask(from, query); };
+        node->gateway->onCrashSuspects = [this, from = node->name](const CrashSuspectNotice &notice) {
+            for (const auto &other : m_nodes) {
+                if (other->name != from) {
+                    other->gateway->onRemoteCrashSuspects(notice);
+                }
+            }
+        };
+        node->gateway->onRateLimit = [this, from = node->name](const RateLimitNotice &notice) { announce(from, notice); };
         node->gateway->start();
         node->gateway->setDeployment(singleRoute(node->address, kind, resumable));
         publish(*node, isCutOff);
@@ -195,6 +203,18 @@
         }
     }
 
+    void announce(const VmId &from, const RateLimitNotice &notice)
+    {
+        for (const auto &node : m_nodes) {
+            if (node->name == from) {
+                continue;
+            }
+            if (const auto reply = node->gateway->onRemoteRateLimit(from, notice)) {
+                find(from).gateway->onRemoteRateLimit(node->name, *reply);
+            }
+        }
+    }
+
     Node &find(const VmId &name)
     {
         return **std::find_if(m_nodes.begin(), m_nodes.end(), [&name](const auto &node) { return node->name == name; });
@@ -248,6 +268,60 @@
     BOOST_CHECK_EQUAL(fleet.runs.size(), 1);
 }
 
+BOOST_AUTO_TEST_CASE(request_through_another_node_has_more_time_than_its_caller_or_names_no_instance)
+{
+    std::string instance;
+    int timeLeftMs = 0;
+    ForwardingFleet fleet({true, false}, RouteKind::Safe, [&](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+        instance = std::string(request.header("Instance"));
+        timeLeftMs = std::stoi(std::string(request.header("Time-Left-Ms")));
+        responder->answer(signedAnswer(request));
+    });
+    BOOST_REQUIRE_EQUAL(fleet.exchange(0, "/x/1").value().status, 200);
+    BOOST_CHECK(instance == "e0" || instance == "e1");
+    // The route's timeout is 2 s.
+    BOOST_CHECK_LE(timeLeftMs, 2'000);
+    BOOST_CHECK_GT(timeLeftMs, 500);
+}
+
+BOOST_AUTO_TEST_CASE(request_that_crashes_endpoints_is_sent_again_through_another_node)
+{
+    const auto abortConnection = [](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) { responder->abort(); };
+    ForwardingFleet fleet({true, false}, RouteKind::Safe, abortConnection);
+    BOOST_CHECK_EQUAL(fleet.exchange(0, "/x/1").value().status, 502);
+    BOOST_CHECK_EQUAL(fleet.runs.size(), 2);
+    fleet.run(std::chrono::milliseconds(50));
+    for (const std::size_t node : {0, 1, 0}) {
+        BOOST_CHECK_EQUAL(findHeader(fleet.exchange(node, "/x/1").value().headers, "Retry-After").empty(), false);
+    }
+    BOOST_CHECK_EQUAL(fleet.runs.size(), 2);
+}
+
+// Guards against requests that count against an endpoint's limit at both nodes, or at none.
+BOOST_AUTO_TEST_CASE(request_through_another_node_counts_twice_against_a_rate_limit)
+{
+    ForwardingFleet fleet({true, false}, RouteKind::Safe, [](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+        HttpResponse answer = signedAnswer(request);
+        answer.headers.push_back({"Limit", "20"});
+        responder->answer(std::move(answer));
+    });
+    std::size_t served = 0;
+    for (int request = 0; request < 20; ++request) {
+        served += fleet.exchange(0, "/x/1").value().status == 200 ? 1 : 0;
+        fleet.run(std::chrono::milliseconds(20));
+    }
+    BOOST_CHECK_EQUAL(fleet.runs.size(), served);
+    std::uint64_t counted = 0;
+    for (const RateLimitNotice &limit : fleet.gateway(0).rateLimits()) {
+        counted += limit.dispatched;
+    }
+    // The first request to each of the two endpoints brought the limit.
+    BOOST_CHECK_EQUAL(counted + 2, served);
+    for (const RateLimitNotice &limit : fleet.gateway(1).rateLimits()) {
+        BOOST_CHECK_EQUAL(limit.dispatched, 0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refusal_of_the_endpoint_is_not_told_as_such_through_another_node)
 {
     ForwardingFleet fleet({true, false}, RouteKind::Unsafe, [](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -41,6 +41,9 @@
     dialect.forward = [](const HttpRequest &request, const ForwardOptions &options) {
         HttpRequest forwarded = request;
         forwarded.headers.push_back({"Resume-After", options.resumeAfter});
+        forwarded.headers.push_back({"Instance", options.endpoint.value});
+        forwarded.headers.push_back(
+            {"Time-Left-Ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(options.timeLeft).count())});
         return forwarded;
     };
     dialect.readAnswer = [](unsigned, const std::vector<HttpHeader> &headers) {
@@ -49,6 +52,10 @@
         head.notRun = !findHeader(headers, "Not-Run").empty();
         head.isSigned = !findHeader(headers, "Signature").empty();
         head.isEventStream = findHeader(headers, "Content-Type") == "text/event-stream";
+        if (const std::string_view limit = findHeader(headers, "Limit"); !limit.empty()) {
+            head.capacity.rateLimit = RateLimitStatement::Limited;
+            head.capacity.rate = RequestRate{std::stod(std::string(limit))};
+        }
         return head;
     };
     dialect.answerHeaders = [](const std::vector<HttpHeader> &headers) {
