Keep an endpoint's reachability as long as exchanges report to it

Seen: nothing yet; found while reading the change. An exchange that is in progress when its gateway ends is kept by the event loop, which is destroyed later, and its end was then reported to freed memory. Cause: the exchange held a reference. It shares the object now; nothing else changes. No test shows it: a case with an open request at the end also destroys the test's own responders after their loop, and was left.

Run: gateway_forwarding_test, 14 of 14 cases.

--- a/src/libhemlockhill/node/direct_exchange.cpp
+++ b/src/libhemlockhill/node/direct_exchange.cpp
@@ -15,11 +15,11 @@
 class InFlight
 {
 public:
-    InFlight(EndpointReachability &reachability, EndpointId endpoint)
-        : m_reachability(reachability)
+    InFlight(std::shared_ptr<EndpointReachability> reachability, EndpointId endpoint)
+        : m_reachability(std::move(reachability))
         , m_endpoint(std::move(endpoint))
     {
-        m_reachability.onSent(m_endpoint, currentTime());
+        m_reachability->onSent(m_endpoint, currentTime());
     }
 
     ~InFlight() { end(); }
@@ -29,7 +29,7 @@
     void onHeard()
     {
         m_heard = true;
-        m_reachability.onHeard(m_endpoint, currentTime());
+        m_reachability->onHeard(m_endpoint, currentTime());
     }
 
     void onFailed(const ExchangeFailure &failure)
@@ -38,19 +38,20 @@
         // What is between the two may accept a connection and reset it at once.
         const bool wasReset = failure.reason == Reason::EndpointLost && !failure.reusedConnection && !m_heard;
         if (!failure.mayHaveReached || wasReset) {
-            m_reachability.onConnectFailed(m_endpoint, currentTime());
+            m_reachability->onConnectFailed(m_endpoint, currentTime());
         }
     }
 
     void end()
     {
         if (!std::exchange(m_ended, true)) {
-            m_reachability.onEnded(m_endpoint, currentTime());
+            m_reachability->onEnded(m_endpoint, currentTime());
         }
     }
 
 private:
-    EndpointReachability &m_reachability;
+    // Shared, as the event loop may keep an exchange for longer than its gateway exists.
+    std::shared_ptr<EndpointReachability> m_reachability;
     EndpointId m_endpoint;
     bool m_heard = false;
     bool m_ended = false;
@@ -119,14 +120,14 @@
 } // namespace
 
 std::shared_ptr<HttpExchange> startDirectExchange(ConnectionPool &pool,
-                                                  EndpointReachability &reachability,
+                                                  std::shared_ptr<EndpointReachability> reachability,
                                                   const EndpointId &endpoint,
                                                   const Address &address,
                                                   const HttpRequest &request,
                                                   const ExchangeLimits &limits,
                                                   ExchangeHooks hooks)
 {
-    const auto inFlight = std::make_shared<InFlight>(reachability, endpoint);
+    const auto inFlight = std::make_shared<InFlight>(std::move(reachability), endpoint);
     auto exchange = pool.start(address, request, limits, ConnectionChoice::PreferIdle, observe(std::move(hooks), inFlight));
     return std::make_shared<DirectExchange>(inFlight, std::move(exchange));
 }
--- a/src/libhemlockhill/node/direct_exchange.h
+++ b/src/libhemlockhill/node/direct_exchange.h
@@ -9,10 +9,9 @@
 namespace Hemlockhill
 {
 
-// Starts an exchange with an endpoint and reports to `reachability` what it shows about the path there. The object must outlive the
-// exchange.
+// Starts an exchange with an endpoint and reports to `reachability` what it shows about the path there.
 std::shared_ptr<HttpExchange> startDirectExchange(ConnectionPool &pool,
-                                                  EndpointReachability &reachability,
+                                                  std::shared_ptr<EndpointReachability> reachability,
                                                   const EndpointId &endpoint,
                                                   const Address &address,
                                                   const HttpRequest &request,
--- a/src/libhemlockhill/node/endpoint_paths.cpp
+++ b/src/libhemlockhill/node/endpoint_paths.cpp
@@ -29,6 +29,7 @@
     , m_pool(pool)
     , m_metrics(metrics)
     , m_peerPool(loop, m_settings.idleConnections, m_settings.listen ? m_settings.listen->host : std::string())
+    , m_reachability(std::make_shared<EndpointReachability>())
     , m_peers(m_settings.dataCentre, {}, seed)
 {
 }
@@ -48,11 +49,11 @@
 
 EndpointPaths::Way EndpointPaths::wayTo(const LiveEndpoint &endpoint, const std::set<VmId> &avoided, TimePoint now)
 {
-    if (!mayForward() || m_reachability.isReachable(endpoint.id, now)) {
+    if (!mayForward() || m_reachability->isReachable(endpoint.id, now)) {
         return Way::Direct;
     }
-    m_reachability.onWanted(endpoint.id, now);
-    if (m_reachability.acceptsOpenConnections(endpoint.id, now) && m_pool.idleConnections(endpoint.address) > 0) {
+    m_reachability->onWanted(endpoint.id, now);
+    if (m_reachability->acceptsOpenConnections(endpoint.id, now) && m_pool.idleConnections(endpoint.address) > 0) {
         return Way::Direct;
     }
     queryPeers(now);
@@ -105,7 +106,7 @@
 
 void EndpointPaths::onDirectory(const EndpointsById &endpoints)
 {
-    m_reachability.onDirectory(endpoints);
+    m_reachability->onDirectory(endpoints);
     std::erase_if(m_lostAtPeers, [&](const auto &entry) { return !endpoints.contains(entry.first); });
 }
 
@@ -124,20 +125,20 @@
 
 void EndpointPaths::onSilentElsewhere(const EndpointId &endpoint)
 {
-    m_reachability.onSilentElsewhere(endpoint, currentTime());
+    m_reachability->onSilentElsewhere(endpoint, currentTime());
 }
 
 std::optional<Reason> EndpointPaths::obstacle(const LiveEndpoint &endpoint)
 {
     const TimePoint now = currentTime();
-    if (m_reachability.isIsolated(now)) {
+    if (m_reachability->isIsolated(now)) {
         return Reason::Draining;
     }
-    if (m_reachability.isReachable(endpoint.id, now)) {
+    if (m_reachability->isReachable(endpoint.id, now)) {
         return std::nullopt;
     }
-    m_reachability.onWanted(endpoint.id, now);
-    return m_reachability.isSilent(endpoint.id, now) ? Reason::EndpointSilent : Reason::EndpointLost;
+    m_reachability->onWanted(endpoint.id, now);
+    return m_reachability->isSilent(endpoint.id, now) ? Reason::EndpointSilent : Reason::EndpointLost;
 }
 
 bool EndpointPaths::lacksPeers() const
@@ -147,22 +148,22 @@
 
 bool EndpointPaths::isIsolated() const
 {
-    return m_reachability.isIsolated(currentTime());
+    return m_reachability->isIsolated(currentTime());
 }
 
 void EndpointPaths::review(const EndpointsById &endpoints)
 {
     const TimePoint now = currentTime();
     std::set<EndpointId> unreachable;
-    for (const EndpointId &id : m_reachability.unreachable(now)) {
+    for (const EndpointId &id : m_reachability->unreachable(now)) {
         unreachable.insert(id);
         const auto listed = endpoints.find(id);
         if (m_unreachable.contains(id) || listed == endpoints.end()) {
             continue;
         }
-        logEvent(Severity::Info, "endpoint unreachable", {{"endpoint", id.value}, {"isolated", m_reachability.isIsolated(now)}});
+        logEvent(Severity::Info, "endpoint unreachable", {{"endpoint", id.value}, {"isolated", m_reachability->isIsolated(now)}});
         m_metrics.countEvent("endpoint_unreachable");
-        if (!m_reachability.acceptsOpenConnections(id, now)) {
+        if (!m_reachability->acceptsOpenConnections(id, now)) {
             m_pool.dropIdle(listed->second.address);
         }
     }
@@ -179,7 +180,7 @@
 
 std::vector<EndpointId> EndpointPaths::probesDue()
 {
-    return m_reachability.probesDue(currentTime());
+    return m_reachability->probesDue(currentTime());
 }
 
 void EndpointPaths::probe(const LiveEndpoint &endpoint, const HttpRequest &request)
@@ -191,7 +192,7 @@
     limits.completeBefore = currentTime() + ProbeTimeout;
     ExchangeHooks hooks;
     hooks.onHead = [this, id = endpoint.id](unsigned, const std::vector<HttpHeader> &) {
-        m_reachability.onProbeAnswered(id, currentTime());
+        m_reachability->onProbeAnswered(id, currentTime());
     };
     m_pool.start(endpoint.address, request, limits, ConnectionChoice::FreshOnly, std::move(hooks));
 }
--- a/src/libhemlockhill/node/endpoint_paths.h
+++ b/src/libhemlockhill/node/endpoint_paths.h
@@ -81,7 +81,7 @@
     Metrics &m_metrics;
     // Connections to other nodes, which recognize this one by its address.
     ConnectionPool m_peerPool;
-    EndpointReachability m_reachability;
+    std::shared_ptr<EndpointReachability> m_reachability;
     ForwardingPeers m_peers;
     // Endpoints that were unreachable at the last review.
     std::set<EndpointId> m_unreachable;
