Log how long a request lay unread, and the caller's state at each exchange

No logic changes. The line request ended gets unread_ms, the time between the arrival of the bytes and their being read, and for each exchange the age of the request, the time left and whether its caller was connected just before the first byte.

The arrival is a bound: a timer of the loop itself marks its turns, and bytes that a pending read receives have come after the third last mark. Where the kernel says when it received the last bytes (TCP_INFO), that goes before the bound.

--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -29,6 +29,7 @@
 namespace Hemlockhill
 {
 
+class ArrivalClock;
 class EndpointPaths;
 
 struct GatewaySettings {
@@ -169,6 +170,7 @@
     ConnectionPool m_pool;
     std::unique_ptr<EndpointPaths> m_paths;
     EndpointChooser m_chooser;
+    std::shared_ptr<ArrivalClock> m_arrivalClock;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<HttpServer> m_forwardingServer;
     std::set<VmId> m_nodes;
--- a/src/include/hemlockhill/http_server.h
+++ b/src/include/hemlockhill/http_server.h
@@ -15,6 +15,8 @@
 namespace Hemlockhill
 {
 
+class ArrivalClock;
+
 struct HttpServerLimits {
     Bytes header{16'000};
     Bytes body{4'000'000};
@@ -49,6 +51,10 @@
     virtual std::uint64_t connection() const = 0;
     // IP address of the client; empty if it is no longer known.
     virtual std::string remoteHost() const = 0;
+    // When the first bytes of the request arrived at this VM, at the earliest. They may have lain unread since then.
+    virtual TimePoint receivedAt() const = 0;
+    // Whether the client still keeps the connection open, as far as this VM has heard. onDisconnected may follow later.
+    virtual bool isConnected() const = 0;
 
     // Called once if the client disconnects before the response is complete.
     std::function<void()> onDisconnected;
@@ -77,6 +83,8 @@
     void stopAccepting();
     // Number of open connections.
     std::size_t connections() const;
+    // From now on receivedAt() of requests takes into account how long they have lain unread. Call on the loop.
+    void setArrivalClock(std::shared_ptr<const ArrivalClock> clock);
     // Applies to new connections and requests. Call on the loop.
     void setLimits(const HttpServerLimits &limits);
 
--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -2,6 +2,8 @@
 #include "hemlockhill/http_server.h"
 
 #include "hemlockhill/refusal_answer.h"
+#include "hemlockhill/timer_service.h"
+#include "net/arrival_clock.h"
 #include "net/socket_options.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -36,6 +38,8 @@
 constexpr int ListenBacklog = 1024;
 // Delay after a failed accept, for instance when the process is out of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryDelay(20);
+// Requests that have certainly been read within this time of their arrival count as having arrived when they were read.
+constexpr Duration NegligibleReadDelay = std::chrono::milliseconds(250);
 
 // The refusal reason for a read error, or nullopt if the connection should be closed without a response.
 std::optional<Reason> reasonOf(error_code error)
@@ -93,6 +97,9 @@
     void refused(Reason reason) { m_refused(reason); }
     void remove(Session *session) { m_sessions.erase(session); }
     std::uint64_t nextConnection() { return ++m_lastConnection; }
+    void setArrivalClock(std::shared_ptr<const ArrivalClock> clock) { m_arrivalClock = std::move(clock); }
+    // When the bytes arrived that have just been read from the socket.
+    TimePoint arrivalTime(tcp::socket &socket) const;
 
 private:
     void onAccept(error_code error, tcp::socket socket);
@@ -103,6 +110,7 @@
     HttpServerLimits m_limits;
     HttpHandler m_handler;
     HttpRefusalHook m_refused;
+    std::shared_ptr<const ArrivalClock> m_arrivalClock;
     std::set<Session *> m_sessions;
     std::uint64_t m_lastConnection = 0;
     bool m_stopping = false;
@@ -128,6 +136,8 @@
     void awaitRequest();
     void closeIfIdle();
     std::string remoteHost() const;
+    TimePoint receivedAt() const { return m_receivedAt; }
+    bool isConnected() { return m_phase != Phase::Finished && !isClosedByPeer(m_stream.socket()); }
 
 private:
     class Responder;
@@ -159,6 +169,8 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::weak_ptr<Responder> m_responder;
     Phase m_phase = Phase::AwaitingRequest;
+    // When the bytes arrived that have been read last while no request was in progress.
+    TimePoint m_receivedAt;
     bool m_keepAlive = false;
     bool m_headRequest = false;
     // Body bytes that wait for the next write, and those in the write in progress.
@@ -181,6 +193,7 @@
     explicit Responder(std::shared_ptr<Session> session)
         : m_session(std::move(session))
         , m_number(m_session->m_number)
+        , m_receivedAt(m_session->receivedAt())
     {
     }
 
@@ -235,6 +248,10 @@
 
     std::string remoteHost() const override { return m_session ? m_session->remoteHost() : std::string(); }
 
+    TimePoint receivedAt() const override { return m_receivedAt; }
+
+    bool isConnected() const override { return m_session && m_session->isConnected(); }
+
     void notifyDisconnected()
     {
         const auto session = std::exchange(m_session, nullptr);
@@ -246,6 +263,7 @@
 private:
     std::shared_ptr<Session> m_session;
     std::uint64_t m_number;
+    TimePoint m_receivedAt;
 };
 
 void HttpServer::Listener::Session::refuseConnection()
@@ -277,6 +295,7 @@
             return;
         }
         self->m_buffer.commit(bytes);
+        self->m_receivedAt = self->m_listener->arrivalTime(self->m_stream.socket());
         self->readRequest();
     });
 }
@@ -566,6 +585,13 @@
     }
 }
 
+TimePoint HttpServer::Listener::arrivalTime(tcp::socket &socket) const
+{
+    const TimePoint now = currentTime();
+    const TimePoint earliest = m_arrivalClock ? m_arrivalClock->earliestArrival() : now;
+    return now - earliest < NegligibleReadDelay ? now : lastArrival(socket, earliest);
+}
+
 void HttpServer::Listener::accept()
 {
     if (m_stopping) {
@@ -629,6 +655,11 @@
     m_listener->closeAfterAnswers();
 }
 
+void HttpServer::setArrivalClock(std::shared_ptr<const ArrivalClock> clock)
+{
+    m_listener->setArrivalClock(std::move(clock));
+}
+
 void HttpServer::setLimits(const HttpServerLimits &limits)
 {
     m_listener->setLimits(limits);
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -6,6 +6,7 @@
 #include "gateway_request.h"
 #include "hemlockhill/log.h"
 #include "hemlockhill/refusal_answer.h"
+#include "net/arrival_clock.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/json/array.hpp>
@@ -110,6 +111,7 @@
     , m_paths(std::make_unique<EndpointPaths>(
           loop, EndpointPathSettings{m_settings.dataCentre, m_settings.forwardingListen}, m_pool, metrics, randomSeed(m_settings.listen)))
     , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen), VmId{m_settings.listen.host})
+    , m_arrivalClock(std::make_shared<ArrivalClock>(loop))
     , m_directory(m_settings.directoryAge)
     , m_crashGuard(m_settings.crashes)
     , m_versions(StreamOriginLimits().retention)
@@ -117,7 +119,10 @@
 {
 }
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway()
+{
+    m_arrivalClock->stop();
+}
 
 void Gateway::start()
 {
@@ -130,6 +135,8 @@
             m_metrics.countRefusal(reason);
             logEvent(Severity::Info, "request refused before it was read", {{"reason", toText(reason)}});
         });
+    m_server->setArrivalClock(m_arrivalClock);
+    m_arrivalClock->start();
     if (m_settings.forwardingListen) {
         startForwardingServer();
     }
@@ -145,6 +152,7 @@
         forwardingServerLimits({}),
         [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) { onForwardedRequest(std::move(request), responder); },
         [this](Reason reason) { m_metrics.countRefusal(reason); });
+    m_forwardingServer->setArrivalClock(m_arrivalClock);
     m_paths->onQuery = [this](const ForwardingMessage &query) {
         if (onForwardingQuery) {
             onForwardingQuery(query);
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -65,6 +65,7 @@
     , m_route(route)
     , m_responder(std::move(responder))
     , m_arrivedAt(currentTime())
+    , m_readAt(m_arrivedAt)
     , m_deadline(m_arrivedAt + std::min(route.timeout, m_head.callerDeadline.value_or(route.timeout)))
     , m_events(route.resumable ? PartialEvents::Buffered : PartialEvents::Forwarded)
 {
@@ -339,6 +340,7 @@
         };
     };
     ExchangeHooks hooks;
+    hooks.onSending = guarded([](Request &self) { self.onSending(); });
     hooks.onHead = guarded([](Request &self, unsigned status, const std::vector<HttpHeader> &headers) { self.onHead(status, headers); });
     hooks.onBody = guarded([](Request &self, std::string bytes) { self.onBody(std::move(bytes)); });
     hooks.onEnd = guarded([](Request &self) { self.onEnd(); });
@@ -346,6 +348,12 @@
     return hooks;
 }
 
+void Gateway::Request::onSending()
+{
+    const TimePoint now = currentTime();
+    m_sent.push_back({std::chrono::duration_cast<Duration>(now - m_responder->receivedAt()), timeLeft(), m_responder->isConnected()});
+}
+
 void Gateway::Request::onHead(unsigned status, const std::vector<HttpHeader> &headers)
 {
     const auto forwardingFailure = m_peer ? readForwardingFailure(headers) : std::nullopt;
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace Hemlockhill
 {
@@ -22,6 +23,14 @@
     void advance();
 };
 
+// An exchange of a request, for logs.
+struct SentExchange {
+    // Since the bytes of the request arrived.
+    Duration age;
+    Duration timeLeft;
+    bool isCallerConnected = false;
+};
+
 // What an exchange that failed before anything was sent shows about its endpoint.
 enum class EndpointLoss { Unlikely, Possible, Confirmed };
 
@@ -79,6 +88,7 @@
     void send(const EndpointId &endpoint);
     ExchangeHooks exchangeHooks();
     ExchangeLimits exchangeLimits() const;
+    void onSending();
     void onHead(unsigned status, const std::vector<HttpHeader> &headers);
     void onBody(std::string bytes);
     void onEnd();
@@ -123,6 +133,9 @@
     EndpointRequirements m_requirements;
     std::shared_ptr<HttpResponder> m_responder;
     TimePoint m_arrivedAt;
+    // When the node has read the request.
+    TimePoint m_readAt;
+    std::vector<SentExchange> m_sent;
     TimePoint m_deadline;
     SubscriptionId m_deadlineTimer;
     AttemptHistory m_history;
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -40,6 +40,16 @@
     return list;
 }
 
+// Describes each exchange as the age of the request, the time left to its deadline, and whether its caller was still connected.
+boost::json::array describe(const std::vector<SentExchange> &exchanges)
+{
+    boost::json::array list;
+    for (const SentExchange &exchange : exchanges) {
+        list.push_back(boost::json::array{milliseconds(exchange.age), milliseconds(exchange.timeLeft), exchange.isCallerConnected});
+    }
+    return list;
+}
+
 // Formats seconds with two decimals. Callers of this gateway accept a fractional Retry-After.
 std::string fractionalSeconds(Duration duration)
 {
@@ -206,6 +216,8 @@
                                {"fingerprint", m_head.fingerprint.value},
                                {"exchanges", m_history.exchanges},
                                {"possible_runs", m_history.possibleRuns},
+                               {"unread_ms", milliseconds(std::chrono::duration_cast<Duration>(m_readAt - m_responder->receivedAt()))},
+                               {"sent", describe(m_sent)},
                                {"waited_ms", milliseconds(m_waited)},
                                {"total_ms", milliseconds(now - m_arrivedAt)},
                                {"time_left_ms", milliseconds(m_deadline - now)},
