Count a request's time from its arrival, and look for its caller before each send

Callers saw: nothing; runners worked for callers that had left.

Cause (hypothesis 1): the age of a request was counted from when the node had read it. What lay in the listen queue or in a socket's buffer, behind a loop without a turn, got its waiting time and its deadline again. The class: work for a caller of whom the node could know that he has left.

Change: - HttpServer says since when a request may have lain unread. A timer of the loop marks its turns; what a pending read receives has come after the third last mark, what was there on accepting after the listen queue was last empty. Where the kernel keeps the time (TCP_INFO), it goes before the bound. Below 250 ms it counts as nothing. - Deadline, queue time and rank count from then; a stream's request is no longer sent once its caller's patience for silence has run out, with 130 ms for the first byte. What is too late is refused at once as not run. - Right before the first byte leaves, after any wait for a connection, the caller's connection and the time are looked at again. - A close behind the bytes of further requests is seen: these are read into the bounded buffer meanwhile. - New connections are accepted up to 64 a turn instead of one. - The same for requests that peers forward, and for the product's own models and services. - A stream that waits between two endpoints at its deadline is cut off; it was left open.

--- a/src/include/hemlockhill/caller_thread.h
+++ b/src/include/hemlockhill/caller_thread.h
@@ -19,6 +19,7 @@
 namespace Hemlockhill
 {
 
+class ArrivalClock;
 class ModelRequests;
 class ServiceCalls;
 
@@ -75,6 +76,7 @@
     ServingGate &m_gate;
     EventLoopThread m_thread;
     std::string m_requestPrefix;
+    std::shared_ptr<ArrivalClock> m_arrivalClock;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<ModelRequests> m_models;
     OncePort m_oncePort;
--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -60,7 +60,7 @@
 
 // Callbacks of an exchange, called on the pool's event loop. None is called after onEnd or onFailed.
 struct ExchangeHooks {
-    // Called immediately before the first byte of the request may leave this VM.
+    // Called immediately before the first byte of the request may leave this VM. If it cancels the exchange, nothing is sent.
     std::function<void()> onSending;
     std::function<void(unsigned status, const std::vector<HttpHeader> &headers)> onHead;
     std::function<void(std::string bytes)> onBody;
--- a/src/include/hemlockhill/queue_policy.h
+++ b/src/include/hemlockhill/queue_policy.h
@@ -23,6 +23,10 @@
 // the end of the response.
 Duration maximumQueueWait(const Route &route, Duration callerTimeout);
 
+// Returns the time after the arrival of a request, or after the last event of its stream, from which it is not sent to an endpoint any
+// more: its caller has given up by then, or would before anything could arrive.
+Duration dispatchTimeout(const Route &route, Duration callerTimeout);
+
 // Dispatch order of queued requests. Lower values are dispatched first.
 struct WaitingRank {
     bool late = false;
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -203,10 +203,13 @@
         fail(boost::asio::error::timed_out);
         return;
     }
-    m_sending = true;
     if (m_hooks.onSending) {
         m_hooks.onSending();
     }
+    if (m_ended) {
+        return;
+    }
+    m_sending = true;
     expireAfter(firstByteTimeout());
     http::async_write(m_connection->stream, m_request, [self = shared_from_this()](error_code error, std::size_t) {
         if (error) {
--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -36,6 +36,8 @@
 // Maximum number of bytes of a large body read at once.
 constexpr std::size_t BodyReadBytes = 65'536;
 constexpr int ListenBacklog = 1024;
+// Connections accepted in one turn of the event loop, so that many new ones do not hold up the others.
+constexpr int AcceptsPerTurn = 64;
 // Delay after a failed accept, for instance when the process is out of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryDelay(20);
 // Requests that have certainly been read within this time of their arrival count as having arrived when they were read.
@@ -98,11 +100,12 @@
     void remove(Session *session) { m_sessions.erase(session); }
     std::uint64_t nextConnection() { return ++m_lastConnection; }
     void setArrivalClock(std::shared_ptr<const ArrivalClock> clock) { m_arrivalClock = std::move(clock); }
-    // When the bytes arrived that have just been read from the socket.
-    TimePoint arrivalTime(tcp::socket &socket) const;
+    TimePoint earliestArrival() const { return m_arrivalClock ? m_arrivalClock->earliestArrival() : currentTime(); }
 
 private:
-    void onAccept(error_code error, tcp::socket socket);
+    void acceptWaiting();
+    void start(tcp::socket socket);
+    void retryAccept();
 
     boost::asio::io_context &m_loop;
     tcp::acceptor m_acceptor;
@@ -112,6 +115,8 @@
     HttpRefusalHook m_refused;
     std::shared_ptr<const ArrivalClock> m_arrivalClock;
     std::set<Session *> m_sessions;
+    // The earliest time at which the connections arrived that wait to be accepted; empty if none waits.
+    std::optional<TimePoint> m_waitingSince;
     std::uint64_t m_lastConnection = 0;
     bool m_stopping = false;
     bool m_closing = false;
@@ -121,11 +126,16 @@
 class HttpServer::Listener::Session : public std::enable_shared_from_this<Session>
 {
 public:
-    Session(tcp::socket socket, std::shared_ptr<Listener> listener)
+    // The connection has existed since the given time at the earliest.
+    Session(tcp::socket socket, TimePoint connectedAt, std::shared_ptr<Listener> listener)
         : m_stream(std::move(socket))
         , m_listener(std::move(listener))
         , m_number(m_listener->nextConnection())
     {
+        error_code ignored;
+        if (m_stream.socket().available(ignored) > 0) {
+            m_unreadSince = connectedAt;
+        }
     }
 
     ~Session() { m_listener->remove(this); }
@@ -146,7 +156,9 @@
     void readRequest();
     void onRequest(error_code error);
     void refuse(Reason reason);
-    void waitForPeerClose();
+    void watchPeer();
+    void onReadable();
+    TimePoint arrivalTime();
     void answer(HttpResponse response);
     void begin(const HttpResponse &head);
     void write(std::string bytes);
@@ -169,8 +181,12 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::weak_ptr<Responder> m_responder;
     Phase m_phase = Phase::AwaitingRequest;
-    // When the bytes arrived that have been read last while no request was in progress.
+    // When the bytes arrived that have been read last.
     TimePoint m_receivedAt;
+    // Set if bytes had arrived when the connection was accepted: the earliest time of their arrival.
+    std::optional<TimePoint> m_unreadSince;
+    // Number of requests so far. Notifications that concern earlier ones are ignored.
+    std::uint64_t m_requests = 0;
     bool m_keepAlive = false;
     bool m_headRequest = false;
     // Body bytes that wait for the next write, and those in the write in progress.
@@ -295,7 +311,7 @@
             return;
         }
         self->m_buffer.commit(bytes);
-        self->m_receivedAt = self->m_listener->arrivalTime(self->m_stream.socket());
+        self->m_receivedAt = self->arrivalTime();
         self->readRequest();
     });
 }
@@ -344,6 +360,11 @@
         }
         return;
     }
+    const bool mayHaveLeft = currentTime() - m_receivedAt >= NegligibleReadDelay;
+    if (mayHaveLeft && isClosedByPeer(m_stream.socket())) {
+        close();
+        return;
+    }
     m_stream.expires_never();
     auto message = m_parser->release();
     m_keepAlive = message.keep_alive();
@@ -357,7 +378,8 @@
     request.body = std::move(message.body());
     const auto responder = std::make_shared<Responder>(shared_from_this());
     m_responder = responder;
-    waitForPeerClose();
+    ++m_requests;
+    watchPeer();
     m_listener->handle(std::move(request), responder);
 }
 
@@ -368,25 +390,47 @@
     answer(refusalAnswer(Refusal{reason, Ran::No, {}, {}, {}}, RequestId{}));
 }
 
-// The socket is not read while a request is in progress, so a close by the client is detected by waiting for readability.
-void HttpServer::Listener::Session::waitForPeerClose()
+// Detects a close by the client while a request is in progress, also behind the bytes of further requests, which are read as far as the
+// buffer holds them.
+void HttpServer::Listener::Session::watchPeer()
 {
-    if (m_buffer.size() > 0) {
-        return;
-    }
-    m_stream.socket().async_wait(tcp::socket::wait_read, [weak = weak_from_this()](error_code error) {
+    m_stream.socket().async_wait(tcp::socket::wait_read, [weak = weak_from_this(), request = m_requests](error_code error) {
         const auto self = weak.lock();
-        if (!self || error || self->m_phase == Phase::AwaitingRequest || self->m_phase == Phase::Finished) {
-            return;
-        }
-        error_code availableError;
-        const bool closed = self->m_stream.socket().available(availableError) == 0;
-        if (closed || availableError) {
-            self->onPeerClosed();
+        const bool inProgress = self && (self->m_phase == Phase::Answering || self->m_phase == Phase::Streaming);
+        if (!error && inProgress && self->m_requests == request) {
+            self->onReadable();
         }
     });
 }
 
+void HttpServer::Listener::Session::onReadable()
+{
+    error_code error;
+    const std::size_t unread = m_stream.socket().available(error);
+    const std::size_t room = m_buffer.max_size() - m_buffer.size();
+    std::size_t bytes = 0;
+    if (!error && unread > 0 && room > 0) {
+        bytes = m_stream.socket().read_some(m_buffer.prepare(std::min(unread, room)), error);
+    }
+    if (error || unread == 0) {
+        onPeerClosed();
+        return;
+    }
+    if (bytes > 0) {
+        m_buffer.commit(bytes);
+        m_receivedAt = arrivalTime();
+        watchPeer();
+    }
+}
+
+// Returns when the bytes arrived that have just been read.
+TimePoint HttpServer::Listener::Session::arrivalTime()
+{
+    const TimePoint now = currentTime();
+    const TimePoint earliest = std::min(m_listener->earliestArrival(), std::exchange(m_unreadSince, std::nullopt).value_or(now));
+    return now - earliest < NegligibleReadDelay ? now : lastArrival(m_stream.socket(), earliest);
+}
+
 void HttpServer::Listener::Session::answer(HttpResponse response)
 {
     if (m_phase != Phase::Answering) {
@@ -580,50 +624,73 @@
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
         m_acceptor.bind(local);
         m_acceptor.listen(ListenBacklog);
+        m_acceptor.non_blocking(true);
     } catch (const boost::system::system_error &error) {
         throw EnvironmentError("cannot listen on " + listen.text() + ": " + error.code().message());
     }
 }
 
-TimePoint HttpServer::Listener::arrivalTime(tcp::socket &socket) const
+void HttpServer::Listener::accept()
 {
-    const TimePoint now = currentTime();
-    const TimePoint earliest = m_arrivalClock ? m_arrivalClock->earliestArrival() : now;
-    return now - earliest < NegligibleReadDelay ? now : lastArrival(socket, earliest);
+    m_acceptor.async_wait(tcp::acceptor::wait_read, [self = shared_from_this()](error_code error) {
+        if (error) {
+            self->retryAccept();
+            return;
+        }
+        self->m_waitingSince = self->earliestArrival();
+        self->acceptWaiting();
+    });
 }
 
-void HttpServer::Listener::accept()
+void HttpServer::Listener::acceptWaiting()
 {
-    if (m_stopping) {
-        return;
+    for (int accepted = 0; accepted < AcceptsPerTurn && !m_stopping; ++accepted) {
+        error_code error;
+        tcp::socket socket(m_loop);
+        m_acceptor.accept(socket, error);
+        if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
+            m_waitingSince.reset();
+            accept();
+            return;
+        }
+        if (error) {
+            retryAccept();
+            return;
+        }
+        start(std::move(socket));
+    }
+    if (!m_stopping) {
+        boost::asio::post(m_loop, [self = shared_from_this()] { self->acceptWaiting(); });
     }
-    m_acceptor.async_accept(
-        m_loop, [self = shared_from_this()](error_code error, tcp::socket socket) { self->onAccept(error, std::move(socket)); });
 }
 
-void HttpServer::Listener::onAccept(error_code error, tcp::socket socket)
+void HttpServer::Listener::retryAccept()
 {
     if (m_stopping) {
         return;
     }
-    if (!error) {
-        error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        enableDeadPeerDetection(socket);
-        const auto session = std::make_shared<Session>(std::move(socket), shared_from_this());
-        m_sessions.insert(session.get());
-        if (m_sessions.size() > m_limits.connections) {
-            session->refuseConnection();
-        } else {
-            session->awaitRequest();
+    m_acceptRetryTimer.expires_after(AcceptRetryDelay);
+    m_acceptRetryTimer.async_wait([self = shared_from_this()](error_code) {
+        if (self->m_waitingSince) {
+            self->acceptWaiting();
+        } else if (!self->m_stopping) {
+            self->accept();
         }
+    });
+}
+
+void HttpServer::Listener::start(tcp::socket socket)
+{
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    enableDeadPeerDetection(socket);
+    const auto session = std::make_shared<Session>(std::move(socket), m_waitingSince.value_or(currentTime()), shared_from_this());
+    m_sessions.insert(session.get());
+    if (m_sessions.size() > m_limits.connections) {
+        session->refuseConnection();
+    } else {
+        session->awaitRequest();
     }
-    if (error) {
-        m_acceptRetryTimer.expires_after(AcceptRetryDelay);
-        m_acceptRetryTimer.async_wait([self = shared_from_this()](error_code) { self->accept(); });
-        return;
-    }
-    accept();
 }
 
 void HttpServer::Listener::stop()
--- a/src/libhemlockhill/node/caller_thread.cpp
+++ b/src/libhemlockhill/node/caller_thread.cpp
@@ -4,6 +4,7 @@
 #include "hemlockhill/log.h"
 #include "hemlockhill/refusal_answer.h"
 #include "model_requests.h"
+#include "net/arrival_clock.h"
 #include "service_calls.h"
 
 #include <boost/json/array.hpp>
@@ -82,6 +83,7 @@
     , m_gate(gate)
     , m_thread("callers")
     , m_requestPrefix(requestPrefix(settings.vm))
+    , m_arrivalClock(std::make_shared<ArrivalClock>(m_thread.context()))
     , m_models(std::make_unique<ModelRequests>(settings, timers, metrics, m_thread.context()))
     , m_mailbox(m_thread.context(), MailboxCapacity, [this](CallerThreadMessage &&message) { handle(std::move(message)); })
 {
@@ -107,6 +109,8 @@
         serverLimits(m_settings.callers),
         [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) { onRequest(std::move(request), responder); },
         [this](Reason reason) { m_metrics.countRefusal(reason); });
+    m_server->setArrivalClock(m_arrivalClock);
+    m_arrivalClock->start();
     m_thread.start();
 }
 
--- a/src/libhemlockhill/node/gateway_forwarded_request.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_request.cpp
@@ -49,10 +49,14 @@
         fail({Reason::MalformedRequest, false});
         return;
     }
+    // What has lain unread since it arrived has less time left.
+    options.timeLeft -= std::chrono::duration_cast<Duration>(m_startedAt - m_responder->receivedAt());
     m_endpoint = options.endpoint;
     const auto &endpoints = m_gateway.m_directory.endpoints();
     const auto endpoint = endpoints.find(options.endpoint);
-    if (m_gateway.m_isDraining) {
+    if (options.timeLeft <= Duration(0)) {
+        fail({Reason::DeadlineExceeded, false});
+    } else if (m_gateway.m_isDraining) {
         fail({Reason::Draining, false});
     } else if (m_gateway.m_crashGuard.refusal(m_head, m_startedAt)) {
         fail({Reason::Quarantined, false});
@@ -98,6 +102,7 @@
         };
     };
     ExchangeHooks hooks;
+    hooks.onSending = guarded([](ForwardedRequest &self) { self.onSending(); });
     hooks.onHead =
         guarded([](ForwardedRequest &self, unsigned status, const std::vector<HttpHeader> &headers) { self.onHead(status, headers); });
     hooks.onBody = guarded([](ForwardedRequest &self, std::string bytes) { self.onBody(std::move(bytes)); });
@@ -106,6 +111,14 @@
     return hooks;
 }
 
+void Gateway::ForwardedRequest::onSending()
+{
+    if (!m_responder->isConnected()) {
+        m_gateway.m_metrics.countEvent("request_not_sent_caller_gone");
+        onDisconnected();
+    }
+}
+
 void Gateway::ForwardedRequest::onHead(unsigned status, const std::vector<HttpHeader> &headers)
 {
     const EndpointAnswerHead answer = m_gateway.m_dialect.readAnswer(status, headers);
--- a/src/libhemlockhill/node/gateway_forwarded_request.h
+++ b/src/libhemlockhill/node/gateway_forwarded_request.h
@@ -23,6 +23,8 @@
     void send(const LiveEndpoint &endpoint, const ForwardOptions &options);
     ExchangeLimits exchangeLimits(const ForwardOptions &options) const;
     ExchangeHooks exchangeHooks();
+    // Ends the request before anything is sent if its caller has left.
+    void onSending();
     void onHead(unsigned status, const std::vector<HttpHeader> &headers);
     void onBody(std::string bytes);
     void onEnd();
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -64,8 +64,8 @@
     , m_deployment(std::move(deployment))
     , m_route(route)
     , m_responder(std::move(responder))
-    , m_arrivedAt(currentTime())
-    , m_readAt(m_arrivedAt)
+    , m_arrivedAt(m_responder->receivedAt())
+    , m_readAt(currentTime())
     , m_deadline(m_arrivedAt + std::min(route.timeout, m_head.callerDeadline.value_or(route.timeout)))
     , m_events(route.resumable ? PartialEvents::Buffered : PartialEvents::Forwarded)
 {
@@ -95,7 +95,10 @@
         demand.promptTokens += m_head.promptTokens.value;
         demand.expectedTokens += m_head.expectedTokens.value;
     }
-    if (resumesStream()) {
+    if (isTooLate(currentTime())) {
+        m_gateway.m_metrics.countEvent("request_read_too_late");
+        giveUp();
+    } else if (resumesStream()) {
         findOrigin();
     } else {
         dispatchOrQueue();
@@ -188,6 +191,10 @@
         return;
     }
     const TimePoint now = currentTime();
+    if (isTooLate(now)) {
+        giveUp();
+        return;
+    }
     if (!m_gateway.m_directory.mayDispatch(now)) {
         wait(EndpointChoice{std::nullopt, NoEndpointReason::DirectoryOutdated});
         return;
@@ -348,10 +355,38 @@
     return hooks;
 }
 
+bool Gateway::Request::isTooLate(TimePoint now) const
+{
+    const TimePoint silentSince = m_lastEventAt == TimePoint{} ? m_arrivedAt : m_lastEventAt;
+    return now >= m_deadline || now - silentSince >= dispatchTimeout(m_route, m_deadline - m_arrivedAt);
+}
+
+// Between the decision to send and the first byte, a connection may have had to be made.
 void Gateway::Request::onSending()
 {
     const TimePoint now = currentTime();
-    m_sent.push_back({std::chrono::duration_cast<Duration>(now - m_responder->receivedAt()), timeLeft(), m_responder->isConnected()});
+    const bool isConnected = m_responder->isConnected();
+    m_sent.push_back({std::chrono::duration_cast<Duration>(now - m_arrivedAt), timeLeft(), isConnected});
+    if (!isConnected) {
+        m_gateway.m_metrics.countEvent("request_not_sent_caller_gone");
+        onCallerGone();
+    } else if (isTooLate(now)) {
+        m_gateway.m_metrics.countEvent("request_not_sent_too_late");
+        m_exchange->cancel();
+        releaseEndpoint();
+        giveUp();
+    }
+}
+
+void Gateway::Request::giveUp()
+{
+    if (hasResponseStarted()) {
+        performStep(RetryDecision::Abort, Reason::DeadlineExceeded);
+    } else if (m_history.possibleRuns > 0) {
+        fail(Reason::DeadlineExceeded);
+    } else {
+        refuse(isWaiting() ? refusalReason(m_waitingFor) : Reason::DeadlineExceeded, "no endpoint could answer before the caller gives up");
+    }
 }
 
 void Gateway::Request::onHead(unsigned status, const std::vector<HttpHeader> &headers)
@@ -553,22 +588,12 @@
     if (m_done) {
         return;
     }
-    if (!m_exchange) {
-        if (m_history.possibleRuns > 0) {
-            fail(Reason::DeadlineExceeded);
-        } else {
-            refuse(refusalReason(m_waitingFor), "no endpoint accepted the request before its deadline");
-        }
-        return;
-    }
-    m_exchange->cancel();
-    ++m_history.possibleRuns;
-    releaseEndpoint();
-    if (hasResponseStarted()) {
-        performStep(RetryDecision::Abort, Reason::DeadlineExceeded);
-    } else {
-        fail(Reason::DeadlineExceeded);
+    if (m_exchange) {
+        m_exchange->cancel();
+        ++m_history.possibleRuns;
+        releaseEndpoint();
     }
+    giveUp();
 }
 
 void Gateway::Request::onCallerGone()
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -83,11 +83,16 @@
     TimePoint waitEnd() const;
     Duration waitLimit(NoEndpointReason reason) const;
     bool isWaitExpired(TimePoint now) const;
+    // Whether the caller has given up by now, or would before an endpoint could answer.
+    bool isTooLate(TimePoint now) const;
+    // Ends a request that is too late.
+    void giveUp();
     // Answers a request that has waited too long.
     void endWait();
     void send(const EndpointId &endpoint);
     ExchangeHooks exchangeHooks();
     ExchangeLimits exchangeLimits() const;
+    // Ends the request before anything is sent if its caller has left or has no time left.
     void onSending();
     void onHead(unsigned status, const std::vector<HttpHeader> &headers);
     void onBody(std::string bytes);
@@ -132,8 +137,8 @@
     const Route &m_route;
     EndpointRequirements m_requirements;
     std::shared_ptr<HttpResponder> m_responder;
+    // When the bytes of the request arrived, and when the node has read them.
     TimePoint m_arrivedAt;
-    // When the node has read the request.
     TimePoint m_readAt;
     std::vector<SentExchange> m_sent;
     TimePoint m_deadline;
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -216,7 +216,7 @@
                                {"fingerprint", m_head.fingerprint.value},
                                {"exchanges", m_history.exchanges},
                                {"possible_runs", m_history.possibleRuns},
-                               {"unread_ms", milliseconds(std::chrono::duration_cast<Duration>(m_readAt - m_responder->receivedAt()))},
+                               {"unread_ms", milliseconds(std::chrono::duration_cast<Duration>(m_readAt - m_arrivedAt))},
                                {"sent", describe(m_sent)},
                                {"waited_ms", milliseconds(m_waited)},
                                {"total_ms", milliseconds(now - m_arrivedAt)},
--- a/src/libhemlockhill/node/relay.cpp
+++ b/src/libhemlockhill/node/relay.cpp
@@ -57,7 +57,7 @@
     , m_fingerprint(fingerprint)
     , m_responder(std::move(responder))
     , m_attempt(attemptOptions(m_request, m_service))
-    , m_arrivedAt(currentTime())
+    , m_arrivedAt(m_responder->receivedAt())
     , m_deadline(m_arrivedAt + m_service.deadline)
 {
     m_routing.prefixes = prefixHashes(target.model, target.adapter, m_request.prompt);
@@ -80,7 +80,10 @@
         }
     });
     m_requests.retryBudget(m_service.id).onRequest();
-    offer();
+    // What has lain unread for too long is answered by the timer.
+    if (timeLeft() > Duration(0)) {
+        offer();
+    }
 }
 
 void Relay::offer()
--- a/src/libhemlockhill/node/service_calls.cpp
+++ b/src/libhemlockhill/node/service_calls.cpp
@@ -50,7 +50,7 @@
         , m_service(std::move(service))
         , m_id(std::move(id))
         , m_responder(std::move(responder))
-        , m_deadline(currentTime() + m_service.deadline)
+        , m_deadline(m_responder->receivedAt() + m_service.deadline)
     {
     }
     virtual ~Call() = default;
@@ -100,6 +100,10 @@
     // Sends the call to an endpoint that has not been tried. Calls failed() with NoEndpoint or QueueFull if it cannot be sent.
     void dispatch(ConnectionChoice connection, std::optional<TimePoint> sendBefore)
     {
+        if (currentTime() >= m_deadline) {
+            failed(Reason::DeadlineExceeded, false);
+            return;
+        }
         const auto endpoint = m_calls.chooseEndpoint(m_service, m_tried);
         if (!endpoint) {
             failed(Reason::NoEndpoint, false);
--- a/src/libhemlockhill/request/queue_policy.cpp
+++ b/src/libhemlockhill/request/queue_policy.cpp
@@ -45,4 +45,12 @@
     return std::min(callerStreamTimeout(route) - FirstEventReserve, queueTime);
 }
 
+Duration dispatchTimeout(const Route &route, Duration callerTimeout)
+{
+    if (route.kind != RouteKind::Streaming) {
+        return callerTimeout;
+    }
+    return std::min(callerTimeout, callerStreamTimeout(route) - MinimumFirstByteTime);
+}
+
 } // namespace Hemlockhill
--- a/src/libhemlockhill/request/queue_policy_test.cpp
+++ b/src/libhemlockhill/request/queue_policy_test.cpp
@@ -80,3 +80,19 @@
     BOOST_CHECK(waiting[2].isNew);
     BOOST_CHECK(waiting[3].late);
 }
+
+// Guards against requests that are sent although their callers no longer wait for the first byte.
+BOOST_AUTO_TEST_CASE(request_is_dispatched_after_its_caller_has_stopped_waiting)
+{
+    Route route;
+    route.kind = RouteKind::Streaming;
+    route.latencyTarget = std::chrono::milliseconds(500);
+    route.eventGapTarget = std::chrono::milliseconds(300);
+    const Duration patience = callerStreamTimeout(route);
+    BOOST_CHECK(patience == Duration(std::chrono::milliseconds(2400)));
+    BOOST_CHECK(dispatchTimeout(route, std::chrono::seconds(12)) < patience);
+    BOOST_CHECK(dispatchTimeout(route, std::chrono::seconds(12)) > maximumQueueWait(route, std::chrono::seconds(12)));
+    BOOST_CHECK(dispatchTimeout(route, std::chrono::seconds(1)) == Duration(std::chrono::seconds(1)));
+    route.kind = RouteKind::Safe;
+    BOOST_CHECK(dispatchTimeout(route, std::chrono::seconds(12)) == Duration(std::chrono::seconds(12)));
+}
