Serve every model and adapter that is asked for within a bounded time

The class: a choice by steady demand or by order of names, without a term for how long somebody has waited.

Change: - Placement knows since when a target is requested without being loaded; the longest unserved comes first. After 2 s an adapter may displace any other, after 3 s a model the last copy of an idle one, after 8 s of any. - What has been loaded keeps its place for a time (1.5 s, models 6 s). - Nodes report on which endpoint requests for an adapter run. Older nodes ignore the new element of their peers' figures, and figures without it mean that nothing runs, as before.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -2,7 +2,8 @@
 // leader.
 //
 // Designed for demand that moves to other models every few seconds while the weight store allows only a few loads: no model loses its last
-// copy, additional copies are loaded on the least busy runners, and adapters are loaded where requests wait for them.
+// copy to one that has a copy, additional copies are loaded on the least busy runners, and adapters are loaded where requests wait for
+// them. No target that is requested waits forever behind more popular ones: after a time it may displace the least requested of them.
 #pragma once
 
 #include "hemlockhill/deployment.h"
@@ -50,6 +51,31 @@
     std::uint32_t waiting = 0;
 };
 
+// Why a requested target is not loaded.
+enum class PlacementObstacle {
+    // It has only just been requested, or its load is in progress.
+    None,
+    // No runner holds the adapter's model.
+    ModelAbsent,
+    // The suitable runners are loading or unloading models, or have not confirmed the last order.
+    RunnersBusy,
+    // Room is being made: what has been displaced still runs requests.
+    Displacing,
+    // All memory or adapter slots are taken by targets that may not be displaced yet.
+    NoRoom,
+    // The rate limit of the weight store is used up.
+    StoreRate
+};
+
+std::string_view toText(PlacementObstacle obstacle);
+
+// A target that is requested while no runner has it loaded.
+struct UnservedTarget {
+    RoutingTarget target;
+    Duration duration{0};
+    PlacementObstacle obstacle = PlacementObstacle::None;
+};
+
 enum class RunnerOperation { Load, Unload };
 
 std::string_view toText(RunnerOperation operation);
@@ -114,6 +140,16 @@
     // Adapters loaded ahead of demand in one decision, and adapter slots of each runner that these loads leave free.
     std::uint32_t adapterPreloadsPerDecision = 8;
     std::uint32_t spareAdapterSlots = 1;
+    // A loaded adapter or model keeps its place for at least this long, so that the requests that wait for it are served.
+    Duration adapterResidence = std::chrono::milliseconds(1500);
+    Duration modelResidence = std::chrono::seconds(6);
+    // A requested target that has not been served for this long may displace any other adapter, or the last copy of an idle model.
+    Duration adapterStarvation = std::chrono::seconds(2);
+    Duration modelStarvation = std::chrono::seconds(3);
+    // After this long it may displace the last copy of a model that is requested too.
+    Duration longModelStarvation = std::chrono::seconds(8);
+    // Figures of a node that has not reported for this long are ignored.
+    Duration figuresLifetime = std::chrono::seconds(5);
     // Interval between two searches for cold models to move onto one runner.
     Duration packingPeriod = std::chrono::milliseconds(500);
     // Memory that was freed for a model to be packed is reserved for this long.
@@ -158,6 +194,8 @@
     std::vector<DueReport> reportsDue(TimePoint now, double slowdown = 1);
     // Orders to send now, at most one for each runner. The outcome of each must be passed to onAnswered().
     std::vector<RunnerOrder> decide(TimePoint now);
+    // Requested targets that no runner has loaded, the longest unserved first, as of the last decision.
+    std::vector<UnservedTarget> unserved(TimePoint now) const;
     // Load of the models that have demand.
     std::map<ModelId, ModelLoad> loads(TimePoint now) const;
     // The endpoints as the nodes that route requests should see them.
@@ -180,6 +218,12 @@
         std::map<RoutingTarget, TimePoint> loadingAdapters;
         // Targets whose unload was ordered. They still occupy memory, since requests may be using them.
         std::set<RoutingTarget> unloading;
+        // Adapters that get no new requests and are unloaded once none runs: an unload that waits for requests blocks all other orders.
+        std::set<RoutingTarget> withdrawn;
+        // When the targets were loaded, as far as this leader has ordered it.
+        std::map<RoutingTarget, TimePoint> loadedAt;
+        // The model for which a copy of another one is being evicted here.
+        ModelId evictingFor;
         // A report showed a load or unload in progress that this leader did not order.
         bool busyWithForeignOrder = false;
         // An order without an answer. It may still be carried out unless the runner accepts another order first.
@@ -221,6 +265,36 @@
         double gain;
     };
 
+    // A target that has been requested while no runner had it loaded.
+    struct Unserved {
+        TimePoint since;
+        TimePoint lastRequestedAt;
+        PlacementObstacle obstacle = PlacementObstacle::None;
+    };
+
+    // The last figures of a node.
+    struct NodeFigures {
+        TimePoint at;
+        std::map<RoutingTarget, std::uint32_t> waiting;
+        std::map<EndpointId, std::map<RoutingTarget, std::uint32_t>> running;
+    };
+
+    // An adapter that is requested, and how many runners hold it or are loading it.
+    struct AdapterCandidate {
+        RoutingTarget target;
+        const EngineModel *model;
+        double rate = 0;
+        std::uint32_t holders = 0;
+        // How long it has been requested without being loaded anywhere.
+        Duration unservedFor{0};
+    };
+
+    // A copy that is evicted to make room, and what its loss costs as a ratio of a runner's time.
+    struct Displacement {
+        ModelId model;
+        double cost = 0;
+    };
+
     // Demand for a target, as exponentially decaying averages.
     struct Demand {
         // Requests per second.
@@ -252,6 +326,22 @@
     bool storeRateAllows(const EngineProfile &profile, TimePoint now);
     bool loadsWithoutStore(const Runner &runner, const ModelId &model) const;
 
+    // Updates which requested targets no runner has loaded.
+    void updateUnserved(TimePoint now);
+    bool isHeldAnywhere(const RoutingTarget &target) const;
+    Duration unservedFor(const RoutingTarget &target, TimePoint now) const;
+    Duration unservedFor(const ModelId &model, TimePoint now) const;
+    void setObstacle(const RoutingTarget &target, PlacementObstacle obstacle);
+    std::uint32_t running(const Runner &runner, const RoutingTarget &target) const;
+    // Unloads an adapter, at once if no request runs on it. Otherwise it gets no new requests from now on.
+    void withdraw(Runner &runner, const RoutingTarget &adapter, std::vector<RunnerOrder> &orders);
+    void unloadWithdrawn(const ServiceId &service, TimePoint now, std::vector<RunnerOrder> &orders);
+    std::vector<AdapterCandidate> adapterCandidates(const ServiceId &service, const EngineProfile &profile, TimePoint now) const;
+    void placeAdapter(const ServiceId &service,
+                      const EngineProfile &profile,
+                      const AdapterCandidate &candidate,
+                      TimePoint now,
+                      std::vector<RunnerOrder> &orders);
     void placeAdapters(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     // Loads adapters that no runner holds into free slots, so that their first request does not have to wait.
     void preloadAdapters(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
@@ -260,7 +350,7 @@
         const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders);
     // Resolves the unknown outcomes of orders: repeats the order, or sends another one, so that the lost order cannot be carried out late.
     void resolveUnknownOutcomes(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
-    double urgency(const ModelId &model) const;
+    double urgency(const ModelId &model, TimePoint now) const;
     // Moves cold models together onto fewer runners, so that more runners have memory for copies of the others.
     void packColdModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     std::vector<ColdCopy> movableColdCopies(const ServiceId &service, const EngineProfile &profile) const;
@@ -275,8 +365,17 @@
     // Loads copies of the models with the most demand into free memory.
     void preloadModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     RunnerOrder orderLoad(Runner &runner, const EngineModel &model, TimePoint now);
-    std::optional<RoutingTarget> evictableAdapter(const Runner &runner, TimePoint now) const;
+    // The adapter that may be displaced by one that has been unserved for the given time.
+    std::optional<RoutingTarget>
+    evictableAdapter(const Runner &runner, const EngineProfile &profile, Duration unservedFor, TimePoint now) const;
     std::optional<ModelId> evictableModel(const Runner &runner, const ModelId &incoming) const;
+    std::optional<Displacement>
+    displacementFor(const Runner &runner, const EngineProfile &profile, const EngineModel &incoming, TimePoint now) const;
+    // The model whose last copy may be displaced by a model that is requested and has none.
+    std::optional<ModelId> evictableLastCopy(const Runner &runner, const ModelId &incoming, TimePoint now) const;
+    bool isResident(const Runner &runner, const RoutingTarget &target, Duration residence, TimePoint now) const;
+    // Whether a copy of another model is being evicted for this one.
+    bool isRoomBeingMade(const ModelId &model) const;
     RunnerOrder order(Runner &runner, RunnerOperation operation, const RoutingTarget &target);
 
     FleetLimits m_limits;
@@ -284,10 +383,12 @@
     std::shared_ptr<const Deployment> m_deployment;
     std::map<EndpointId, Runner> m_runners;
     std::map<RoutingTarget, Demand> m_demand;
-    std::map<VmId, std::map<RoutingTarget, std::uint32_t>> m_waiting;
+    std::map<VmId, NodeFigures> m_figures;
+    std::map<RoutingTarget, Unserved> m_unserved;
     std::deque<TimePoint> m_storeLoads;
     ModelStates m_modelStates;
     std::map<RoutingTarget, std::uint32_t> m_waitingByTarget;
+    std::map<EndpointId, std::map<RoutingTarget, std::uint32_t>> m_running;
     TimePoint m_packedAt;
 };
 
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -57,6 +57,8 @@
     std::uint64_t promptTokens = 0;
     // Total of the callers' estimates of the tokens to be generated.
     std::uint64_t expectedTokens = 0;
+    // Requests for an adapter that are in progress, by endpoint. Empty for models.
+    std::map<EndpointId, std::uint32_t> running = {};
 };
 using DemandByTarget = std::map<RoutingTarget, TargetDemand>;
 
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -73,12 +73,21 @@
 {
     json::array list;
     for (const auto &[target, targetDemand] : demand) {
-        list.push_back(json::array{target.model.value,
-                                   target.adapter.value,
-                                   targetDemand.arrivals,
-                                   targetDemand.waiting,
-                                   targetDemand.promptTokens,
-                                   targetDemand.expectedTokens});
+        json::array entry{target.model.value,
+                          target.adapter.value,
+                          targetDemand.arrivals,
+                          targetDemand.waiting,
+                          targetDemand.promptTokens,
+                          targetDemand.expectedTokens};
+        // Left out if empty, as by earlier versions, which ignore it.
+        if (!targetDemand.running.empty()) {
+            json::object running;
+            for (const auto &[endpoint, count] : targetDemand.running) {
+                running[endpoint.value] = count;
+            }
+            entry.push_back(std::move(running));
+        }
+        list.push_back(std::move(entry));
     }
     return json::serialize(list);
 }
@@ -90,10 +99,15 @@
         const json::value list = json::parse(text);
         for (const json::value &entry : list.as_array()) {
             const RoutingTarget target{ModelId{std::string(entry.at(0).as_string())}, AdapterId{std::string(entry.at(1).as_string())}};
-            demand[target] = {entry.at(2).to_number<std::uint32_t>(),
-                              entry.at(3).to_number<std::uint32_t>(),
-                              entry.at(4).to_number<std::uint64_t>(),
-                              entry.at(5).to_number<std::uint64_t>()};
+            TargetDemand &decoded = demand[target];
+            decoded = {entry.at(2).to_number<std::uint32_t>(),
+                       entry.at(3).to_number<std::uint32_t>(),
+                       entry.at(4).to_number<std::uint64_t>(),
+                       entry.at(5).to_number<std::uint64_t>()};
+            const json::value *running = entry.as_array().if_contains(6);
+            for (const auto &[endpoint, count] : running == nullptr ? json::object() : running->as_object()) {
+                decoded.running[EndpointId{std::string(endpoint)}] = count.to_number<std::uint32_t>();
+            }
         }
     } catch (const std::exception &error) {
         throw DecodeError(std::string("malformed target demand: ") + error.what());
@@ -386,6 +400,10 @@
         if (request->isWaiting() && !request->target().model.empty()) {
             ++demand[request->target()].waiting;
         }
+        const auto endpoint = request->currentEndpoint();
+        if (endpoint && !request->target().adapter.empty()) {
+            ++demand[request->target()].running[*endpoint];
+        }
     }
     return demand;
 }
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -67,6 +67,8 @@
     }
     WaitingRank rank(TimePoint now) const;
     const RoutingTarget &target() const { return m_head.target; }
+    // The endpoint to which the request has been sent and that has not answered it completely.
+    std::optional<EndpointId> currentEndpoint() const { return m_exchange ? std::optional(m_endpoint) : std::nullopt; }
     const ServiceId &service() const { return m_requirements.service; }
 
 private:
--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -13,11 +13,15 @@
 namespace
 {
 
-// Requests per second below which an adapter may be evicted for another one.
-constexpr double IdleAdapterRate = 0.5;
 // Costs of one more copy on a runner, as a ratio of the runner's time.
 constexpr double StoreLoadCost = 0.5;
 constexpr double EvictionCost = 0.1;
+// Additional cost of displacing the last copy of a model.
+constexpr double LastCopyCost = 1;
+// Work below which a model that nobody waits for is idle, as a ratio of a runner's time.
+constexpr double IdleModelWork = 0.005;
+// Copies of models that may be displaced at the same time, as a ratio of the runners; at least one.
+constexpr double ConcurrentDisplacementRatio = 0.125;
 // Cost of each copy of a large model that no longer fits next to the runner's cold models.
 constexpr double PackingCost = 0.3;
 
@@ -45,9 +49,11 @@
         return orders;
     }
     updateModelStates(now);
+    updateUnserved(now);
     for (const auto &[id, service] : m_deployment->services) {
         if (service.engine) {
             resolveUnknownOutcomes(id, *service.engine, now, orders);
+            unloadWithdrawn(id, now, orders);
             placeAdapters(id, *service.engine, now, orders);
             placeModels(id, *service.engine, now, orders);
             preloadAdapters(id, *service.engine, now, orders);
@@ -56,111 +62,6 @@
     return orders;
 }
 
-// Loads an adapter on the least loaded runner that holds its model and has a free slot. If no runner has one, the least requested adapter
-// is evicted.
-void FleetPlacement::placeAdapters(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
-{
-    for (const auto &[target, demand] : m_demand) {
-        const double rate = rateOf(target, now);
-        const auto waiting = m_waitingByTarget.find(target);
-        const auto model = profile.models.find(target.model);
-        if (target.adapter.empty() || model == profile.models.end() || (rate == 0 && waiting == m_waitingByTarget.end())) {
-            continue;
-        }
-        std::uint32_t holders = 0;
-        Runner *best = nullptr;
-        double bestCost = 0;
-        for (Runner *holder : stateOf(target.model).holders) {
-            Runner &runner = *holder;
-            if (runner.live.service != service) {
-                continue;
-            }
-            if (runner.held.contains(target) || runner.loadingAdapters.contains(target) || runner.unloading.contains(target)) {
-                ++holders;
-                continue;
-            }
-            if (!takesOrders(runner, now)) {
-                continue;
-            }
-            const bool isFull = !adapterFits(runner, profile, model->second);
-            if (isFull && !evictableAdapter(runner, now)) {
-                continue;
-            }
-            const double cost = runner.report->running + runner.report->waiting + runner.usedAdapterSlots + (isFull ? profile.slots : 0);
-            if (best == nullptr || cost < bestCost) {
-                best = &runner;
-                bestCost = cost;
-            }
-        }
-        const auto wantedCopies = 1 + static_cast<std::uint32_t>(rate / m_limits.adapterReplicationRate);
-        if (best == nullptr || holders >= wantedCopies) {
-            continue;
-        }
-        if (adapterFits(*best, profile, model->second)) {
-            orders.push_back(order(*best, RunnerOperation::Load, target));
-        } else if (holders == 0) {
-            orders.push_back(order(*best, RunnerOperation::Unload, *evictableAdapter(*best, now)));
-        }
-    }
-}
-
-bool FleetPlacement::takesPreload(
-    const Runner &runner, const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now) const
-{
-    const bool hasPlace =
-        runner.usedAdapterSlots + m_limits.spareAdapterSlots < profile.adapterSlots && adapterFits(runner, profile, model);
-    return hasPlace && runner.live.service == service && takesOrders(runner, now) && !isBusyWithModel(runner);
-}
-
-void FleetPlacement::preloadAdapters(const ServiceId &service,
-                                     const EngineProfile &profile,
-                                     TimePoint now,
-                                     std::vector<RunnerOrder> &orders)
-{
-    std::uint32_t preloads = 0;
-    for (const auto &entry : profile.models) {
-        const EngineModel &model = entry.second;
-        const std::vector<Runner *> &holders = stateOf(model.id).holders;
-        for (std::uint32_t number = 1; number <= model.adapters; ++number) {
-            Runner *best = nullptr;
-            for (Runner *runner : holders) {
-                const bool isEmptier = best == nullptr || runner->usedAdapterSlots < best->usedAdapterSlots;
-                if (isEmptier && takesPreload(*runner, service, profile, model, now)) {
-                    best = runner;
-                }
-            }
-            if (best == nullptr) {
-                break;
-            }
-            const RoutingTarget target{model.id, AdapterId{"a" + std::to_string(number)}};
-            const bool isThere = std::any_of(holders.begin(), holders.end(), [&target](const Runner *runner) {
-                return runner->held.contains(target) || runner->loadingAdapters.contains(target) || runner->unloading.contains(target);
-            });
-            if (isThere) {
-                continue;
-            }
-            orders.push_back(order(*best, RunnerOperation::Load, target));
-            if (++preloads == m_limits.adapterPreloadsPerDecision) {
-                return;
-            }
-        }
-    }
-}
-
-std::optional<RoutingTarget> FleetPlacement::evictableAdapter(const Runner &runner, TimePoint now) const
-{
-    std::optional<RoutingTarget> leastUsed;
-    double lowestRate = 0;
-    for (const RoutingTarget &target : runner.held) {
-        const double rate = rateOf(target, now);
-        if (!target.adapter.empty() && rate < IdleAdapterRate && (!leastUsed || rate < lowestRate)) {
-            leastUsed = target;
-            lowestRate = rate;
-        }
-    }
-    return leastUsed;
-}
-
 // Loads models without a copy first, those with waiting requests before others, then further copies of models whose copies are overloaded.
 void FleetPlacement::placeModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders)
 {
@@ -172,7 +73,7 @@
     for (const auto &[id, model] : profile.models) {
         const ModelState &state = stateOf(id);
         if (state.copies == 0 || state.work / state.copies >= m_limits.replicationThreshold) {
-            candidates.push_back({&model, urgency(id)});
+            candidates.push_back({&model, urgency(id, now)});
         }
     }
     std::sort(
@@ -187,12 +88,15 @@
     preloadModels(service, profile, now, orders);
 }
 
-// Models without a copy rank first, those with waiting requests before others; the rest rank by work per copy.
-double FleetPlacement::urgency(const ModelId &model) const
+// Models without a copy rank first, by their waiting requests and by how long they have been unserved; the rest rank by work per copy.
+double FleetPlacement::urgency(const ModelId &model, TimePoint now) const
 {
     constexpr double AbsentModelUrgency = 1000;
     const ModelState &state = stateOf(model);
-    return state.copies == 0 ? AbsentModelUrgency + state.waiting + state.work : state.work / state.copies;
+    if (state.copies > 0) {
+        return state.work / state.copies;
+    }
+    return AbsentModelUrgency + state.waiting + state.work + std::chrono::duration<double>(unservedFor(model, now)).count();
 }
 
 void FleetPlacement::resolveUnknownOutcomes(const ServiceId &service,
@@ -228,50 +132,110 @@
 {
     Runner *best = nullptr;
     double bestCost = 0;
-    std::optional<ModelId> bestEviction;
+    std::optional<Displacement> bestDisplacement;
     const bool storeAvailable = storeRateAllows(profile, now);
     const bool hasDemand = stateOf(model.id).work >= m_limits.coldThreshold;
+    const bool mayDisplace = !isRoomBeingMade(model.id);
+    PlacementObstacle obstacle = mayDisplace ? PlacementObstacle::NoRoom : PlacementObstacle::Displacing;
     for (auto &[id, runner] : m_runners) {
-        const bool isCandidate = runner.live.service == service && takesOrders(runner, now) && !isBusyWithModel(runner)
-                                 && !runner.held.contains(baseOf(model.id));
+        if (runner.live.service != service || runner.live.leaving || runner.held.contains(baseOf(model.id))) {
+            continue;
+        }
+        if (!takesOrders(runner, now) || isBusyWithModel(runner)) {
+            obstacle = obstacle == PlacementObstacle::NoRoom ? PlacementObstacle::RunnersBusy : obstacle;
+            continue;
+        }
         const bool withoutStore = loadsWithoutStore(runner, model.id);
-        if (!isCandidate || (!withoutStore && !storeAvailable)) {
+        if (!withoutStore && !storeAvailable) {
+            obstacle = obstacle == PlacementObstacle::NoRoom ? PlacementObstacle::StoreRate : obstacle;
             continue;
         }
         const bool fits = runner.usedWeights + model.weights.value <= profile.weightCapacity.value;
-        std::optional<ModelId> eviction;
-        if (!fits) {
-            eviction = evictableModel(runner, model.id);
-            const auto evicted = eviction ? profile.models.find(*eviction) : profile.models.end();
-            const bool makesRoom =
-                evicted != profile.models.end()
-                && runner.usedWeights - evicted->second.weights.value + model.weights.value <= profile.weightCapacity.value;
-            if (!makesRoom) {
-                continue;
-            }
+        const auto displacement = fits || !mayDisplace ? std::nullopt : displacementFor(runner, profile, model, now);
+        if (!fits && !displacement) {
+            continue;
         }
         // Costs are ratios of a runner's time: a slow load delays requests, and an eviction adds work to the remaining copies of the
         // evicted model.
-        const double evictionCost = fits ? 0 : EvictionCost + workWithOneCopyLess(*eviction);
         const double packingCost = hasDemand ? 0 : PackingCost * displacedLargeCopies(runner, profile, model.weights.value);
-        const double cost = runnerWork(runner) + (withoutStore ? 0 : StoreLoadCost) + evictionCost + packingCost;
+        const double cost = runnerWork(runner) + (withoutStore ? 0 : StoreLoadCost) + (displacement ? displacement->cost : 0) + packingCost;
         if (best == nullptr || cost < bestCost) {
             best = &runner;
             bestCost = cost;
-            bestEviction = eviction;
+            bestDisplacement = displacement;
         }
     }
     if (best == nullptr) {
+        setObstacle(baseOf(model.id), obstacle);
         return false;
     }
-    if (bestEviction) {
-        orders.push_back(order(*best, RunnerOperation::Unload, baseOf(*bestEviction)));
+    if (bestDisplacement) {
+        best->evictingFor = model.id;
+        setObstacle(baseOf(model.id), PlacementObstacle::Displacing);
+        orders.push_back(order(*best, RunnerOperation::Unload, baseOf(bestDisplacement->model)));
         return true;
     }
+    setObstacle(baseOf(model.id), PlacementObstacle::None);
     orders.push_back(orderLoad(*best, model, now));
     return true;
 }
 
+// Prefers a copy of a model that has others. Returns empty if no copy that may go makes enough room.
+std::optional<FleetPlacement::Displacement>
+FleetPlacement::displacementFor(const Runner &runner, const EngineProfile &profile, const EngineModel &incoming, TimePoint now) const
+{
+    const auto makesRoom = [&](const std::optional<ModelId> &evicted) {
+        const auto found = evicted ? profile.models.find(*evicted) : profile.models.end();
+        return found != profile.models.end()
+               && runner.usedWeights - found->second.weights.value + incoming.weights.value <= profile.weightCapacity.value;
+    };
+    const auto redundant = evictableModel(runner, incoming.id);
+    if (makesRoom(redundant)) {
+        return Displacement{*redundant, EvictionCost + workWithOneCopyLess(*redundant)};
+    }
+    const auto last = evictableLastCopy(runner, incoming.id, now);
+    if (makesRoom(last)) {
+        return Displacement{*last, EvictionCost + LastCopyCost + stateOf(*last).work};
+    }
+    return std::nullopt;
+}
+
+bool FleetPlacement::isRoomBeingMade(const ModelId &model) const
+{
+    return std::any_of(m_runners.begin(), m_runners.end(), [&](const auto &entry) {
+        const Runner &runner = entry.second;
+        return runner.evictingFor == model && (runner.orderInFlight || isBusyWithModel(runner));
+    });
+}
+
+std::optional<ModelId> FleetPlacement::evictableLastCopy(const Runner &runner, const ModelId &incoming, TimePoint now) const
+{
+    const Duration starvedFor = unservedFor(incoming, now);
+    if (stateOf(incoming).copies > 0 || starvedFor < m_limits.modelStarvation) {
+        return std::nullopt;
+    }
+    const auto inProgress = std::count_if(m_runners.begin(), m_runners.end(), [this](const auto &entry) {
+        return !entry.second.evictingFor.empty() && isBusyWithModel(entry.second);
+    });
+    if (static_cast<double>(inProgress) >= std::max(1.0, ConcurrentDisplacementRatio * static_cast<double>(m_runners.size()))) {
+        return std::nullopt;
+    }
+    std::optional<ModelId> leastUsed;
+    for (const RoutingTarget &target : runner.held) {
+        const ModelState &state = stateOf(target.model);
+        const bool isLastCopy = target.adapter.empty() && state.copies == 1 && state.readyCopies == 1;
+        if (!isLastCopy || !isResident(runner, target, m_limits.modelResidence, now)) {
+            continue;
+        }
+        const bool isIdle = state.waiting == 0 && state.work < IdleModelWork;
+        const bool mayGo = isIdle || starvedFor >= m_limits.longModelStarvation;
+        if (mayGo && (!leastUsed || state.work < stateOf(*leastUsed).work)) {
+            leastUsed = target.model;
+        }
+    }
+    return leastUsed;
+}
+
 bool FleetPlacement::isCold(const ModelId &model) const
 {
     const ModelState &state = stateOf(model);
@@ -489,8 +453,10 @@
             --state.readyCopies;
             std::erase(state.holders, &runner);
         }
-        std::erase_if(runner.held,
-                      [&](const RoutingTarget &held) { return target.adapter.empty() ? held.model == target.model : held == target; });
+        const auto goes = [&](const RoutingTarget &held) { return target.adapter.empty() ? held.model == target.model : held == target; };
+        std::erase_if(runner.held, goes);
+        std::erase_if(runner.withdrawn, goes);
+        std::erase_if(runner.loadedAt, [&](const auto &entry) { return goes(entry.first); });
         runner.unloading.insert(target);
     }
     return {runner.live.id, runner.live.incarnation, runner.live.address, operation, target, runner.sequence};
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -113,7 +113,9 @@
                   [&](const auto &entry) { return report.held.contains(entry.first) || now >= entry.second + ReportLag; });
     runner.sequence = report.sequence;
     runner.held = report.held;
-    std::erase_if(runner.held, [&](const RoutingTarget &target) { return runner.unloading.contains(target); });
+    std::erase_if(runner.withdrawn, [&](const RoutingTarget &target) { return !report.held.contains(target); });
+    std::erase_if(runner.held,
+                  [&](const RoutingTarget &target) { return runner.unloading.contains(target) || runner.withdrawn.contains(target); });
     if (!report.busy && (runner.loading.empty() || runner.held.contains(baseOf(runner.loading)) || now >= runner.loadEndsAt + ReportLag)) {
         runner.loading = ModelId{};
     }
@@ -137,12 +139,15 @@
 
 void FleetPlacement::onFigures(const VmId &node, const DemandByTarget &figures, TimePoint now)
 {
-    auto &waiting = m_waiting[node];
-    waiting.clear();
+    NodeFigures &own = m_figures[node];
+    own = NodeFigures{now, {}, {}};
     const double memory = std::chrono::duration<double>(m_limits.demandTimeConstant).count();
     for (const auto &[target, figure] : figures) {
         if (figure.waiting > 0) {
-            waiting[target] = figure.waiting;
+            own.waiting[target] = figure.waiting;
+        }
+        for (const auto &[endpoint, count] : figure.running) {
+            own.running[endpoint][target] = count;
         }
         if (figure.arrivals > 0) {
             Demand &demand = m_demand[target];
@@ -186,6 +191,7 @@
             }
         } else if (!isModel) {
             runner.loadingAdapters[order.target] = now + AdapterLoadTime;
+            runner.loadedAt[order.target] = now + AdapterLoadTime;
         } else if (outcome == OrderOutcome::AlreadyDone) {
             runner.held.insert(order.target);
         } else {
@@ -199,6 +205,7 @@
             if (known) {
                 runner.loadEndsAt += warm ? model->second.warmLoadTime : disk ? model->second.diskLoadTime : model->second.loadTime;
             }
+            runner.loadedAt[order.target] = runner.loadEndsAt;
         }
         return;
     }
@@ -302,11 +309,18 @@
     for (const auto &[target, demand] : m_demand) {
         m_modelStates[target.model].work += demand.work * decayFactor(demand, now);
     }
-    for (const auto &[node, waiting] : m_waiting) {
-        for (const auto &[target, count] : waiting) {
+    m_running.clear();
+    std::erase_if(m_figures, [&](const auto &entry) { return now - entry.second.at >= m_limits.figuresLifetime; });
+    for (const auto &[node, figures] : m_figures) {
+        for (const auto &[target, count] : figures.waiting) {
             m_waitingByTarget[target] += count;
             m_modelStates[target.model].waiting += count;
         }
+        for (const auto &[endpoint, targets] : figures.running) {
+            for (const auto &[target, count] : targets) {
+                m_running[endpoint][target] += count;
+            }
+        }
     }
     for (auto &[id, runner] : m_runners) {
         updateUsage(runner);
@@ -363,15 +377,13 @@
             runner.usedWeights += target.adapter.empty() ? model->second.weights.value : model->second.adapterWeights.value;
         }
     };
-    const auto isCounted = [&](const RoutingTarget &target) { return runner.held.contains(target) || runner.unloading.contains(target); };
-    for (const RoutingTarget &target : runner.held) {
+    std::set<RoutingTarget> present = runner.held;
+    present.insert(runner.unloading.begin(), runner.unloading.end());
+    present.insert(runner.withdrawn.begin(), runner.withdrawn.end());
+    const auto isCounted = [&](const RoutingTarget &target) { return present.contains(target); };
+    for (const RoutingTarget &target : present) {
         add(target);
     }
-    for (const RoutingTarget &target : runner.unloading) {
-        if (!runner.held.contains(target)) {
-            add(target);
-        }
-    }
     if (!runner.loading.empty() && !isCounted(baseOf(runner.loading))) {
         add(baseOf(runner.loading));
     }
--- /dev/null
+++ b/src/libhemlockhill/placement/fleet_starvation_test.cpp
@@ -0,0 +1,269 @@
+// Tests that requested models and adapters are loaded in time although others are requested more often. The simulated runners refuse orders
+// while an unload waits for requests, as real ones do.
+#include "hemlockhill/fleet_placement.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+using namespace Hemlockhill;
+
+namespace
+{
+
+const ServiceId Drafts{"drafts"};
+constexpr Duration Step = std::chrono::milliseconds(50);
+// How long a request runs.
+constexpr Duration RunTime = std::chrono::seconds(2);
+constexpr Duration LoadTime = std::chrono::seconds(1);
+
+RoutingTarget target(const std::string &model, const std::string &adapter = {})
+{
+    return {ModelId{model}, AdapterId{adapter}};
+}
+
+// A runner with places for models and adapters, and the ends of the requests that run on it.
+struct SimulatedRunner {
+    std::set<RoutingTarget> held;
+    std::multimap<RoutingTarget, TimePoint> runs;
+    std::uint64_t sequence = 0;
+    // An order that is in progress: an unload that waits for requests, or the load of a model.
+    std::optional<RunnerOrder> order;
+    TimePoint orderEndsAt;
+};
+
+class SimulatedFleet
+{
+public:
+    SimulatedFleet(std::size_t runners, std::size_t modelsPerRunner, std::uint32_t adapterSlots, const std::vector<std::string> &models)
+        : m_placement(FleetLimits{}, m_now - std::chrono::seconds(30))
+        , m_runners(runners)
+    {
+        auto deployment = std::make_shared<Deployment>();
+        RoutedService service;
+        service.id = Drafts;
+        EngineProfile engine;
+        engine.slots = 64;
+        engine.weightCapacity = Megabytes{100.0 * static_cast<double>(modelsPerRunner) + 50};
+        engine.adapterSlots = adapterSlots;
+        engine.loadsPerSecond = 10;
+        for (std::size_t index = 0; index < models.size(); ++index) {
+            EngineModel model;
+            model.id = ModelId{models[index]};
+            model.weights = Megabytes{100};
+            model.adapterWeights = Megabytes{1};
+            model.loadTime = LoadTime;
+            engine.models.emplace(model.id, model);
+            const std::size_t place = index / modelsPerRunner;
+            if (place < runners) {
+                m_runners[place].held.insert(target(models[index]));
+            }
+        }
+        service.engine = engine;
+        deployment->services.emplace(Drafts, service);
+        m_placement.setDeployment(deployment);
+        EndpointsById listing;
+        for (std::size_t index = 0; index < runners; ++index) {
+            LiveEndpoint endpoint;
+            endpoint.id = idOf(index);
+            endpoint.incarnation = Incarnation{"1"};
+            endpoint.service = Drafts;
+            endpoint.slots = 64;
+            endpoint.held = m_runners[index].held;
+            listing.emplace(endpoint.id, endpoint);
+        }
+        m_placement.onListing(listing, m_now);
+    }
+
+    // Lets callers request the target at a steady rate.
+    void request(const RoutingTarget &requested, Duration interval) { m_intervals[requested] = interval; }
+
+    void run(Duration duration)
+    {
+        for (const TimePoint end = m_now + duration; m_now < end; m_now += Step) {
+            serve();
+            finishOrders();
+            report();
+            for (const RunnerOrder &order : m_placement.decide(m_now)) {
+                m_placement.onAnswered(order, carryOut(order), m_now);
+            }
+        }
+    }
+
+    std::map<RoutingTarget, std::uint32_t> served;
+    std::uint32_t refusedOrders = 0;
+
+private:
+    static EndpointId idOf(std::size_t index) { return EndpointId{"r" + std::to_string(index)}; }
+
+    // Sends the requests that are due to runners that the directory shows with their target.
+    void serve()
+    {
+        DemandByTarget figures;
+        const EndpointsById directory = m_placement.directory(m_now);
+        for (const auto &[requested, interval] : m_intervals) {
+            TimePoint &due = m_due.try_emplace(requested, m_now).first->second;
+            if (m_now < due) {
+                continue;
+            }
+            due += interval;
+            TargetDemand &demand = figures[requested];
+            demand.arrivals = 1;
+            demand.promptTokens = 1400;
+            demand.expectedTokens = 170;
+            const auto holder =
+                std::find_if(directory.begin(), directory.end(), [&](const auto &entry) { return entry.second.holds(requested); });
+            if (holder == directory.end()) {
+                demand.waiting = 1;
+                continue;
+            }
+            SimulatedRunner &runner = m_runners[std::stoul(holder->first.value.substr(1))];
+            if (runner.held.contains(requested)) {
+                runner.runs.emplace(requested, m_now + RunTime);
+                ++served[requested];
+            }
+        }
+        for (std::size_t index = 0; index < m_runners.size(); ++index) {
+            auto &runs = m_runners[index].runs;
+            std::erase_if(runs, [this](const auto &run) { return m_now >= run.second; });
+            for (const auto &[running, end] : runs) {
+                ++figures[running].running[idOf(index)];
+            }
+        }
+        m_placement.onFigures(VmId{"node"}, figures, m_now);
+    }
+
+    bool isUsed(const SimulatedRunner &runner, const RoutingTarget &used) const
+    {
+        return std::any_of(runner.runs.begin(), runner.runs.end(), [&used](const auto &run) {
+            return used.adapter.empty() ? run.first.model == used.model : run.first == used;
+        });
+    }
+
+    void drop(SimulatedRunner &runner, const RoutingTarget &dropped)
+    {
+        std::erase_if(runner.held, [&dropped](const RoutingTarget &held) {
+            return dropped.adapter.empty() ? held.model == dropped.model : held == dropped;
+        });
+    }
+
+    OrderOutcome carryOut(const RunnerOrder &order)
+    {
+        SimulatedRunner &runner = m_runners[std::stoul(order.endpoint.value.substr(1))];
+        if (runner.order || runner.sequence != order.expected.value) {
+            ++refusedOrders;
+            return OrderOutcome::Conflict;
+        }
+        ++runner.sequence;
+        const bool isModel = order.target.adapter.empty();
+        if (order.operation == RunnerOperation::Unload && !isUsed(runner, order.target)) {
+            drop(runner, order.target);
+            return isModel ? OrderOutcome::Accepted : OrderOutcome::AlreadyDone;
+        }
+        if (order.operation == RunnerOperation::Load && !isModel) {
+            runner.held.insert(order.target);
+            return OrderOutcome::Accepted;
+        }
+        runner.order = order;
+        runner.orderEndsAt = m_now + LoadTime;
+        return OrderOutcome::Accepted;
+    }
+
+    void finishOrders()
+    {
+        for (SimulatedRunner &runner : m_runners) {
+            if (!runner.order) {
+                continue;
+            }
+            const RunnerOrder &order = *runner.order;
+            if (order.operation == RunnerOperation::Unload && !isUsed(runner, order.target)) {
+                drop(runner, order.target);
+                runner.order.reset();
+            } else if (order.operation == RunnerOperation::Load && m_now >= runner.orderEndsAt) {
+                runner.held.insert(order.target);
+                runner.order.reset();
+            }
+        }
+    }
+
+    void report()
+    {
+        for (std::size_t index = 0; index < m_runners.size(); ++index) {
+            const SimulatedRunner &runner = m_runners[index];
+            RunnerReport report;
+            report.incarnation = Incarnation{"1"};
+            report.sequence = OrderSequence{runner.sequence};
+            report.held = runner.held;
+            report.busy = runner.order.has_value();
+            report.running = static_cast<std::uint32_t>(runner.runs.size());
+            m_placement.onReport(idOf(index), report, m_now);
+        }
+    }
+
+    TimePoint m_now = TimePoint{} + std::chrono::seconds(1000);
+    FleetPlacement m_placement;
+    std::vector<SimulatedRunner> m_runners;
+    std::map<RoutingTarget, Duration> m_intervals;
+    std::map<RoutingTarget, TimePoint> m_due;
+};
+
+} // namespace
+
+// Guards against adapters that are never loaded because others of their model are always in use.
+BOOST_AUTO_TEST_CASE(rarely_requested_adapters_are_never_served_behind_popular_ones)
+{
+    SimulatedFleet fleet(1, 1, 4, {"m1"});
+    for (int number = 10; number < 16; ++number) {
+        fleet.request(target("m1", "a" + std::to_string(number)), std::chrono::milliseconds(400));
+    }
+    for (int number = 16; number < 24; ++number) {
+        fleet.request(target("m1", "a" + std::to_string(number)), std::chrono::milliseconds(1500));
+    }
+    fleet.run(std::chrono::seconds(40));
+    for (int number = 10; number < 24; ++number) {
+        BOOST_CHECK_GE(fleet.served[target("m1", "a" + std::to_string(number))], 1);
+    }
+}
+
+// Guards against unloads that wait for requests meanwhile the runner refuses all other orders.
+BOOST_AUTO_TEST_CASE(unload_of_an_adapter_in_use_blocks_its_runner)
+{
+    SimulatedFleet fleet(1, 1, 4, {"m1"});
+    for (int number = 10; number < 18; ++number) {
+        fleet.request(target("m1", "a" + std::to_string(number)), std::chrono::milliseconds(2500));
+    }
+    fleet.run(std::chrono::seconds(30));
+    BOOST_CHECK_EQUAL(fleet.refusedOrders, 0);
+}
+
+// Guards against a requested model that is never loaded because every place holds the last copy of another model, requested or not.
+BOOST_AUTO_TEST_CASE(requested_model_is_never_served_behind_idle_last_copies)
+{
+    SimulatedFleet fleet(3, 2, 4, {"m1", "m2", "m3", "m4", "m5", "m6", "m7"});
+    for (const char *model : {"m1", "m2", "m3", "m4"}) {
+        fleet.request(target(model), std::chrono::milliseconds(500));
+    }
+    fleet.request(target("m7"), std::chrono::milliseconds(800));
+    fleet.run(std::chrono::seconds(15));
+    BOOST_CHECK_GE(fleet.served[target("m7")], 5);
+    BOOST_CHECK_GE(fleet.served[target("m1")], 25);
+}
+
+// The same where all models are requested: each of them has its turn.
+BOOST_AUTO_TEST_CASE(requested_model_is_never_served_behind_more_popular_last_copies)
+{
+    SimulatedFleet fleet(2, 2, 4, {"m1", "m2", "m3", "m4", "m5", "m6"});
+    for (const char *model : {"m1", "m2", "m3", "m4"}) {
+        fleet.request(target(model), std::chrono::milliseconds(500));
+    }
+    for (const char *model : {"m5", "m6"}) {
+        fleet.request(target(model), std::chrono::milliseconds(1500));
+    }
+    fleet.run(std::chrono::seconds(60));
+    for (const char *model : {"m1", "m2", "m3", "m4", "m5", "m6"}) {
+        BOOST_CHECK_GE(fleet.served[target(model)], 2);
+    }
+}
