Keep requests from endpoints that leave, ask for a pause or reject everything

Endpoints that said that they leave (Server-Leaving) got 148 requests later than 3 s; one that asked for a pause (Retry-After: 4) got 45 from one node within it.

Cause: nothing read either header, and a rejection only sent that one request elsewhere. The endpoint kept its share, each try drew on the retry budget, and once that was spent callers were refused.

Change: EndpointAvailability at each node. Leaving holds for the incarnation, whatever the list says. A pause is the longest of the values, an hour at most, ends at a random time up to a tenth later, and a later answer does not shorten it; dates, negative values and words say nothing. Three rejections in a row without a request served bring a pause of 250 ms that doubles to 2 s. The way back is one request of each node, then two, four. A peer that is asked to forward to such an endpoint says endpoint_refused.

--- a/src/include/hemlockhill/declared_capacity.h
+++ b/src/include/hemlockhill/declared_capacity.h
@@ -30,6 +30,10 @@
     // Number of requests that a brittle endpoint bears to reject within a second; it fails if it has to reject more. Empty if it does not
     // say that it is brittle.
     std::optional<std::uint32_t> rejectionLimit;
+    // Whether the endpoint is about to stop and wants no new requests.
+    bool isLeaving = false;
+    // How long the endpoint, which has turned the request away, wants no requests of this node. Empty if it does not say.
+    std::optional<Duration> pause;
     // Whether the answer is the endpoint's own, so that what it leaves out does not hold.
     bool isOwn = false;
 
--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -7,6 +7,7 @@
 
 #include "hemlockhill/brittle_endpoints.h"
 #include "hemlockhill/dispatch_notices.h"
+#include "hemlockhill/endpoint_availability.h"
 #include "hemlockhill/endpoint_directory.h"
 #include "hemlockhill/endpoint_rate_limiter.h"
 #include "hemlockhill/prompt_rate_limiter.h"
@@ -54,7 +55,7 @@
     Full,
     // Every suitable endpoint has reached its rate limit for prompt tokens.
     RateLimited,
-    // Every suitable endpoint accepts a limited rate of requests from all nodes, which is used up.
+    // Every suitable endpoint accepts a limited rate of requests from all nodes, which is used up, or wants none for a while.
     RequestLimited
 };
 
@@ -64,7 +65,7 @@
 struct EndpointChoice {
     std::optional<EndpointId> endpoint;
     NoEndpointReason reason = NoEndpointReason::NoEndpoint;
-    // With rate-limited endpoints: time until the first of them accepts the request.
+    // With rate-limited or pausing endpoints: time until the first of them accepts the request.
     Duration delay{0};
     // With endpoints that limit the rate of requests: the rate that they accept from this node, all of them together.
     RequestRate acceptedRate;
@@ -83,6 +84,7 @@
     PromptRateLimit promptRateLimit;
     EndpointRateLimits requestRateLimits;
     BrittleEndpointLimits brittleEndpoints;
+    EndpointAvailabilityLimits availability;
 };
 
 // Selects endpoints and tracks their load, failures and cached prefixes.
@@ -119,6 +121,8 @@
     EndpointRateLimiter &requestRates() { return m_requestRates; }
     // The endpoints that fail when they have to reject too many requests.
     BrittleEndpoints &brittleEndpoints() { return m_brittleEndpoints; }
+    // The endpoints that want no requests at present.
+    EndpointAvailability &availability() { return m_availability; }
 
 private:
     struct PeerLoad {
@@ -146,6 +150,7 @@
     PromptRateLimiter m_rateLimiter;
     EndpointRateLimiter m_requestRates;
     BrittleEndpoints m_brittleEndpoints;
+    EndpointAvailability m_availability;
     PrefixIndex m_prefixes;
     std::map<EndpointId, Record> m_records;
 };
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -153,6 +153,7 @@
     void notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt, bool rejected = false);
     // Takes what an endpoint has said of its capacity in the answer to a request that was sent at the given time.
     void onDeclaredCapacity(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint sentAt);
+    void logAvailability(const EndpointId &endpoint, const DeclaredCapacity &declared);
     // Notifies the other nodes of a request that was dispatched to an endpoint that limits their rate.
     void announceLimitedDispatch(const EndpointId &endpoint);
     void announceRateLimit(const EndpointId &endpoint, bool wantsReply);
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -290,7 +290,10 @@
         }
         const auto service = m_deployment->services.find(endpoint->second.service);
         const TimePoint now = currentTime();
-        if (service != m_deployment->services.end() && m_chooser.requestRates().delay(id, now) == Duration(0)) {
+        const bool wantsRequests = m_chooser.requestRates().delay(id, now) == Duration(0)
+                                   && m_chooser.availability().delay(endpoint->second, now) == Duration(0)
+                                   && !m_chooser.availability().isLeaving(endpoint->second);
+        if (service != m_deployment->services.end() && wantsRequests) {
             m_paths->probe(endpoint->second, m_dialect.probe(id, service->second));
         }
     }
@@ -302,6 +305,8 @@
                                  TimePoint sentAt)
 {
     const auto listed = m_directory.endpoints().find(endpoint);
+    m_chooser.availability().onAnswer(endpoint, incarnation, declared, currentTime());
+    logAvailability(endpoint, declared);
     if (declared.isOwn && listed != m_directory.endpoints().end()) {
         m_chooser.brittleEndpoints().onAnswer(listed->second, declared.rejectionLimit, currentTime());
     }
@@ -316,6 +321,19 @@
     announceRateLimit(endpoint, true);
 }
 
+void Gateway::logAvailability(const EndpointId &endpoint, const DeclaredCapacity &declared)
+{
+    if (declared.isLeaving) {
+        m_metrics.countEvent("endpoint_leaving_declared");
+        logEvent(Severity::Info, "endpoint is leaving", {{"endpoint", endpoint.value}});
+    }
+    if (declared.pause) {
+        const auto pauseMs = std::chrono::duration_cast<std::chrono::milliseconds>(*declared.pause).count();
+        m_metrics.countEvent("endpoint_pause_declared");
+        logEvent(Severity::Info, "endpoint wants no requests", {{"endpoint", endpoint.value}, {"pause_ms", pauseMs}});
+    }
+}
+
 void Gateway::announceRateLimit(const EndpointId &endpoint, bool wantsReply)
 {
     const auto notice = m_chooser.requestRates().notice(endpoint, wantsReply, currentTime());
--- a/src/libhemlockhill/node/gateway_forwarded_request.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_request.cpp
@@ -15,6 +15,7 @@
 
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 constexpr Bytes AnswerLimit{16'777'216};
+constexpr unsigned StatusServiceUnavailable = 503;
 // Answers up to this size are sent with their length, except for streams of events.
 constexpr std::size_t BufferedAnswerLimitBytes = 262'144;
 // Reading from the endpoint pauses while this many bytes have not been written to the other node.
@@ -62,6 +63,9 @@
         fail({Reason::Quarantined, false});
     } else if (endpoint == endpoints.end() || endpoint->second.leaving || !m_gateway.m_directory.mayDispatch(m_startedAt)) {
         fail({Reason::NoEndpoint, false});
+    } else if (m_gateway.m_chooser.availability().isLeaving(endpoint->second)
+               || m_gateway.m_chooser.availability().delay(endpoint->second, m_startedAt) > Duration(0)) {
+        fail({Reason::EndpointRefused, false});
     } else if (const auto obstacle = m_gateway.m_paths->obstacle(endpoint->second)) {
         fail({*obstacle, false});
     } else {
@@ -127,6 +131,10 @@
         m_gateway.m_crashGuard.onEndpointAnswered(lossIdOf(m_endpoint, m_incarnation), m_startedAt);
         m_gateway.scheduleSuspectNotices();
     }
+    const auto listed = m_gateway.m_directory.endpoints().find(m_endpoint);
+    if (answer.notRun && status == StatusServiceUnavailable && listed != m_gateway.m_directory.endpoints().end()) {
+        m_gateway.m_chooser.availability().onRejected(listed->second, currentTime());
+    }
     m_answer.status = status;
     m_answer.contentType.clear();
     m_answer.headers = endToEndHeaders(headers);
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -406,6 +406,10 @@
     m_gateway.onDeclaredCapacity(m_endpoint, m_endpointIncarnation, answer.capacity, m_sentAt);
     if (answer.notRun) {
         m_rejected = status == StatusServiceUnavailable;
+        const auto listed = m_gateway.m_directory.endpoints().find(m_endpoint);
+        if (m_rejected && !m_peer && listed != m_gateway.m_directory.endpoints().end()) {
+            m_gateway.m_chooser.availability().onRejected(listed->second, currentTime());
+        }
         m_exchange->discard();
         endpointFailed(Reason::EndpointRefused, false, false);
         return;
@@ -507,6 +511,10 @@
         m_gateway.m_paths->onSilentElsewhere(m_endpoint);
         onNothingSent(failure.reason, EndpointLoss::Unlikely);
         return;
+    case Reason::EndpointRefused:
+        // The endpoint wants no requests of the other node.
+        endpointFailed(failure.reason, false, false);
+        return;
     case Reason::EndpointLost:
         onNothingSent(failure.reason,
                       m_gateway.m_paths->confirmLoss(m_endpoint, *m_peer) ? EndpointLoss::Confirmed : EndpointLoss::Possible);
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -71,6 +71,7 @@
     , m_rateLimiter(m_limits.promptRateLimit)
     , m_requestRates(m_limits.requestRateLimits, seed)
     , m_brittleEndpoints(std::move(self), m_limits.brittleEndpoints)
+    , m_availability(m_limits.availability, seed)
     , m_prefixes(PrefixLimit)
 {
 }
@@ -90,6 +91,9 @@
     bool anyRateLimited = false;
     Duration requestDelay = Duration::max();
     for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
+        if (m_availability.isLeaving(*endpoint)) {
+            continue;
+        }
         anyActive = true;
         if (need.softwareVersion && !endpoint->continuesStreamsOf(*need.softwareVersion)) {
             continue;
@@ -113,6 +117,10 @@
             anyFull = true;
             continue;
         }
+        if (const Duration delay = m_availability.delay(*endpoint, now); delay > Duration(0)) {
+            requestDelay = std::min(requestDelay, delay);
+            continue;
+        }
         if (const Duration delay = m_requestRates.delay(endpoint->id, now); delay > Duration(0)) {
             choice.acceptedRate += m_requestRates.expectedRate(endpoint->id);
             requestDelay = std::min(requestDelay, delay);
@@ -156,7 +164,7 @@
     if (m_brittleEndpoints.isBrittle(endpoint, now)) {
         return !m_brittleEndpoints.accepts(endpoint, inFlight(endpoint.id), load, now);
     }
-    return load >= endpoint.slots * (1 + m_limits.queueRatio);
+    return load >= endpoint.slots * (1 + m_limits.queueRatio) || !m_availability.accepts(endpoint, inFlight(endpoint.id));
 }
 
 bool EndpointChooser::isInBackoff(const EndpointId &endpoint, TimePoint now) const
@@ -232,6 +240,7 @@
     Record &record = m_records[endpoint];
     record.consecutiveFailures = 0;
     record.failureRate -= record.failureRate * FailureRateWeight;
+    m_availability.onServed(endpoint);
 }
 
 void EndpointChooser::onFailed(const EndpointId &endpoint, TimePoint now)
@@ -261,6 +270,7 @@
 {
     m_requestRates.onDirectory(endpoints, now);
     m_brittleEndpoints.onDirectory(endpoints);
+    m_availability.onDirectory(endpoints);
     std::erase_if(m_records, [&](const auto &entry) { return !endpoints.contains(entry.first) && entry.second.inFlight == 0; });
 }
 
