Resume a stream of unknown origin only where one version can have begun it

Cause: with no origin known, the only version seen since the start went on; whether the node had known the endpoints long enough was asked only for the short cut before the lookup.

Change: the only version within the route's timeout and 5 s goes on, and only if the node has known the endpoints for that long or the whole group has started for the first time. A version of the present directory counts as seen now; the directory is not repeated while it does not change, so that a version was forgotten after 5 minutes without a change.

What could carry the origins is weighed in docs/design/platform.md.

unknown_stream_goes_on_where_one_version_has_served_alone now starts the group for the first time; that the node has just started is a test of its own, which is as strict the other way. Red before: the old test passed with a node that knew nothing. Run: gateway_stream_versions_test.

--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -46,6 +46,8 @@
     RetryBudgetLimits retries;
     DirectoryAgeLimits directoryAge;
     CrashGuardLimits crashes;
+    // Whether the whole group starts for the first time, so that no stream has begun before.
+    bool isFirstStart = false;
 };
 
 // Demand for one model, or one adapter on it, since the previous report.
@@ -148,8 +150,8 @@
     void onDirectoryChanged();
     // Whether requests for the model are already waiting for capacity.
     bool isQueued(const ServiceId &service, const ModelId &model) const;
-    // Decides at which software version a stream may go on; empty if it may at none.
-    SoftwareVersion versionToResume(const ServiceId &service, const OriginLookupResult &origin);
+    // Decides at which software version a stream may go on; empty if it may at none. The stream began within the given time.
+    SoftwareVersion versionToResume(const ServiceId &service, Duration begunWithin, const OriginLookupResult &origin);
     void notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt, bool rejected = false);
     // Takes what an endpoint has said of its capacity in the answer to a request that was sent at the given time.
     void onDeclaredCapacity(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint sentAt);
--- a/src/include/hemlockhill/queue_policy.h
+++ b/src/include/hemlockhill/queue_policy.h
@@ -27,6 +27,9 @@
 // more: its caller has given up by then, or would before anything could arrive.
 Duration dispatchTimeout(const Route &route, Duration callerTimeout);
 
+// Returns the time within which a stream began that its caller takes up: callers come back within the route's timeout.
+Duration streamLifetime(const Route &route);
+
 // Dispatch order of queued requests. Lower values are dispatched first.
 struct WaitingRank {
     bool late = false;
--- a/src/include/hemlockhill/version_history.h
+++ b/src/include/hemlockhill/version_history.h
@@ -20,16 +20,19 @@
     }
 
     void onDirectory(const EndpointsById &endpoints, TimePoint now);
-    // The version that all endpoints of the service have had for as long as this node remembers. Empty if there were several, or if one of
-    // them is not known.
-    SoftwareVersion onlyVersion(const ServiceId &service, TimePoint now) const;
-    // Whether this node has known the endpoints for as long as versions are remembered.
-    bool isComplete(TimePoint now) const { return m_since && now - *m_since >= m_retention; }
+    // No endpoint has served before the first directory, since the whole group starts for the first time.
+    void onFirstStart() { m_knowsBeginning = true; }
+    // The version that all endpoints of the service have had within the given time, which must not exceed the retention. Empty if there
+    // were several, if one of them is not known, or if this node does not know the endpoints for that long: those of another version may
+    // just have left.
+    SoftwareVersion onlyVersion(const ServiceId &service, Duration within, TimePoint now) const;
 
 private:
     Duration m_retention;
     std::optional<TimePoint> m_since;
-    std::map<ServiceId, std::map<SoftwareVersion, TimePoint>> m_lastSeen;
+    bool m_knowsBeginning = false;
+    // When each version was last seen; empty for those of the present directory, which is not repeated while it does not change.
+    std::map<ServiceId, std::map<SoftwareVersion, std::optional<TimePoint>>> m_lastSeen;
 };
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -131,6 +131,9 @@
     , m_versions(StreamOriginLimits().retention)
     , m_randomEngine(randomSeed(m_settings.listen))
 {
+    if (m_settings.isFirstStart) {
+        m_versions.onFirstStart();
+    }
 }
 
 Gateway::~Gateway()
@@ -393,13 +396,13 @@
     });
 }
 
-SoftwareVersion Gateway::versionToResume(const ServiceId &service, const OriginLookupResult &origin)
+SoftwareVersion Gateway::versionToResume(const ServiceId &service, Duration begunWithin, const OriginLookupResult &origin)
 {
     if (!origin.version.empty()) {
         m_metrics.countEvent("stream_resumed_" + std::string(toText(origin.source)));
         return origin.version;
     }
-    SoftwareVersion only = m_versions.onlyVersion(service, currentTime());
+    SoftwareVersion only = m_versions.onlyVersion(service, begunWithin, currentTime());
     m_metrics.countEvent(only.empty() ? "stream_origin_unknown" : "stream_resumed_only_version");
     return only;
 }
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -108,8 +108,7 @@
 void Gateway::Request::findOrigin()
 {
     // A version that has been the only one for as long as streams last needs no lookup.
-    const TimePoint now = currentTime();
-    const bool isCertain = m_gateway.m_versions.isComplete(now) && !m_gateway.m_versions.onlyVersion(service(), now).empty();
+    const bool isCertain = !m_gateway.m_versions.onlyVersion(service(), streamLifetime(m_route), currentTime()).empty();
     if (isCertain || m_head.resumedRequest.empty() || !m_gateway.findStreamOrigin) {
         onOriginFound({});
         return;
@@ -124,7 +123,7 @@
 
 void Gateway::Request::onOriginFound(const OriginLookupResult &origin)
 {
-    const SoftwareVersion version = m_gateway.versionToResume(service(), origin);
+    const SoftwareVersion version = m_gateway.versionToResume(service(), streamLifetime(m_route), origin);
     logEvent(Severity::Info,
              "stream to be resumed",
              {{"request", m_head.id.value},
@@ -132,7 +131,8 @@
               {"software_version", version.value},
               {"origin", toText(origin.source)}});
     if (version.empty()) {
-        refuse(Reason::StreamOriginUnknown, "several software versions serve, and it is not known which of them began the stream");
+        refuse(Reason::StreamOriginUnknown,
+               "several software versions may have served, and it is not known which of them began the stream");
         return;
     }
     m_requirements.softwareVersion = version;
--- a/src/libhemlockhill/node/gateway_stream_versions_test.cpp
+++ b/src/libhemlockhill/node/gateway_stream_versions_test.cpp
@@ -1,4 +1,5 @@
 // Tests that a stream goes on only at endpoints of the software version that began it, within one answer and over several requests.
+#include "hemlockhill/queue_policy.h"
 #include "net/raw_endpoint_testing.h"
 #include "node/gateway_testing.h"
 
@@ -38,9 +39,10 @@
     return {streamBytes("id: 2\ndata: two\n\n"), ConnectionEnd::Close, {}};
 }
 
-GatewayScenario resumableStream(const std::string &firstVersion = "v1", const std::string &secondVersion = "v1")
+GatewayScenario resumableStream(const std::string &firstVersion = "v1", const std::string &secondVersion = "v1", bool isFirstStart = true)
 {
-    return {RouteKind::Streaming, true, Duration(0), FirstPort, {SoftwareVersion{firstVersion}, SoftwareVersion{secondVersion}}};
+    return {
+        RouteKind::Streaming, true, Duration(0), FirstPort, {SoftwareVersion{firstVersion}, SoftwareVersion{secondVersion}}, isFirstStart};
 }
 
 // Raw endpoints that give the rest of a stream, and count their requests.
@@ -56,8 +58,8 @@
 
 // A gateway between endpoints of v1 and v2, and a caller that continues a stream which another node began.
 struct Resumption {
-    explicit Resumption(const std::string &secondVersion = "v2")
-        : fixture(resumableStream("v1", secondVersion), countingEndpoints(runs))
+    explicit Resumption(const std::string &secondVersion = "v2", bool isFirstStart = true)
+        : fixture(resumableStream("v1", secondVersion, isFirstStart), countingEndpoints(runs))
     {
         fixture.extraHeaders = {{"After", "1"}, {"First-Id", "request-0"}};
         fixture.gateway().onStreamBegun = [this](const StreamOrigin &origin) { begun.push_back(origin); };
@@ -161,6 +163,29 @@
     BOOST_CHECK_EQUAL(resumption.runs[0] + resumption.runs[1], 1);
 }
 
+// All nodes have been killed at once and come back, while the endpoints of another version have just left: nobody knows the origin of the
+// stream, and the only version that is seen need not have begun it.
+BOOST_AUTO_TEST_CASE(unknown_stream_is_joined_from_two_versions_after_all_nodes_restart)
+{
+    Resumption resumption("v1", false);
+    resumption.setOrigin("");
+    BOOST_CHECK(isRefusedAs(resumption.fixture.exchange("/x/1"), "stream_origin_unknown"));
+    BOOST_CHECK((resumption.runs == std::array<int, 2>{}));
+}
+
+// The same once the node has seen only one version for as long as streams last.
+BOOST_AUTO_TEST_CASE(unknown_stream_is_refused_for_longer_than_streams_last)
+{
+    Resumption resumption("v1", false);
+    resumption.setOrigin("");
+    Route route;
+    route.timeout = std::chrono::seconds(2);
+    resumption.fixture.runFor(streamLifetime(route) + std::chrono::milliseconds(100));
+    resumption.fixture.reportListUnavailable();
+    BOOST_CHECK(resumption.fixture.exchange("/x/1"));
+    BOOST_CHECK_EQUAL(resumption.runs[0] + resumption.runs[1], 1);
+}
+
 BOOST_AUTO_TEST_CASE(stream_whose_version_has_left_is_refused)
 {
     Resumption resumption;
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -118,6 +118,8 @@
     std::uint16_t firstPort = 9'390;
     // Software versions of the two endpoints.
     std::array<SoftwareVersion, 2> versions{SoftwareVersion{"v1"}, SoftwareVersion{"v1"}};
+    // Whether the gateway and all others have started for the first time.
+    bool isFirstStart = true;
 };
 
 class GatewayFixture
@@ -134,7 +136,7 @@
 
     GatewayFixture(const GatewayScenario &scenario, const EndpointFactory &startEndpoint)
         : m_address{"127.0.0.1", scenario.firstPort}
-        , m_gateway(m_loop, gatewaySettings(m_address), m_timers, m_metrics, plainDialect())
+        , m_gateway(m_loop, gatewaySettings(m_address, scenario.isFirstStart), m_timers, m_metrics, plainDialect())
         , m_pool(m_loop, 4)
     {
         m_gateway.start();
@@ -256,10 +258,11 @@
     std::string partial;
 
 private:
-    static GatewaySettings gatewaySettings(const Address &listen)
+    static GatewaySettings gatewaySettings(const Address &listen, bool isFirstStart)
     {
         GatewaySettings settings;
         settings.listen = listen;
+        settings.isFirstStart = isFirstStart;
         return settings;
     }
 
--- a/src/libhemlockhill/request/queue_policy.cpp
+++ b/src/libhemlockhill/request/queue_policy.cpp
@@ -16,6 +16,8 @@
 constexpr Duration MinimumStreamTimeout = std::chrono::seconds(2);
 constexpr int LatencyTargetFactor = 4;
 constexpr int EventGapFactor = 8;
+// Allows for callers that come back at the end of their time, and for the lag of the list of endpoints.
+constexpr Duration ResumptionMargin = std::chrono::seconds(5);
 // Time reserved within that limit for a busy endpoint to produce its first event.
 constexpr Duration FirstEventReserve = std::chrono::milliseconds(500);
 // Fraction of the caller's timeout that an unstreamed request may spend in the queue. The rest leaves time for a retry after a
@@ -45,6 +47,11 @@
     return std::min(callerStreamTimeout(route) - FirstEventReserve, queueTime);
 }
 
+Duration streamLifetime(const Route &route)
+{
+    return route.timeout + ResumptionMargin;
+}
+
 Duration dispatchTimeout(const Route &route, Duration callerTimeout)
 {
     if (route.kind != RouteKind::Streaming) {
