Send a request again to the same endpoint over a new connection

Callers saw (report from a like system): told 503, not run, for a request that ran.

A refusal that the endpoint writes once more bears the request's own id and was taken for the answer. The same over a peer that forwards.

Change: what an endpoint may have answered before goes over a new connection; a request that is forwarded says so (a header that older nodes hand on to the endpoint, which ignores it). Looked for elsewhere: reports and orders carry no id, but an order names the sequence that it expects, so that a wrong answer is set right by the next report (read); resumptions go to another endpoint or, by this, over a new connection.

Red before on: answered 503 and run twice; now 200 and run once.

--- a/src/include/hemlockhill/request_dialect.h
+++ b/src/include/hemlockhill/request_dialect.h
@@ -59,6 +59,9 @@
     Duration timeLeft{0};
     // Id of the event after which the stream resumes; empty to request the entire answer.
     std::string resumeAfter;
+    // Whether the endpoint may have answered this request before. A late or repeated answer on a connection that carried it then could not
+    // be told from the answer that is awaited now.
+    bool isRepeated = false;
 };
 
 // The properties of an answer that the endpoint's headers declare.
--- a/src/libhemlockhill/net/forwarded_request.cpp
+++ b/src/libhemlockhill/net/forwarded_request.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view EndpointHeader = "Hemlockhill-Endpoint";
 constexpr std::string_view TimeLeftHeader = "Hemlockhill-Time-Left-Ms";
 constexpr std::string_view ResumeAfterHeader = "Hemlockhill-Resume-After";
+constexpr std::string_view RepeatedHeader = "Hemlockhill-Repeated";
 constexpr std::string_view FailureHeader = "Hemlockhill-Forwarding-Failure";
 constexpr std::string_view ReachedHeader = "Hemlockhill-May-Have-Reached";
 constexpr unsigned StatusBadGateway = 502;
@@ -38,7 +39,7 @@
 void setForwardOptions(HttpRequest &request, const ForwardOptions &options)
 {
     const auto timeLeftMs = std::chrono::duration_cast<std::chrono::milliseconds>(options.timeLeft).count();
-    for (const std::string_view name : {EndpointHeader, TimeLeftHeader, ResumeAfterHeader}) {
+    for (const std::string_view name : {EndpointHeader, TimeLeftHeader, ResumeAfterHeader, RepeatedHeader}) {
         removeHeader(request.headers, name);
     }
     request.headers.push_back({std::string(EndpointHeader), options.endpoint.value});
@@ -46,6 +47,9 @@
     if (!options.resumeAfter.empty()) {
         request.headers.push_back({std::string(ResumeAfterHeader), options.resumeAfter});
     }
+    if (options.isRepeated) {
+        request.headers.push_back({std::string(RepeatedHeader), "1"});
+    }
 }
 
 ForwardOptions takeForwardOptions(HttpRequest &request)
@@ -53,6 +57,7 @@
     ForwardOptions options;
     options.endpoint = EndpointId{takeHeader(request.headers, EndpointHeader)};
     options.resumeAfter = takeHeader(request.headers, ResumeAfterHeader);
+    options.isRepeated = !takeHeader(request.headers, RepeatedHeader).empty();
     const std::string timeLeft = takeHeader(request.headers, TimeLeftHeader);
     std::uint32_t milliseconds = 0;
     const auto [end, error] = std::from_chars(timeLeft.data(), timeLeft.data() + timeLeft.size(), milliseconds);
--- a/src/libhemlockhill/node/direct_exchange.cpp
+++ b/src/libhemlockhill/node/direct_exchange.cpp
@@ -125,10 +125,11 @@
                                                   const Address &address,
                                                   const HttpRequest &request,
                                                   const ExchangeLimits &limits,
+                                                  ConnectionChoice connection,
                                                   ExchangeHooks hooks)
 {
     const auto inFlight = std::make_shared<InFlight>(std::move(reachability), endpoint);
-    auto exchange = pool.start(address, request, limits, ConnectionChoice::PreferIdle, observe(std::move(hooks), inFlight));
+    auto exchange = pool.start(address, request, limits, connection, observe(std::move(hooks), inFlight));
     return std::make_shared<DirectExchange>(inFlight, std::move(exchange));
 }
 
--- a/src/libhemlockhill/node/direct_exchange.h
+++ b/src/libhemlockhill/node/direct_exchange.h
@@ -16,6 +16,7 @@
                                                   const Address &address,
                                                   const HttpRequest &request,
                                                   const ExchangeLimits &limits,
+                                                  ConnectionChoice connection,
                                                   ExchangeHooks hooks);
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/node/endpoint_paths.cpp
+++ b/src/libhemlockhill/node/endpoint_paths.cpp
@@ -82,10 +82,13 @@
     return wayTo(endpoint, avoided, now) == Way::Peer ? m_peers.choose(avoided, now) : std::nullopt;
 }
 
-std::shared_ptr<HttpExchange>
-EndpointPaths::startDirect(const LiveEndpoint &endpoint, const HttpRequest &request, const ExchangeLimits &limits, ExchangeHooks hooks)
+std::shared_ptr<HttpExchange> EndpointPaths::startDirect(const LiveEndpoint &endpoint,
+                                                         const HttpRequest &request,
+                                                         const ExchangeLimits &limits,
+                                                         ConnectionChoice connection,
+                                                         ExchangeHooks hooks)
 {
-    return startDirectExchange(m_pool, m_reachability, endpoint.id, endpoint.address, request, limits, std::move(hooks));
+    return startDirectExchange(m_pool, m_reachability, endpoint.id, endpoint.address, request, limits, connection, std::move(hooks));
 }
 
 std::shared_ptr<HttpExchange> EndpointPaths::startThroughPeer(
--- a/src/libhemlockhill/node/endpoint_paths.h
+++ b/src/libhemlockhill/node/endpoint_paths.h
@@ -43,8 +43,11 @@
     // The node to forward through; empty if the request is to be sent over a connection of this node.
     std::optional<VmId> choosePeer(const LiveEndpoint &endpoint, const std::set<VmId> &avoided);
 
-    std::shared_ptr<HttpExchange>
-    startDirect(const LiveEndpoint &endpoint, const HttpRequest &request, const ExchangeLimits &limits, ExchangeHooks hooks);
+    std::shared_ptr<HttpExchange> startDirect(const LiveEndpoint &endpoint,
+                                              const HttpRequest &request,
+                                              const ExchangeLimits &limits,
+                                              ConnectionChoice connection,
+                                              ExchangeHooks hooks);
     // The caller must call onPeerDone() at the end.
     std::shared_ptr<HttpExchange> startThroughPeer(
         const VmId &peer, HttpRequest request, const ForwardOptions &options, const ExchangeLimits &limits, ExchangeHooks hooks);
--- a/src/libhemlockhill/node/gateway_forwarded_request.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_request.cpp
@@ -76,8 +76,9 @@
 void Gateway::ForwardedRequest::send(const LiveEndpoint &endpoint, const ForwardOptions &options)
 {
     m_incarnation = endpoint.incarnation;
-    m_exchange =
-        m_gateway.m_paths->startDirect(endpoint, m_gateway.m_dialect.forward(m_request, options), exchangeLimits(options), exchangeHooks());
+    const auto connection = options.isRepeated ? ConnectionChoice::FreshOnly : ConnectionChoice::PreferIdle;
+    m_exchange = m_gateway.m_paths->startDirect(
+        endpoint, m_gateway.m_dialect.forward(m_request, options), exchangeLimits(options), connection, exchangeHooks());
 }
 
 ExchangeLimits Gateway::ForwardedRequest::exchangeLimits(const ForwardOptions &options) const
--- /dev/null
+++ b/src/libhemlockhill/node/gateway_repeated_refusal_test.cpp
@@ -0,0 +1,105 @@
+// Tests the gateway with endpoints that write an earlier refusal once more on a connection that is kept open.
+#include "node/gateway_testing.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Hemlockhill;
+using namespace Hemlockhill::Testing;
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::uint16_t FirstPort = 9'350;
+const std::string Refusal = "HTTP/1.1 503 Busy\r\nId: request-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string Answer = "HTTP/1.1 200 OK\r\nId: request-1\r\nSignature: s\r\nContent-Length: 6\r\n\r\nserved";
+
+// Refuses the first request and runs all others. Before it answers the second one on a connection, it writes the refusal again.
+class ForgetfulEndpoint
+{
+public:
+    ForgetfulEndpoint(boost::asio::io_context &loop, const Address &address, int &runs)
+        : m_acceptor(loop, {boost::asio::ip::make_address(address.host), address.port})
+        , m_runs(runs)
+    {
+        accept();
+    }
+
+private:
+    struct Connection {
+        explicit Connection(tcp::socket ownSocket)
+            : socket(std::move(ownSocket))
+        {
+        }
+
+        tcp::socket socket;
+        boost::asio::streambuf received;
+        std::string answer;
+        int requests = 0;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+            if (!error) {
+                read(std::make_shared<Connection>(std::move(socket)));
+                accept();
+            }
+        });
+    }
+
+    // The body of the request is left in the buffer; the next head is found behind it.
+    void read(const std::shared_ptr<Connection> &connection)
+    {
+        boost::asio::async_read_until(
+            connection->socket, connection->received, "\r\n\r\n", [this, connection](error_code error, std::size_t bytes) {
+                if (error) {
+                    return;
+                }
+                connection->received.consume(bytes);
+                answer(connection);
+            });
+    }
+
+    void answer(const std::shared_ptr<Connection> &connection)
+    {
+        ++connection->requests;
+        const bool runs = ++m_requests > 1;
+        m_runs += runs ? 1 : 0;
+        connection->answer = connection->requests > 1 ? Refusal : "";
+        connection->answer += runs ? Answer : Refusal;
+        boost::asio::async_write(
+            connection->socket, boost::asio::buffer(connection->answer), [this, connection](error_code error, std::size_t) {
+                if (!error) {
+                    read(connection);
+                }
+            });
+    }
+
+    tcp::acceptor m_acceptor;
+    int &m_runs;
+    int m_requests = 0;
+};
+
+} // namespace
+
+// The same request is sent again to the endpoint that refused it, so that its id does not tell the old refusal from the answer.
+BOOST_AUTO_TEST_CASE(repeated_refusal_is_taken_for_the_answer_to_a_request_that_runs)
+{
+    int runs = 0;
+    GatewayScenario scenario;
+    scenario.kind = RouteKind::Unsafe;
+    scenario.firstPort = FirstPort;
+    GatewayFixture fixture(scenario, [&runs](boost::asio::io_context &loop, const Address &address) {
+        return std::make_shared<ForgetfulEndpoint>(loop, address, runs);
+    });
+    const auto answer = fixture.exchange("/x/1");
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->status, 200);
+    BOOST_CHECK_EQUAL(runs, 1);
+}
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -309,12 +309,14 @@
     ForwardOptions options;
     options.endpoint = endpoint;
     options.timeLeft = timeLeft();
+    options.isRepeated = !m_triedEndpoints.insert(endpoint).second;
     options.resumeAfter = m_events.lastEventId().empty() ? m_head.lastEventId : m_events.lastEventId();
     HttpRequest forwarded = m_gateway.m_dialect.forward(m_request, options);
     m_nothingSent = false;
     m_peer = m_gateway.m_paths->choosePeer(live, m_avoidedPeers);
     if (!m_peer) {
-        m_exchange = m_gateway.m_paths->startDirect(live, forwarded, exchangeLimits(), exchangeHooks());
+        const auto connection = options.isRepeated ? ConnectionChoice::FreshOnly : ConnectionChoice::PreferIdle;
+        m_exchange = m_gateway.m_paths->startDirect(live, forwarded, exchangeLimits(), connection, exchangeHooks());
         return;
     }
     logEvent(Severity::Info,
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -156,6 +156,8 @@
     EndpointId m_endpoint;
     // The node through which the current exchange is forwarded; empty for a connection of this node.
     std::optional<VmId> m_peer;
+    // Endpoints to which the request has been sent, also those that may be tried again.
+    std::set<EndpointId> m_triedEndpoints;
     // Nodes through which this request could not be forwarded.
     std::set<VmId> m_avoidedPeers;
     // Whether the last exchange failed before anything was sent to the endpoint.
