Evict one copy for several models that fit in its place

Cause: room that an unload in progress makes was promised to nobody.

Change: a model that will fit where a copy is being unloaded waits for that, with what has been promised there deducted.

Run: fleet_placement_test, fleet_starvation_test.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -374,6 +374,9 @@
     // The model whose last copy may be displaced by a model that is requested and has none.
     std::optional<ModelId> evictableLastCopy(const Runner &runner, const ModelId &incoming, TimePoint now) const;
     bool isResident(const Runner &runner, const RoutingTarget &target, Duration residence, TimePoint now) const;
+    void updateRoomBeingMade(const ServiceId &service, const EngineProfile &profile);
+    // Reserves room that unloads in progress make, if the model fits nowhere else. Returns whether there is enough.
+    bool takeRoomBeingMade(const ServiceId &service, const EngineProfile &profile, const EngineModel &model);
     // Whether a copy of another model is being evicted for this one.
     bool isRoomBeingMade(const ModelId &model) const;
     RunnerOrder order(Runner &runner, RunnerOperation operation, const RoutingTarget &target);
@@ -385,6 +388,8 @@
     std::map<RoutingTarget, Demand> m_demand;
     std::map<VmId, NodeFigures> m_figures;
     std::map<RoutingTarget, Unserved> m_unserved;
+    // Weights in MB that fit on runners once the unloads in progress have ended, less what has been reserved in this decision.
+    std::map<EndpointId, double> m_roomBeingMade;
     std::deque<TimePoint> m_storeLoads;
     ModelStates m_modelStates;
     std::map<RoutingTarget, std::uint32_t> m_waitingByTarget;
--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -78,6 +78,7 @@
     }
     std::sort(
         candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) { return left.urgency > right.urgency; });
+    updateRoomBeingMade(service, profile);
     for (const Candidate &candidate : candidates) {
         if (!mayLoad()) {
             return;
@@ -135,7 +136,7 @@
     std::optional<Displacement> bestDisplacement;
     const bool storeAvailable = storeRateAllows(profile, now);
     const bool hasDemand = stateOf(model.id).work >= m_limits.coldThreshold;
-    const bool mayDisplace = !isRoomBeingMade(model.id);
+    const bool mayDisplace = !isRoomBeingMade(model.id) && !takeRoomBeingMade(service, profile, model);
     PlacementObstacle obstacle = mayDisplace ? PlacementObstacle::NoRoom : PlacementObstacle::Displacing;
     for (auto &[id, runner] : m_runners) {
         if (runner.live.service != service || runner.live.leaving || runner.held.contains(baseOf(model.id))) {
@@ -171,6 +172,8 @@
     }
     if (bestDisplacement) {
         best->evictingFor = model.id;
+        const double evicted = profile.models.at(bestDisplacement->model).weights.value;
+        m_roomBeingMade[best->live.id] = profile.weightCapacity.value - best->usedWeights + evicted - model.weights.value;
         setObstacle(baseOf(model.id), PlacementObstacle::Displacing);
         orders.push_back(order(*best, RunnerOperation::Unload, baseOf(bestDisplacement->model)));
         return true;
@@ -200,6 +203,42 @@
     return std::nullopt;
 }
 
+// Once copies that are being unloaded are gone, other models fit in their place too.
+void FleetPlacement::updateRoomBeingMade(const ServiceId &service, const EngineProfile &profile)
+{
+    m_roomBeingMade.clear();
+    for (const auto &[id, runner] : m_runners) {
+        double unloading = 0;
+        for (const RoutingTarget &target : runner.unloading) {
+            const auto model = profile.models.find(target.model);
+            unloading += target.adapter.empty() && model != profile.models.end() ? model->second.weights.value : 0;
+        }
+        if (runner.live.service != service || runner.live.leaving || unloading == 0) {
+            continue;
+        }
+        const auto awaited = profile.models.find(runner.evictingFor);
+        const bool isAwaited = awaited != profile.models.end() && stateOf(awaited->first).copies == 0;
+        m_roomBeingMade[id] =
+            profile.weightCapacity.value - runner.usedWeights + unloading - (isAwaited ? awaited->second.weights.value : 0);
+    }
+}
+
+bool FleetPlacement::takeRoomBeingMade(const ServiceId &service, const EngineProfile &profile, const EngineModel &model)
+{
+    const bool fitsNow = std::any_of(m_runners.begin(), m_runners.end(), [&](const auto &entry) {
+        const Runner &runner = entry.second;
+        return runner.live.service == service && !runner.live.leaving
+               && runner.usedWeights + model.weights.value <= profile.weightCapacity.value;
+    });
+    const auto room = std::find_if(
+        m_roomBeingMade.begin(), m_roomBeingMade.end(), [&model](const auto &entry) { return entry.second >= model.weights.value; });
+    if (fitsNow || room == m_roomBeingMade.end()) {
+        return false;
+    }
+    room->second -= model.weights.value;
+    return true;
+}
+
 bool FleetPlacement::isRoomBeingMade(const ModelId &model) const
 {
     return std::any_of(m_runners.begin(), m_runners.end(), [&](const auto &entry) {
