--- a/src/libhemlockhill/node/gateway_test.cpp
+++ b/src/libhemlockhill/node/gateway_test.cpp
@@ -6,6 +6,26 @@
 using namespace Hemlockhill;
 using namespace Hemlockhill::Testing;
 
+// Nodes of two builds serve side by side during an upgrade: the earlier one sends no counts of running requests.
+BOOST_AUTO_TEST_CASE(demand_report_of_another_build_is_not_understood)
+{
+    const RoutingTarget target{ModelId{"m1"}, AdapterId{"a1"}};
+    const DemandByTarget earlier = decodeTargetDemand(R"([["m1","a1",3,1,400,50],["m2","",1,0,10,5]])");
+    BOOST_CHECK_EQUAL(earlier.size(), 2);
+    BOOST_CHECK_EQUAL(earlier.at(target).arrivals, 3);
+    BOOST_CHECK(earlier.at(target).running.empty());
+    DemandByTarget demand = earlier;
+    BOOST_CHECK_EQUAL(encodeTargetDemand(demand), R"([["m1","a1",3,1,400,50],["m2","",1,0,10,5]])");
+    demand.at(target).running = {{EndpointId{"e1"}, 2}, {EndpointId{"e2"}, 1}};
+    const std::string encoded = encodeTargetDemand(demand);
+    // What an earlier build reads stays in its place.
+    BOOST_CHECK(encoded.starts_with(R"([["m1","a1",3,1,400,50,{)"));
+    BOOST_CHECK((decodeTargetDemand(encoded).at(target).running == demand.at(target).running));
+    // Elements that a later build adds are ignored.
+    BOOST_CHECK_EQUAL(decodeTargetDemand(R"([["m1","a1",3,1,400,50,{"e1":2},"more"]])").at(target).running.size(), 1);
+    BOOST_CHECK_THROW(decodeTargetDemand(R"([["m1","a1",3,1,400,50,7]])"), DecodeError);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_reaches_the_caller_unchanged)
 {
     GatewayFixture fixture(RouteKind::Unsafe, false, [](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
