--- a/src/libhemlockhill/peers/dispatch_notice_pacer.cpp
+++ b/src/libhemlockhill/peers/dispatch_notice_pacer.cpp
@@ -10,7 +10,7 @@
 {
 
 // Size of one notice on the link, including the headers of UDP and IP.
-constexpr double NoticeBytes = 160;
+constexpr double NoticeBytes = 130;
 // Time within which the allowance fills up from empty.
 constexpr std::chrono::duration<double> Burst(0.25);
 
