--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -1,4 +1,4 @@
-// Waiting, dispatch and retries of a gateway request.
+// Dispatch and retries of a gateway request.
 #include "gateway_request.h"
 
 #include "endpoint_paths.h"
@@ -16,10 +16,6 @@
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 // Margin added to the caller's limit on silence within a stream before the exchange times out.
 constexpr Duration SilenceMargin = std::chrono::milliseconds(400);
-// How long a request waits for an endpoint to recover or to be replaced.
-constexpr Duration EndpointWaitTimeout = std::chrono::milliseconds(400);
-// Delay before endpoints that refused the request without running it are tried again.
-constexpr Duration RefusedEndpointRetryDelay = std::chrono::milliseconds(40);
 // Maximum size of an answer that is forwarded.
 constexpr Bytes AnswerLimit{16'777'216};
 constexpr unsigned FirstServerError = 500;
@@ -30,25 +26,8 @@
     return status >= 200 && status < 300;
 }
 
-Reason refusalReason(NoEndpointReason reason)
-{
-    if (reason == NoEndpointReason::VersionAbsent) {
-        return Reason::VersionAbsent;
-    }
-    const bool lacksCapacity =
-        reason == NoEndpointReason::Full || reason == NoEndpointReason::RateLimited || reason == NoEndpointReason::RequestLimited;
-    return lacksCapacity ? Reason::QueueFull : Reason::NoEndpoint;
-}
-
 } // namespace
 
-void QueueForecast::advance()
-{
-    if (rate.value > 0) {
-        delay += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate.value));
-    }
-}
-
 Gateway::Request::Request(Gateway &gateway,
                           std::uint64_t number,
                           HttpRequest request,
@@ -211,79 +190,6 @@
     wait(choice);
 }
 
-void Gateway::Request::wait(const EndpointChoice &choice)
-{
-    const NoEndpointReason reason = choice.reason;
-    const bool isLimited = reason == NoEndpointReason::RequestLimited;
-    m_forecast = isLimited ? QueueForecast{choice.delay, choice.acceptedRate} : QueueForecast{};
-    const TimePoint now = currentTime();
-    const bool isNew = !m_waitingSince;
-    if (isNew) {
-        m_waitingSince = now;
-    }
-    m_waitingFor = reason;
-    // An endpoint that refused the request without running it, for instance while loading its model, may accept it later.
-    if (reason == NoEndpointReason::NoneLeft && m_history.possibleRuns == 0 && now - *m_waitingSince >= RefusedEndpointRetryDelay) {
-        m_requirements.avoided.clear();
-    }
-    if (isWaitExpired(now)) {
-        endWait();
-        return;
-    }
-    const bool lacksTarget = reason == NoEndpointReason::NotLoadedYet || reason == NoEndpointReason::ModelAbsent;
-    if (isNew && lacksTarget && m_gateway.onTargetMissing) {
-        m_gateway.onTargetMissing();
-    }
-}
-
-void Gateway::Request::waitBehind(QueueForecast &forecast)
-{
-    if (!m_waitingSince || m_done) {
-        return;
-    }
-    QueueForecast own = forecast;
-    own.advance();
-    m_forecast = own;
-    if (isWaitExpired(currentTime())) {
-        endWait();
-        return;
-    }
-    forecast = own;
-}
-
-// No request waits on a node that is shutting down, because its connection would be closed before it is answered.
-bool Gateway::Request::isWaitExpired(TimePoint now) const
-{
-    return m_gateway.m_isStopping || now + m_forecast.delay >= waitEnd();
-}
-
-TimePoint Gateway::Request::waitEnd() const
-{
-    return std::min(*m_waitingSince + waitLimit(m_waitingFor), m_arrivedAt + maximumQueueWait(m_route, m_deadline - m_arrivedAt));
-}
-
-void Gateway::Request::endWait()
-{
-    if (m_history.possibleRuns > 0) {
-        fail(m_lastFailure.value_or(Reason::NoEndpoint));
-    } else {
-        refuse(refusalReason(m_waitingFor), std::string(toText(m_waitingFor)));
-    }
-}
-
-WaitingRank Gateway::Request::rank(TimePoint now) const
-{
-    return {isLate(m_route, now - m_arrivedAt), m_route.priority, !m_requirements.softwareVersion, m_arrivedAt};
-}
-
-// Returns the limit on waiting that follows from the reason. The deadline and the usefulness to the caller limit it further.
-Duration Gateway::Request::waitLimit(NoEndpointReason reason) const
-{
-    const bool mayRecover =
-        reason == NoEndpointReason::NoEndpoint || reason == NoEndpointReason::VersionAbsent || reason == NoEndpointReason::NoneLeft;
-    return mayRecover ? EndpointWaitTimeout : m_deadline - m_arrivedAt;
-}
-
 void Gateway::Request::send(const EndpointId &endpoint)
 {
     const TimePoint now = currentTime();
@@ -357,12 +263,6 @@
     return hooks;
 }
 
-bool Gateway::Request::isTooLate(TimePoint now) const
-{
-    const TimePoint silentSince = m_lastEventAt == TimePoint{} ? m_arrivedAt : m_lastEventAt;
-    return now >= m_deadline || now - silentSince >= dispatchTimeout(m_route, m_deadline - m_arrivedAt);
-}
-
 // Between the decision to send and the first byte, a connection may have had to be made.
 void Gateway::Request::onSending()
 {
@@ -380,17 +280,6 @@
     }
 }
 
-void Gateway::Request::giveUp()
-{
-    if (hasResponseStarted()) {
-        performStep(RetryDecision::Abort, Reason::DeadlineExceeded);
-    } else if (m_history.possibleRuns > 0) {
-        fail(Reason::DeadlineExceeded);
-    } else {
-        refuse(isWaiting() ? refusalReason(m_waitingFor) : Reason::DeadlineExceeded, "no endpoint could answer before the caller gives up");
-    }
-}
-
 void Gateway::Request::onHead(unsigned status, const std::vector<HttpHeader> &headers)
 {
     const auto forwardingFailure = m_peer ? readForwardingFailure(headers) : std::nullopt;
--- /dev/null
+++ b/src/libhemlockhill/node/gateway_waiting.cpp
@@ -0,0 +1,126 @@
+// Waiting of a gateway request for an endpoint, and when it is given up.
+#include "gateway_request.h"
+
+#include <algorithm>
+
+namespace Hemlockhill
+{
+
+namespace
+{
+
+// How long a request waits for an endpoint to recover or to be replaced.
+constexpr Duration EndpointWaitTimeout = std::chrono::milliseconds(400);
+// Delay before endpoints that refused the request without running it are tried again.
+constexpr Duration RefusedEndpointRetryDelay = std::chrono::milliseconds(40);
+
+Reason refusalReason(NoEndpointReason reason)
+{
+    if (reason == NoEndpointReason::VersionAbsent) {
+        return Reason::VersionAbsent;
+    }
+    const bool lacksCapacity =
+        reason == NoEndpointReason::Full || reason == NoEndpointReason::RateLimited || reason == NoEndpointReason::RequestLimited;
+    return lacksCapacity ? Reason::QueueFull : Reason::NoEndpoint;
+}
+
+} // namespace
+
+void QueueForecast::advance()
+{
+    if (rate.value > 0) {
+        delay += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate.value));
+    }
+}
+
+void Gateway::Request::wait(const EndpointChoice &choice)
+{
+    const NoEndpointReason reason = choice.reason;
+    const bool isLimited = reason == NoEndpointReason::RequestLimited;
+    m_forecast = isLimited ? QueueForecast{choice.delay, choice.acceptedRate} : QueueForecast{};
+    const TimePoint now = currentTime();
+    const bool isNew = !m_waitingSince;
+    if (isNew) {
+        m_waitingSince = now;
+    }
+    m_waitingFor = reason;
+    // An endpoint that refused the request without running it, for instance while loading its model, may accept it later.
+    if (reason == NoEndpointReason::NoneLeft && m_history.possibleRuns == 0 && now - *m_waitingSince >= RefusedEndpointRetryDelay) {
+        m_requirements.avoided.clear();
+    }
+    if (isWaitExpired(now)) {
+        endWait();
+        return;
+    }
+    const bool lacksTarget = reason == NoEndpointReason::NotLoadedYet || reason == NoEndpointReason::ModelAbsent;
+    if (isNew && lacksTarget && m_gateway.onTargetMissing) {
+        m_gateway.onTargetMissing();
+    }
+}
+
+void Gateway::Request::waitBehind(QueueForecast &forecast)
+{
+    if (!m_waitingSince || m_done) {
+        return;
+    }
+    QueueForecast own = forecast;
+    own.advance();
+    m_forecast = own;
+    if (isWaitExpired(currentTime())) {
+        endWait();
+        return;
+    }
+    forecast = own;
+}
+
+// No request waits on a node that is shutting down, because its connection would be closed before it is answered.
+bool Gateway::Request::isWaitExpired(TimePoint now) const
+{
+    return m_gateway.m_isStopping || now + m_forecast.delay >= waitEnd();
+}
+
+TimePoint Gateway::Request::waitEnd() const
+{
+    return std::min(*m_waitingSince + waitLimit(m_waitingFor), m_arrivedAt + maximumQueueWait(m_route, m_deadline - m_arrivedAt));
+}
+
+void Gateway::Request::endWait()
+{
+    if (m_history.possibleRuns > 0) {
+        fail(m_lastFailure.value_or(Reason::NoEndpoint));
+    } else {
+        refuse(refusalReason(m_waitingFor), std::string(toText(m_waitingFor)));
+    }
+}
+
+WaitingRank Gateway::Request::rank(TimePoint now) const
+{
+    return {isLate(m_route, now - m_arrivedAt), m_route.priority, !m_requirements.softwareVersion, m_arrivedAt};
+}
+
+// Returns the limit on waiting that follows from the reason. The deadline and the usefulness to the caller limit it further.
+Duration Gateway::Request::waitLimit(NoEndpointReason reason) const
+{
+    const bool mayRecover =
+        reason == NoEndpointReason::NoEndpoint || reason == NoEndpointReason::VersionAbsent || reason == NoEndpointReason::NoneLeft;
+    return mayRecover ? EndpointWaitTimeout : m_deadline - m_arrivedAt;
+}
+
+bool Gateway::Request::isTooLate(TimePoint now) const
+{
+    const TimePoint silentSince = m_lastEventAt == TimePoint{} ? m_arrivedAt : m_lastEventAt;
+    return now >= m_deadline || now - silentSince >= dispatchTimeout(m_route, m_deadline - m_arrivedAt);
+}
+
+void Gateway::Request::giveUp()
+{
+    if (hasResponseStarted()) {
+        performStep(RetryDecision::Abort, Reason::DeadlineExceeded);
+    } else if (m_history.possibleRuns > 0) {
+        fail(Reason::DeadlineExceeded);
+    } else {
+        refuse(isWaiting() ? refusalReason(m_waitingFor) : Reason::DeadlineExceeded, "no endpoint could answer before the caller gives up");
+    }
+}
+
+} // namespace Hemlockhill
