--- a/src/include/hemlockhill/endpoint_availability.h
+++ b/src/include/hemlockhill/endpoint_availability.h
@@ -34,8 +34,8 @@
 public:
     EndpointAvailability(EndpointAvailabilityLimits limits, std::uint64_t seed);
 
-    // An incarnation of an endpoint has answered.
-    void onAnswer(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint now);
+    // An incarnation of an endpoint has answered. Returns whether it has not been known before that it leaves or pauses.
+    bool onAnswer(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint now);
     // An endpoint has rejected a request of this node for want of room.
     void onRejected(const LiveEndpoint &endpoint, TimePoint now);
     // An endpoint has served a request of this node.
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -308,8 +308,9 @@
                                  TimePoint sentAt)
 {
     const auto listed = m_directory.endpoints().find(endpoint);
-    m_chooser.availability().onAnswer(endpoint, incarnation, declared, currentTime());
-    logAvailability(endpoint, declared);
+    if (m_chooser.availability().onAnswer(endpoint, incarnation, declared, currentTime())) {
+        logAvailability(endpoint, declared);
+    }
     if (declared.isOwn && listed != m_directory.endpoints().end()) {
         m_chooser.brittleEndpoints().onAnswer(listed->second, declared.rejectionLimit, currentTime());
     }
--- a/src/libhemlockhill/routing/endpoint_availability.cpp
+++ b/src/libhemlockhill/routing/endpoint_availability.cpp
@@ -38,19 +38,21 @@
     return found == m_records.end() || found->second.incarnation != endpoint.incarnation ? nullptr : &found->second;
 }
 
-void EndpointAvailability::onAnswer(const EndpointId &endpoint,
+bool EndpointAvailability::onAnswer(const EndpointId &endpoint,
                                     const Incarnation &incarnation,
                                     const DeclaredCapacity &declared,
                                     TimePoint now)
 {
     if (!declared.isOwn || (!declared.isLeaving && !declared.pause)) {
-        return;
+        return false;
     }
     Record &record = recordOf(endpoint, incarnation);
+    const bool isNew = (declared.isLeaving && !record.isLeaving) || (declared.pause && record.pausedUntil <= now);
     record.isLeaving = record.isLeaving || declared.isLeaving;
     if (declared.pause) {
         pause(record, std::min(*declared.pause, m_limits.maximumPause), now);
     }
+    return isNew;
 }
 
 // A later answer may be older than the one that began the pause, and so does not shorten it.
