Look at the clock before a forwarded request leaves for its endpoint

Change: the peer keeps the deadline, which counts from the arrival of the bytes, and refuses as not sent once it has passed.

The moment after the connection has no test of its own. Run: gateway_forwarding_test.

--- a/src/libhemlockhill/node/gateway_forwarded_request.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_request.cpp
@@ -52,6 +52,7 @@
     }
     // What has lain unread since it arrived has less time left.
     options.timeLeft -= std::chrono::duration_cast<Duration>(m_startedAt - m_responder->receivedAt());
+    m_deadline = m_startedAt + options.timeLeft;
     m_endpoint = options.endpoint;
     const auto &endpoints = m_gateway.m_directory.endpoints();
     const auto endpoint = endpoints.find(options.endpoint);
@@ -121,6 +122,10 @@
     if (!m_responder->isConnected()) {
         m_gateway.m_metrics.countEvent("request_not_sent_caller_gone");
         onDisconnected();
+    } else if (currentTime() >= m_deadline) {
+        m_gateway.m_metrics.countEvent("request_not_sent_too_late");
+        m_exchange->cancel();
+        fail({Reason::DeadlineExceeded, false});
     }
 }
 
--- a/src/libhemlockhill/node/gateway_forwarded_request.h
+++ b/src/libhemlockhill/node/gateway_forwarded_request.h
@@ -23,7 +23,7 @@
     void send(const LiveEndpoint &endpoint, const ForwardOptions &options);
     ExchangeLimits exchangeLimits(const ForwardOptions &options) const;
     ExchangeHooks exchangeHooks();
-    // Ends the request before anything is sent if its caller has left.
+    // Ends the request before anything is sent if its caller has left or has no time left.
     void onSending();
     void onHead(unsigned status, const std::vector<HttpHeader> &headers);
     void onBody(std::string bytes);
@@ -44,6 +44,8 @@
     Incarnation m_incarnation;
     std::shared_ptr<HttpExchange> m_exchange;
     TimePoint m_startedAt;
+    // When the caller's time ends.
+    TimePoint m_deadline;
     HttpResponse m_answer;
     // Whether the head of the answer has been sent.
     bool m_begun = false;
--- a/src/libhemlockhill/node/gateway_forwarding_test.cpp
+++ b/src/libhemlockhill/node/gateway_forwarding_test.cpp
@@ -83,16 +83,13 @@
     }
 
     // Sends a request to the address for forwarded requests, from an address outside the group.
-    std::optional<HttpResponse> exchangeFromOutside(std::size_t node)
+    std::optional<HttpResponse> exchangeFromOutside(std::size_t node) { return forward(m_pool, node, std::chrono::seconds(1)); }
+
+    // Sends a request to the address for forwarded requests, as the first node does when its caller has this much time left.
+    std::optional<HttpResponse> exchangeFromFirstNode(std::size_t node, Duration timeLeft)
     {
-        HttpRequest request = callersRequest("/x/1");
-        setForwardOptions(request, {EndpointId{"e0"}, std::chrono::seconds(1), {}});
-        std::optional<bool> complete;
-        auto answer = std::make_shared<HttpResponse>();
-        const Address address{m_nodes.at(node)->name.value, ForwardingPort};
-        m_pool.start(address, request, ExchangeLimits{}, ConnectionChoice::FreshOnly, collectAnswer(answer, complete));
-        runUntil([&] { return complete.has_value(); });
-        return complete.value_or(false) ? std::optional(*answer) : std::nullopt;
+        ConnectionPool pool(m_loop, 1, m_nodes.front()->name.value);
+        return forward(pool, node, timeLeft);
     }
 
     template<typename Condition>
@@ -124,6 +121,18 @@
     std::string partial;
 
 private:
+    std::optional<HttpResponse> forward(ConnectionPool &pool, std::size_t node, Duration timeLeft)
+    {
+        HttpRequest request = callersRequest("/x/1");
+        setForwardOptions(request, {EndpointId{"e0"}, timeLeft, {}});
+        std::optional<bool> complete;
+        auto answer = std::make_shared<HttpResponse>();
+        const Address address{m_nodes.at(node)->name.value, ForwardingPort};
+        pool.start(address, request, ExchangeLimits{}, ConnectionChoice::FreshOnly, collectAnswer(answer, complete));
+        runUntil([&] { return complete.has_value(); });
+        return complete.value_or(false) ? std::optional(*answer) : std::nullopt;
+    }
+
     struct Node {
         VmId name;
         Address address;
@@ -446,3 +455,15 @@
     BOOST_CHECK_EQUAL(fleet.counted(0, "request_forwarded_through_peer"), 0);
     BOOST_CHECK_EQUAL(fleet.probes, 0);
 }
+
+// Guards against work for a caller whose time has run out on the way between the nodes.
+BOOST_AUTO_TEST_CASE(request_is_forwarded_after_the_time_of_its_caller)
+{
+    ForwardingFleet fleet({true, false}, RouteKind::Safe, serve);
+    const auto late = fleet.exchangeFromFirstNode(1, Duration(0));
+    BOOST_REQUIRE(late);
+    BOOST_CHECK(readForwardingFailure(late->headers).has_value());
+    BOOST_CHECK(!readForwardingFailure(late->headers).value().mayHaveReached);
+    BOOST_CHECK(fleet.runs.empty());
+    BOOST_CHECK_EQUAL(fleet.exchangeFromFirstNode(1, std::chrono::seconds(1)).value().status, 201);
+}
