Serve forwarded callers elsewhere when a peer may not ask an endpoint

Callers saw: at a node that reaches no endpoint itself, 503 for requests whose peer had been told that one of two endpoints leaves or pauses, though the other one was free.

Cause: the peer's endpoint_refused drew on the retry budget, as if the endpoint had been asked, and the peer was not used for the next try.

Change: it counts as nothing sent, the endpoint is avoided for this request, and the peer goes on.

Red before: request_is_forwarded_to_an_endpoint_that_wants_none, 7 of its checks (503 for 201). Run: gateway_forwarding_test, platform_client_test.

--- a/src/libhemlockhill/node/gateway_forwarding_test.cpp
+++ b/src/libhemlockhill/node/gateway_forwarding_test.cpp
@@ -467,3 +467,32 @@
     BOOST_CHECK(fleet.runs.empty());
     BOOST_CHECK_EQUAL(fleet.exchangeFromFirstNode(1, std::chrono::seconds(1)).value().status, 201);
 }
+
+// Guards against requests that reach an endpoint through another node although it has told that node that it leaves or wants none.
+BOOST_AUTO_TEST_CASE(request_is_forwarded_to_an_endpoint_that_wants_none)
+{
+    for (const HttpHeader &word : {HttpHeader{"Leaving", "1"}, HttpHeader{"Pause-Ms", "2000"}}) {
+        // The first endpoint that is asked says it once.
+        bool isSaid = false;
+        const auto answer = [&](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+            HttpResponse response = signedAnswer(request, 201);
+            if (!std::exchange(isSaid, true)) {
+                response.headers.push_back(word);
+            }
+            responder->answer(response);
+        };
+        ForwardingFleet fleet({true, false}, RouteKind::Safe, answer);
+        BOOST_CHECK_EQUAL(fleet.exchangeFromFirstNode(1, std::chrono::seconds(1)).value().status, 201);
+        const auto refused = fleet.exchangeFromFirstNode(1, std::chrono::seconds(1));
+        BOOST_REQUIRE(refused);
+        BOOST_REQUIRE(readForwardingFailure(refused->headers));
+        BOOST_CHECK(!readForwardingFailure(refused->headers)->mayHaveReached);
+        BOOST_CHECK_EQUAL(fleet.runs.size(), 1);
+        // Callers of the node that is cut off are served by the other endpoint.
+        for (int request = 0; request < 10; ++request) {
+            const auto served = fleet.exchange(0, "/x/" + std::to_string(request));
+            BOOST_REQUIRE(served);
+            BOOST_CHECK_EQUAL(served->status, 201);
+        }
+    }
+}
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -396,16 +396,17 @@
         endpointFailed(failure.reason, true, true);
         return;
     }
+    if (failure.reason == Reason::EndpointRefused) {
+        // The endpoint wants no requests of the other node, which may reach others for this one.
+        onNothingSent(failure.reason, EndpointLoss::Possible);
+        return;
+    }
     m_avoidedPeers.insert(*m_peer);
     switch (failure.reason) {
     case Reason::EndpointSilent:
         m_gateway.m_paths->onSilentElsewhere(m_endpoint);
         onNothingSent(failure.reason, EndpointLoss::Unlikely);
         return;
-    case Reason::EndpointRefused:
-        // The endpoint wants no requests of the other node.
-        endpointFailed(failure.reason, false, false);
-        return;
     case Reason::EndpointLost:
         onNothingSent(failure.reason,
                       m_gateway.m_paths->confirmLoss(m_endpoint, *m_peer) ? EndpointLoss::Confirmed : EndpointLoss::Possible);
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -56,6 +56,11 @@
             head.capacity.rateLimit = RateLimitStatement::Limited;
             head.capacity.rate = RequestRate{std::stod(std::string(limit))};
         }
+        head.capacity.isOwn = true;
+        head.capacity.isLeaving = !findHeader(headers, "Leaving").empty();
+        if (const std::string_view pause = findHeader(headers, "Pause-Ms"); !pause.empty()) {
+            head.capacity.pause = std::chrono::milliseconds(std::stoi(std::string(pause)));
+        }
         return head;
     };
     dialect.answerHeaders = [](const std::vector<HttpHeader> &headers) {
