--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -16,6 +16,7 @@
 import struct
 import tempfile
 import time
+import traceback
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = REPOSITORY / "target/src/hemlockhill/hemlockhill"
@@ -512,6 +513,13 @@
         raise NotImplementedError
 
     async def __aenter__(self):
+        try:
+            return await self.begin()
+        except BaseException:
+            await self.__aexit__()
+            raise
+
+    async def begin(self):
         if not PROGRAM.exists():
             raise CannotRun(f"{PROGRAM.name} is not built in target/")
         await self.list.start()
@@ -609,8 +617,9 @@
     """Runs a case and ends with its exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     try:
         broken = asyncio.run(asyncio.wait_for(main(), 115))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # Whatever stops a case says nothing about the rule.
+        traceback.print_exc()
         print("could not run:", type(error).__name__, error, flush=True)
-        raise SystemExit(2)
+        raise SystemExit(2) from error
     print("broken" if broken else "held", flush=True)
     raise SystemExit(1 if broken else 0)
