--- a/src/include/hemlockhill/consensus.h
+++ b/src/include/hemlockhill/consensus.h
@@ -253,10 +253,10 @@
     // itself, AlreadyDeclared or UnknownObject if there is nothing to change, and NoQuorum if too few of the new voters respond.
     std::variant<Proposal, Refusal> proposeMembership(const MembershipChange &change, TimePoint now);
 
-    // Transfers leadership to the live voter with the most complete log. Proposals are refused from then on. If the successor does not
-    // take over within an election timeout, this voter becomes a follower. Returns false if this voter does not lead or no successor is
-    // available.
-    bool transferLeadership(TimePoint now);
+    // Transfers leadership to the live voter with the most complete log, to one of the avoided voters only if no other is live. Proposals
+    // are refused from then on. If the successor does not take over within an election timeout, this voter becomes a follower. Returns
+    // false if this voter does not lead or no successor is available.
+    bool transferLeadership(TimePoint now, const std::set<VoterId> &avoided = {});
 
     // Replaces the log up to a committed index by a snapshot of the host's state at that index. Ignored if the last snapshot has this
     // index or a later one. Throws Error if the index has not been returned as committed.
@@ -277,6 +277,8 @@
     LogIndex lastIndex() const;
     // Latest membership in the log, whether committed or not.
     const VoterMembership &membership() const;
+    // Whether that membership is committed.
+    bool isMembershipCommitted() const;
 
     // True if this voter leads, no other leader can be elected before the lease ends, and an entry of its term is committed. Its committed
     // state is then the latest.
--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -29,6 +29,9 @@
     std::function<void(ConsensusActions actions)> persist;
     // Persists the membership that the group was created with.
     std::function<void(VoterMembership membership)> saveInitialMembership;
+    // Tells another controller that this one is about to stop, and asks it to take away its vote if it leads. The reply is passed to
+    // Controller::onLeaveReply().
+    std::function<void(const VmId &to, LeaveRequest request)> requestLeave;
     // This controller became the leader in this term, or stopped leading if empty.
     std::function<void(std::optional<Term> term)> leadershipChanged;
     // A command was applied to the replicated state.
@@ -73,6 +76,12 @@
     void tick(TimePoint now);
     // Starts to transfer leadership to another controller. Returns true if this controller does not lead, or has no successor.
     bool resign(TimePoint now);
+    // Prepares the end of this process, after which this controller may never return: transfers leadership and asks the new leader to take
+    // its vote away. To be called repeatedly until it returns true: then the vote is gone, or the others need it.
+    bool leave(TimePoint now);
+    // Another controller is about to stop.
+    LeaveReply onLeaveRequested(const LeaveRequest &request, TimePoint now);
+    void onLeaveReply(const LeaveReply &reply);
 
     bool leads(TimePoint now) const;
     // Nodes that have sent a follow request within the last 5 s, as of the last tick.
@@ -128,6 +137,7 @@
     bool repairMembership(TimePoint now);
     bool shouldRequestIdentities(TimePoint now) const;
     void requestIdentities(TimePoint now);
+    void requestLeave();
     std::vector<VmId> controllers() const;
     void compactIfNeeded();
     const std::string &packedDeployment() const;
@@ -152,6 +162,11 @@
     bool m_mayCreateGroup = true;
     TimePoint m_identitiesRequestedAt;
 
+    // Whether this process is about to end, and what the leader has answered to that.
+    bool m_leaving = false;
+    LeaveOutcome m_leaveOutcome = LeaveOutcome::NotLeader;
+    TimePoint m_leaveRequestedAt;
+
     ReplicatedState m_state;
     // Current deployment document, compressed once for all followers.
     mutable DeploymentVersion m_packedVersion;
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -74,8 +74,8 @@
     void reportFigures();
     // Adds a controller that was added to the settings at run time.
     void addSeed(const VmId &vm) { addCandidate(vm, false); }
-    // Starts to transfer leadership to another controller. Returns true if this node does not lead, or has no successor.
-    bool resign();
+    // Prepares the end of this process: see Controller::leave(). To be called repeatedly until it returns true.
+    bool leave();
 
 private:
     ControllerHooks controllerHooks();
--- a/src/include/hemlockhill/membership_repair.h
+++ b/src/include/hemlockhill/membership_repair.h
@@ -1,5 +1,5 @@
 // Decides how the leader repairs the membership of a group of controllers: a controller that lost its folder, or was replaced at another
-// address, gets a vote again, and the lost voter stops counting towards the quorum. Deterministic, without I/O.
+// address, gets a vote again, and a voter that was lost or stops for good ceases to count towards the quorum. Deterministic, without I/O.
 #pragma once
 
 #include "hemlockhill/consensus.h"
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace Hemlockhill
@@ -31,6 +32,13 @@
     // This controller has become the leader. Identities received before may be outdated.
     void onLeadershipTaken(TimePoint now);
 
+    // A member is about to stop, and may never return.
+    void onLeaving(const VoterId &voter, TimePoint now);
+    // Members that are about to stop, as far as this leader has been told lately.
+    std::set<VoterId> leaving(TimePoint now) const;
+    // What becomes of a leaving member's vote. Requires that the consensus leads.
+    LeaveOutcome leaveOutcome(const Consensus &consensus, const VoterId &voter, TimePoint now) const;
+
     // Latest identity reply of each other controller.
     const std::map<VmId, IdentityReply> &identities() const { return m_identities; }
     // Whether the VM should be asked for its identity again.
@@ -45,6 +53,13 @@
     std::vector<const IdentityReply *> currentIdentities(TimePoint now) const;
     // Members whose controller has replied with another identity since.
     std::vector<MembershipChange> removalsOfFormer(const Consensus &consensus, TimePoint now) const;
+    // Members that are about to stop and can be spared.
+    std::vector<MembershipChange> removalsOfLeaving(const Consensus &consensus, TimePoint now) const;
+    // Whether enough voters respond without this one.
+    bool canSpare(const Consensus &consensus, const VoterId &voter, TimePoint now) const;
+    // Whether a controller that stays is about to become a voter.
+    bool expectsVoter(const Consensus &consensus, TimePoint now) const;
+    bool isLeaving(const VoterId &voter, TimePoint now) const;
     // Members that no longer answer.
     std::vector<MembershipChange> removalsOfSilent(const Consensus &consensus, TimePoint now) const;
     // Learners that have caught up.
@@ -59,6 +74,8 @@
     TimePoint m_leaderSince;
     std::map<VmId, IdentityReply> m_identities;
     std::map<VmId, TimePoint> m_heardAt;
+    // When each member last announced that it is about to stop.
+    std::map<VoterId, TimePoint> m_leavingSince;
 };
 
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/peer_messages.h
+++ b/src/include/hemlockhill/peer_messages.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -37,6 +38,32 @@
     // True until the controller has adopted the initial membership of its group.
     bool blank = true;
     VoterMembership initialMembership;
+    // The leader as far as the controller knows; empty when unknown.
+    VmId leader;
+};
+
+// Tells another member that the sender, a controller, is about to stop and may never return, and asks the leader to take away its vote.
+struct LeaveRequest {
+    VoterId voter;
+};
+
+// What becomes of a controller's vote when it stops.
+enum class LeaveOutcome : std::uint8_t {
+    // The replying controller is not the leader, or cannot confirm that it still is.
+    NotLeader,
+    // The vote is to be taken away, which is not committed yet.
+    Pending,
+    // The controller has no vote any more.
+    Removed,
+    // The controller keeps its vote, because the others could not tolerate the configured number of failures.
+    Kept,
+};
+
+std::string_view toText(LeaveOutcome outcome);
+
+// Answers a LeaveRequest.
+struct LeaveReply {
+    LeaveOutcome outcome = LeaveOutcome::NotLeader;
 };
 
 // Reports the revisions that a node has applied, and requests newer ones.
@@ -125,8 +152,8 @@
     HttpResponse response;
 };
 
-using PeerRequest = std::variant<ConsensusBatch, IdentityRequest, FollowRequest, AttestRequest, SubmitRequest, QueryRequest>;
-using PeerReply = std::variant<IdentityReply, FollowReply, AttestReply, SubmitReply, QueryReply>;
+using PeerRequest = std::variant<ConsensusBatch, IdentityRequest, FollowRequest, AttestRequest, SubmitRequest, QueryRequest, LeaveRequest>;
+using PeerReply = std::variant<IdentityReply, FollowReply, AttestReply, SubmitReply, QueryReply, LeaveReply>;
 
 // Identifies an outgoing call; unique within the process.
 using CallId = Quantity<struct CallTag>;
--- a/src/libhemlockhill/consensus/consensus.cpp
+++ b/src/libhemlockhill/consensus/consensus.cpp
@@ -35,9 +35,9 @@
     return m_core->proposeMembership(change, now);
 }
 
-bool Consensus::transferLeadership(TimePoint now)
+bool Consensus::transferLeadership(TimePoint now, const std::set<VoterId> &avoided)
 {
-    return m_core->transferLeadership(now);
+    return m_core->transferLeadership(now, avoided);
 }
 
 void Consensus::compact(LogIndex upTo, std::string snapshotData)
@@ -90,6 +90,11 @@
     return m_core->log().membership();
 }
 
+bool Consensus::isMembershipCommitted() const
+{
+    return m_core->log().membershipIndex() <= m_core->commitIndex();
+}
+
 bool Consensus::leaseHeld(TimePoint now) const
 {
     const std::optional<TimePoint> end = m_core->leaseEnd();
--- a/src/libhemlockhill/consensus/core.h
+++ b/src/libhemlockhill/consensus/core.h
@@ -58,7 +58,7 @@
     void receive(const Envelope &envelope, TimePoint now);
     std::variant<Proposal, Refusal> propose(std::string payload, TimePoint now);
     std::variant<Proposal, Refusal> proposeMembership(const MembershipChange &change, TimePoint now);
-    bool transferLeadership(TimePoint now);
+    bool transferLeadership(TimePoint now, const std::set<VoterId> &avoided);
     void compact(LogIndex upTo, std::string snapshotData);
     void persisted(PersistedMark mark);
     ConsensusActions takeActions(TimePoint now);
--- a/src/libhemlockhill/consensus/leading.cpp
+++ b/src/libhemlockhill/consensus/leading.cpp
@@ -304,22 +304,25 @@
     progress.chunkSentAt = now;
 }
 
-bool Consensus::Core::transferLeadership(TimePoint now)
+bool Consensus::Core::transferLeadership(TimePoint now, const std::set<VoterId> &avoided)
 {
     advanceTime(now);
     if (role() != VoterRole::Leader || m_transfer) {
         return m_transfer.has_value();
     }
-    const std::pair<const VoterId, MemberProgress> *best = nullptr;
-    for (const auto &member : m_members) {
-        if (isVoter(member.first) && isAlive(member.first, m_now) && (best == nullptr || member.second.match > best->second.match)) {
-            best = &member;
+    std::optional<VoterId> successor;
+    std::pair<bool, LogIndex> best;
+    for (const auto &[member, progress] : m_members) {
+        const std::pair<bool, LogIndex> suitability{!avoided.contains(member), progress.match};
+        if (isVoter(member) && isAlive(member, m_now) && (!successor || suitability > best)) {
+            successor = member;
+            best = suitability;
         }
     }
-    if (best == nullptr) {
+    if (!successor) {
         return false;
     }
-    m_transfer = LeadershipTransfer{best->first, m_now + m_settings.electionTimeout};
+    m_transfer = LeadershipTransfer{*successor, m_now + m_settings.electionTimeout};
     continueTransfer();
     return true;
 }
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -18,6 +18,8 @@
 constexpr Duration IdentityPeriod = std::chrono::milliseconds(300);
 // Interval of identity requests of a voter of an open group, which may have members that this controller does not know.
 constexpr Duration DiscoveryPeriod = std::chrono::seconds(1);
+// Interval at which a controller that is about to stop asks for the removal of its vote.
+constexpr Duration LeaveRequestInterval = std::chrono::milliseconds(100);
 // A node without a follow request for this time is no longer listed as a follower.
 constexpr Duration FollowerTimeout = std::chrono::seconds(5);
 // Time within which an accepted operator command must be in force on every node; otherwise it is answered as NoQuorum.
@@ -71,6 +73,11 @@
 IdentityReply Controller::identity() const
 {
     IdentityReply reply;
+    reply.leader = leader();
+    if (m_leaving) {
+        // A member that is about to stop must not be added again.
+        return reply;
+    }
     reply.voter = m_self;
     reply.blank = !m_initialMembership.has_value();
     reply.initialMembership = m_initialMembership.value_or(VoterMembership{});
@@ -576,11 +583,56 @@
     if (!m_consensus || m_consensus->role() != VoterRole::Leader) {
         return true;
     }
-    const bool handedOver = m_consensus->transferLeadership(now);
+    const bool handedOver = m_consensus->transferLeadership(now, m_repair.leaving(now));
     executeActions(now);
     return !handedOver;
 }
 
+bool Controller::leave(TimePoint now)
+{
+    m_leaving = true;
+    const bool isAnswered = m_leaveOutcome == LeaveOutcome::Removed || m_leaveOutcome == LeaveOutcome::Kept;
+    if (!m_consensus || isAnswered) {
+        return true;
+    }
+    if (now - m_leaveRequestedAt >= LeaveRequestInterval) {
+        m_leaveRequestedAt = now;
+        requestLeave();
+    }
+    // The other voters of a new leader may not have answered it yet.
+    resign(now);
+    return m_consensus->membership().voters.size() == 1;
+}
+
+// All members are told, so that none of them chooses this controller as its successor.
+void Controller::requestLeave()
+{
+    for (const VmId &vm : controllers()) {
+        if (vm != m_settings.vm) {
+            m_hooks.requestLeave(vm, LeaveRequest{m_self});
+        }
+    }
+}
+
+LeaveReply Controller::onLeaveRequested(const LeaveRequest &request, TimePoint now)
+{
+    m_repair.onLeaving(request.voter, now);
+    executeActions(now);
+    if (!leads(now)) {
+        return {LeaveOutcome::NotLeader};
+    }
+    const LeaveOutcome outcome = m_repair.leaveOutcome(*m_consensus, request.voter, now);
+    logEvent(Severity::Info, "controller is leaving", {{"voter", request.voter.value}, {"outcome", toText(outcome)}});
+    return {outcome};
+}
+
+void Controller::onLeaveReply(const LeaveReply &reply)
+{
+    if (m_leaving && reply.outcome != LeaveOutcome::NotLeader) {
+        m_leaveOutcome = reply.outcome;
+    }
+}
+
 bool Controller::leads(TimePoint now) const
 {
     return m_consensus && m_leases && m_consensus->leaseHeld(now);
--- a/src/libhemlockhill/control/controller_host.cpp
+++ b/src/libhemlockhill/control/controller_host.cpp
@@ -73,6 +73,8 @@
     ControllerHooks result;
     result.sendConsensus = std::move(hooks.sendConsensus);
     result.requestIdentity = std::move(hooks.requestIdentity);
+    // The voters of this control plane are fixed by the settings.
+    result.requestLeave = [](const VmId &, const LeaveRequest &) {};
     result.persist = [this](ConsensusActions actions) { m_storage.write(std::move(actions)); };
     result.saveInitialMembership = [this](VoterMembership membership) { m_storage.saveInitialMembership(std::move(membership)); };
     result.leadershipChanged = [this](std::optional<Term> term) { onLeadership(term); };
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -58,6 +58,7 @@
         startCall(to, std::move(batch));
     };
     hooks.requestIdentity = [this](const VmId &to) { startCall(to, IdentityRequest{}); };
+    hooks.requestLeave = [this](const VmId &to, LeaveRequest request) { startCall(to, std::move(request)); };
     hooks.persist = [this](ConsensusActions actions) { m_storage->write(std::move(actions)); };
     hooks.saveInitialMembership = [this](VoterMembership membership) { m_storage->saveInitialMembership(std::move(membership)); };
     hooks.leadershipChanged = [this](std::optional<Term> term) { m_hooks.leadershipChanged(term); };
@@ -131,9 +132,9 @@
     return m_controller ? m_controller->followers().size() : m_followers.size();
 }
 
-bool GroupMember::resign()
+bool GroupMember::leave()
 {
-    return !m_controller || m_controller->resign(currentTime());
+    return !m_controller || m_controller->leave(currentTime());
 }
 
 void GroupMember::onPeerEvent(PeerEvent &&event)
@@ -186,6 +187,7 @@
                     request.payload, [this, incoming = call.incoming](SubmitReply reply) { answerCall(incoming, std::move(reply)); }, now);
             },
             [&](const QueryRequest &) { answerCall(call.incoming, QueryReply{}); },
+            [&](const LeaveRequest &request) { answerCall(call.incoming, m_controller->onLeaveRequested(request, now)); },
         },
         call.request);
 }
@@ -194,10 +196,18 @@
 {
     if (const auto *identity = std::get_if<IdentityReply>(&answer.reply)) {
         if (m_controller) {
+            // The seeds that still run may not include the leader.
+            addCandidate(identity->leader, false);
             m_controller->onIdentity(answer.from, *identity, currentTime());
         }
         return;
     }
+    if (const auto *leave = std::get_if<LeaveReply>(&answer.reply)) {
+        if (m_controller) {
+            m_controller->onLeaveReply(*leave);
+        }
+        return;
+    }
     if (const auto *follow = std::get_if<FollowReply>(&answer.reply)) {
         const auto sent = m_followCallsSentAt.extract(answer.call);
         onFollowReply(answer.from, *follow, sent.empty() ? TimePoint{} : sent.mapped());
--- a/src/libhemlockhill/control/membership_repair.cpp
+++ b/src/libhemlockhill/control/membership_repair.cpp
@@ -19,6 +19,9 @@
 // again when it returns.
 constexpr Duration SilentMemberTimeout = std::chrono::milliseconds(1500);
 
+// A leaving member repeats its announcement more often than this. A controller that was restarted counts as returned after this time.
+constexpr Duration LeavingTimeout = std::chrono::milliseconds(1200);
+
 bool isMember(const VoterMembership &membership, const VoterId &id)
 {
     return membership.voters.contains(id) || membership.learners.contains(id);
@@ -54,6 +57,62 @@
     m_leaderSince = now;
 }
 
+void MembershipRepair::onLeaving(const VoterId &voter, TimePoint now)
+{
+    m_leavingSince[voter] = now;
+    std::erase_if(m_leavingSince, [now](const auto &known) { return now - known.second >= LeavingTimeout; });
+}
+
+bool MembershipRepair::isLeaving(const VoterId &voter, TimePoint now) const
+{
+    const auto known = m_leavingSince.find(voter);
+    return known != m_leavingSince.end() && now - known->second < LeavingTimeout;
+}
+
+std::set<VoterId> MembershipRepair::leaving(TimePoint now) const
+{
+    std::set<VoterId> all;
+    for (const auto &[voter, since] : m_leavingSince) {
+        if (isLeaving(voter, now)) {
+            all.insert(voter);
+        }
+    }
+    return all;
+}
+
+LeaveOutcome MembershipRepair::leaveOutcome(const Consensus &consensus, const VoterId &voter, TimePoint now) const
+{
+    if (!isMember(consensus.membership(), voter)) {
+        return consensus.isMembershipCommitted() ? LeaveOutcome::Removed : LeaveOutcome::Pending;
+    }
+    if (!m_openMembership) {
+        return LeaveOutcome::Kept;
+    }
+    return canSpare(consensus, voter, now) || expectsVoter(consensus, now) ? LeaveOutcome::Pending : LeaveOutcome::Kept;
+}
+
+bool MembershipRepair::canSpare(const Consensus &consensus, const VoterId &voter, TimePoint now) const
+{
+    std::size_t responding = 0;
+    for (const VoterId &other : consensus.membership().voters) {
+        const auto answeredAt = other == consensus.self() ? now : consensus.answeredAt(other).value_or(TimePoint{});
+        if (other != voter && now - answeredAt < m_electionTimeout) {
+            ++responding;
+        }
+    }
+    return responding >= m_requiredVoters;
+}
+
+bool MembershipRepair::expectsVoter(const Consensus &consensus, TimePoint now) const
+{
+    const auto isExpected = [&](const VoterId &learner) {
+        const auto answeredAt = consensus.answeredAt(learner);
+        return !isLeaving(learner, now) && answeredAt && now - *answeredAt < m_electionTimeout;
+    };
+    const std::set<VoterId> &learners = consensus.membership().learners;
+    return std::any_of(learners.begin(), learners.end(), isExpected) || !additions(consensus, now).empty();
+}
+
 bool MembershipRepair::isOutdated(const VmId &vm, TimePoint now) const
 {
     const auto known = m_identities.find(vm);
@@ -68,7 +127,8 @@
         return {};
     }
     std::vector<MembershipChange> all = removalsOfFormer(consensus, now);
-    for (const auto &more : {removalsOfSilent(consensus, now), promotions(consensus, now), additions(consensus, now)}) {
+    for (const auto &more :
+         {removalsOfLeaving(consensus, now), removalsOfSilent(consensus, now), promotions(consensus, now), additions(consensus, now)}) {
         all.insert(all.end(), more.begin(), more.end());
     }
     return all;
@@ -108,6 +168,23 @@
     return removals;
 }
 
+// A voter that stops would count towards the quorum until it is known to be silent. Several that stop at short intervals would leave no
+// quorum that could remove them.
+std::vector<MembershipChange> MembershipRepair::removalsOfLeaving(const Consensus &consensus, TimePoint now) const
+{
+    if (!m_openMembership) {
+        return {};
+    }
+    std::vector<MembershipChange> removals;
+    for (const VoterId &voter : leaving(now)) {
+        const bool isLearner = consensus.membership().learners.contains(voter);
+        if (isLearner || (consensus.membership().voters.contains(voter) && canSpare(consensus, voter, now))) {
+            removals.push_back({MembershipChangeKind::Remove, voter});
+        }
+    }
+    return removals;
+}
+
 // A member that does not answer has presumably been lost for good. A voter would count towards the quorum size forever; it is kept if the
 // remaining voters could not tolerate the configured number of losses.
 std::vector<MembershipChange> MembershipRepair::removalsOfSilent(const Consensus &consensus, TimePoint now) const
@@ -142,7 +219,7 @@
 {
     std::vector<MembershipChange> promotions;
     for (const VoterId &learner : consensus.membership().learners) {
-        if (consensus.caughtUp(learner, now)) {
+        if (consensus.caughtUp(learner, now) && !isLeaving(learner, now)) {
             promotions.push_back({MembershipChangeKind::PromoteLearner, learner});
         }
     }
@@ -153,7 +230,7 @@
 {
     std::vector<MembershipChange> additions;
     for (const IdentityReply *identity : currentIdentities(now)) {
-        if (!identity->blank && !isMember(consensus.membership(), identity->voter)) {
+        if (!identity->blank && !isMember(consensus.membership(), identity->voter) && !isLeaving(identity->voter, now)) {
             additions.push_back({MembershipChangeKind::AddLearner, identity->voter});
         }
     }
--- a/src/libhemlockhill/control/simulated_region.h
+++ b/src/libhemlockhill/control/simulated_region.h
@@ -22,6 +22,8 @@
 {
 
 inline constexpr std::size_t SeedCount = 3;
+// Time after which a process that was asked to stop ends in any case.
+inline constexpr Duration GracePeriod = std::chrono::milliseconds(7600);
 inline constexpr Duration Step = std::chrono::milliseconds(20);
 
 inline VmId vmAt(std::size_t node)
@@ -57,6 +59,8 @@
     bool everStarted = false;
     // Syncs of a disk complete one after another: time at which the latest one completes.
     TimePoint syncedUntil;
+    // When the process ends at the latest, once it has been asked to stop.
+    std::optional<TimePoint> stopsAt;
     // Highest document version applied by this process.
     std::uint64_t inForce = 0;
 };
@@ -92,6 +96,7 @@
         vm.everStarted = true;
         vm.knownControllers.clear();
         vm.inForce = 0;
+        vm.stopsAt.reset();
         ++vm.starts;
         if (vm.disk.folder.empty()) {
             vm.disk.folder = "folder" + std::to_string(++m_lastFolder);
@@ -104,7 +109,18 @@
             send(node, to, [this, node](std::size_t at) {
                 const IdentityReply reply = m_vms[at].controller->identity();
                 m_vms[at].controller->onIdentityRequested(vmAt(node), now);
-                send(at, vmAt(node), [this, at, reply](std::size_t back) { m_vms[back].controller->onIdentity(vmAt(at), reply, now); });
+                send(at, vmAt(node), [this, at, reply](std::size_t back) {
+                    if (!reply.leader.empty()) {
+                        learn(back, nodeOf(reply.leader));
+                    }
+                    m_vms[back].controller->onIdentity(vmAt(at), reply, now);
+                });
+            });
+        };
+        hooks.requestLeave = [this, node](const VmId &to, const LeaveRequest &request) {
+            send(node, to, [this, node, request](std::size_t at) {
+                const LeaveReply reply = m_vms[at].controller->onLeaveRequested(request, now);
+                send(at, vmAt(node), [this, reply](std::size_t back) { m_vms[back].controller->onLeaveReply(reply); });
             });
         };
         hooks.persist = [this, node](const ConsensusActions &actions) {
@@ -135,6 +151,15 @@
         std::erase_if(m_deliveries, [node](const Delivery &delivery) { return delivery.to == node; });
     }
 
+    // Asks a process to stop. It ends by itself once it has left the group, or after the grace period.
+    void stop(std::size_t node)
+    {
+        Vm &vm = m_vms[node];
+        if (vm.controller && !vm.stopsAt) {
+            vm.stopsAt = now + GracePeriod;
+        }
+    }
+
     void loseDisk(std::size_t node)
     {
         kill(node);
@@ -161,6 +186,7 @@
         for (std::size_t node = 0; node < m_vms.size(); ++node) {
             if (m_vms[node].controller) {
                 m_vms[node].controller->tick(now);
+                endIfStopped(node);
             }
         }
     }
@@ -248,6 +274,14 @@
     std::uint32_t losses = 1;
 
 private:
+    void endIfStopped(std::size_t node)
+    {
+        const Vm &vm = m_vms[node];
+        if (vm.stopsAt && (vm.controller->leave(now) || now >= *vm.stopsAt)) {
+            kill(node);
+        }
+    }
+
     // Data that is not synced yet is lost when the process is killed.
     void scheduleSync(std::size_t node, std::function<void()> action)
     {
--- a/src/libhemlockhill/node/control_thread.cpp
+++ b/src/libhemlockhill/node/control_thread.cpp
@@ -163,6 +163,8 @@
         submitLocally(submission->payload, [answer](SubmitReply reply) { answer(std::move(reply)); });
     } else if (const auto *query = std::get_if<QueryRequest>(&call.request)) {
         answer(QueryReply{m_operatorApi.answerQuery(query->statement, query->json)});
+    } else if (const auto *leave = std::get_if<LeaveRequest>(&call.request)) {
+        answer(m_controller ? m_controller->controller().onLeaveRequested(*leave, now) : LeaveReply{});
     }
 }
 
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -102,6 +102,20 @@
   # True until the controller has adopted the initial membership of its group.
   blank @1 :Bool;
   initialMembership @2 :VoterMembership;
+  # The leader as far as the controller knows; empty when unknown.
+  leader @3 :Text;
+}
+
+# What becomes of a controller's vote when it stops.
+enum LeaveOutcome {
+  notLeader @0;
+  pending @1;
+  removed @2;
+  kept @3;
+}
+
+struct LeaveReply {
+  outcome @0 :LeaveOutcome;
 }
 
 struct FollowRequest {
@@ -260,6 +274,8 @@
   submit @4 (payload :Data) -> (reply :SubmitReply);
   # An operator's query that only the leader can answer completely.
   query @5 (statement :Text, json :Bool) -> (reply :QueryReply);
+  # Asks the leader to take away the vote of a controller that is about to stop.
+  leave @6 (voter :Text) -> (reply :LeaveReply);
 }
 
 interface PeerGate {
--- a/src/libhemlockhill/peers/peer.capnp.cpp
+++ b/src/libhemlockhill/peers/peer.capnp.cpp
@@ -1200,17 +1200,17 @@
   9, 11, i_d5262c2628535400, nullptr, nullptr, { &s_d5262c2628535400, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<65> b_8cc686d2424c8a5d = {
+static const ::capnp::_::AlignedData<80> b_8cc686d2424c8a5d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      93, 138,  76,  66, 210, 134, 198, 140,
      11,   0,   0,   0,   1,   0,   1,   0,
      39, 195,  93,  51, 179, 210,  74, 136,
-      2,   0,   7,   0,   0,   0,   0,   0,
+      3,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 202,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 175,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
@@ -1218,28 +1218,35 @@
     105, 116, 121,  82, 101, 112, 108, 121,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  50,   0,   0,   0,
+     97,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,  50,   0,   0,   0,
+    101,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     68,   0,   0,   0,   3,   0,   1,   0,
-     80,   0,   0,   0,   2,   0,   1,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0, 146,   0,   0,   0,
+    105,   0,   0,   0, 146,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     80,   0,   0,   0,   3,   0,   1,   0,
-     92,   0,   0,   0,   2,   0,   1,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,   0,   0,   0,   3,   0,   1,   0,
+    124,   0,   0,   0,   2,   0,   1,   0,
     118, 111, 116, 101, 114,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1264,6 +1271,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 100, 101, 114,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -1272,11 +1287,102 @@
 static const ::capnp::_::RawSchema* const d_8cc686d2424c8a5d[] = {
   &s_f4edcedc3dbc6935,
 };
-static const uint16_t m_8cc686d2424c8a5d[] = {1, 2, 0};
-static const uint16_t i_8cc686d2424c8a5d[] = {0, 1, 2};
+static const uint16_t m_8cc686d2424c8a5d[] = {1, 2, 3, 0};
+static const uint16_t i_8cc686d2424c8a5d[] = {0, 1, 2, 3};
 const ::capnp::_::RawSchema s_8cc686d2424c8a5d = {
-  0x8cc686d2424c8a5d, b_8cc686d2424c8a5d.words, 65, d_8cc686d2424c8a5d, m_8cc686d2424c8a5d,
-  1, 3, i_8cc686d2424c8a5d, nullptr, nullptr, { &s_8cc686d2424c8a5d, nullptr, nullptr, 0, 0, nullptr }
+  0x8cc686d2424c8a5d, b_8cc686d2424c8a5d.words, 80, d_8cc686d2424c8a5d, m_8cc686d2424c8a5d,
+  1, 4, i_8cc686d2424c8a5d, nullptr, nullptr, { &s_8cc686d2424c8a5d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_a817cf6a143c7f1c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     28, 127,  60,  20, 106, 207,  23, 168,
+     11,   0,   0,   0,   2,   0,   0,   0,
+     39, 195,  93,  51, 179, 210,  74, 136,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 103,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  76, 101,  97, 118, 101,
+     79, 117, 116,  99, 111, 109, 101,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 111, 116,  76, 101,  97, 100, 101,
+    114,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 110, 100, 105, 110, 103,   0,
+    114, 101, 109, 111, 118, 101, 100,   0,
+    107, 101, 112, 116,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a817cf6a143c7f1c = b_a817cf6a143c7f1c.words;
+#if !CAPNP_LITE
+static const uint16_t m_a817cf6a143c7f1c[] = {3, 0, 1, 2};
+const ::capnp::_::RawSchema s_a817cf6a143c7f1c = {
+  0xa817cf6a143c7f1c, b_a817cf6a143c7f1c.words, 34, nullptr, m_a817cf6a143c7f1c,
+  0, 4, nullptr, nullptr, nullptr, { &s_a817cf6a143c7f1c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+CAPNP_DEFINE_ENUM(LeaveOutcome_a817cf6a143c7f1c, a817cf6a143c7f1c);
+static const ::capnp::_::AlignedData<32> b_a87057f7f46820d3 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    211,  32, 104, 244, 247,  87, 112, 168,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     39, 195,  93,  51, 179, 210,  74, 136,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  76, 101,  97, 118, 101,
+     82, 101, 112, 108, 121,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    111, 117, 116,  99, 111, 109, 101,   0,
+     15,   0,   0,   0,   0,   0,   0,   0,
+     28, 127,  60,  20, 106, 207,  23, 168,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     15,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a87057f7f46820d3 = b_a87057f7f46820d3.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_a87057f7f46820d3[] = {
+  &s_a817cf6a143c7f1c,
+};
+static const uint16_t m_a87057f7f46820d3[] = {0};
+static const uint16_t i_a87057f7f46820d3[] = {0};
+const ::capnp::_::RawSchema s_a87057f7f46820d3 = {
+  0xa87057f7f46820d3, b_a87057f7f46820d3.words, 32, d_a87057f7f46820d3, m_a87057f7f46820d3,
+  1, 1, i_a87057f7f46820d3, nullptr, nullptr, { &s_a87057f7f46820d3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<146> b_fdf497fe4a97a6be = {
@@ -2735,7 +2841,7 @@
   0, 3, i_c4200768ca12413b, nullptr, nullptr, { &s_c4200768ca12413b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<79> b_a6580a51c1dcf6bf = {
+static const ::capnp::_::AlignedData<89> b_a6580a51c1dcf6bf = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     191, 246, 220, 193,  81,  10,  88, 166,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -2745,61 +2851,69 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 135,   1,   0,   0,
-     13,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 199,   1,   0,   0,
+     53,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   5,   0,
+     28,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     148, 235,  30,  33, 185,  18, 133, 162,
      31, 246,  18, 215,  93,  39, 117, 159,
-    177,   0,   0,   0,  82,   0,   0,   0,
+    209,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,   7,   0,   0,   0,
+    201,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0, 114, 185, 129,   2,  31, 164, 138,
      38,  45,   4, 186,  91, 178,  11, 135,
-    157,   0,   0,   0,  74,   0,   0,   0,
+    189,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    149,   0,   0,   0,   7,   0,   0,   0,
+    181,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      87, 184, 100,  16,  31, 196,   5, 227,
     165,  89,  30,  81, 159, 213, 142, 249,
-    137,   0,   0,   0,  58,   0,   0,   0,
+    169,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,   7,   0,   0,   0,
+    157,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     183,  93,  67, 181, 220, 161,  42, 253,
     213,  53, 191, 225,   9, 250, 170, 238,
-    113,   0,   0,   0,  58,   0,   0,   0,
+    145,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     161, 214, 188,  52, 249, 151, 223, 222,
      58, 105, 184, 255, 183,  69,  23, 132,
-     89,   0,   0,   0,  58,   0,   0,   0,
+    121,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     183,  27, 147, 241,  92, 159, 104, 228,
     150,  15,  66,  61, 138,  15, 236, 205,
-     65,   0,   0,   0,  50,   0,   0,   0,
+     97,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     85,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+    123,  30, 218, 187,  93,   4, 235, 246,
+    116, 206, 239, 247, 119, 141, 169, 196,
+     73,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   0,   0,   0,   7,   0,   0,   0,
+     61,   0,   0,   0,   7,   0,   0,   0,
      99, 111, 110, 115, 101, 110, 115, 117,
     115,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2814,6 +2928,8 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     113, 117, 101, 114, 121,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    108, 101,  97, 118, 101,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_a6580a51c1dcf6bf = b_a6580a51c1dcf6bf.words;
@@ -2824,18 +2940,20 @@
   &s_8aa41f0281b97200,
   &s_9f75275dd712f61f,
   &s_a28512b9211eeb94,
+  &s_c4a98d77f7efce74,
   &s_cdec0f8a3d420f96,
   &s_dedf97f934bcd6a1,
   &s_e305c41f1064b857,
   &s_e4689f5cf1931bb7,
   &s_eeaafa09e1bf35d5,
+  &s_f6eb045dbbda1e7b,
   &s_f98ed59f511e59a5,
   &s_fd2aa1dcb5435db7,
 };
-static const uint16_t m_a6580a51c1dcf6bf[] = {3, 0, 2, 1, 5, 4};
+static const uint16_t m_a6580a51c1dcf6bf[] = {3, 0, 2, 1, 6, 5, 4};
 const ::capnp::_::RawSchema s_a6580a51c1dcf6bf = {
-  0xa6580a51c1dcf6bf, b_a6580a51c1dcf6bf.words, 79, d_a6580a51c1dcf6bf, m_a6580a51c1dcf6bf,
-  12, 6, nullptr, nullptr, nullptr, { &s_a6580a51c1dcf6bf, nullptr, nullptr, 0, 0, nullptr }
+  0xa6580a51c1dcf6bf, b_a6580a51c1dcf6bf.words, 89, d_a6580a51c1dcf6bf, m_a6580a51c1dcf6bf,
+  14, 7, nullptr, nullptr, nullptr, { &s_a6580a51c1dcf6bf, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<38> b_a28512b9211eeb94 = {
@@ -3378,6 +3496,95 @@
   1, 1, i_cdec0f8a3d420f96, nullptr, nullptr, { &s_cdec0f8a3d420f96, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_f6eb045dbbda1e7b = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    123,  30, 218, 187,  93,   4, 235, 246,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 234,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    108, 101,  97, 118, 101,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    118, 111, 116, 101, 114,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f6eb045dbbda1e7b = b_f6eb045dbbda1e7b.words;
+#if !CAPNP_LITE
+static const uint16_t m_f6eb045dbbda1e7b[] = {0};
+static const uint16_t i_f6eb045dbbda1e7b[] = {0};
+const ::capnp::_::RawSchema s_f6eb045dbbda1e7b = {
+  0xf6eb045dbbda1e7b, b_f6eb045dbbda1e7b.words, 32, nullptr, m_f6eb045dbbda1e7b,
+  0, 1, i_f6eb045dbbda1e7b, nullptr, nullptr, { &s_f6eb045dbbda1e7b, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_c4a98d77f7efce74 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    116, 206, 239, 247, 119, 141, 169, 196,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 242,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    108, 101,  97, 118, 101,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 108, 121,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    211,  32, 104, 244, 247,  87, 112, 168,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c4a98d77f7efce74 = b_c4a98d77f7efce74.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_c4a98d77f7efce74[] = {
+  &s_a87057f7f46820d3,
+};
+static const uint16_t m_c4a98d77f7efce74[] = {0};
+static const uint16_t i_c4a98d77f7efce74[] = {0};
+const ::capnp::_::RawSchema s_c4a98d77f7efce74 = {
+  0xc4a98d77f7efce74, b_c4a98d77f7efce74.words, 32, d_c4a98d77f7efce74, m_c4a98d77f7efce74,
+  1, 1, i_c4a98d77f7efce74, nullptr, nullptr, { &s_c4a98d77f7efce74, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<28> b_cb3c3042fe73480d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      13,  72, 115, 254,  66,  48,  60, 203,
@@ -3654,6 +3861,14 @@
 constexpr ::capnp::_::RawSchema const* IdentityReply::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// LeaveReply
+constexpr uint16_t LeaveReply::_capnpPrivate::dataWordSize;
+constexpr uint16_t LeaveReply::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind LeaveReply::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* LeaveReply::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // FollowRequest
 constexpr uint16_t FollowRequest::_capnpPrivate::dataWordSize;
 constexpr uint16_t FollowRequest::_capnpPrivate::pointerCount;
@@ -3803,6 +4018,16 @@
       "peer.capnp:Peer", "query",
       0xa6580a51c1dcf6bfull, 5);
 }
+::capnp::Request< ::Hemlockhill::Wire::Peer::LeaveParams,  ::Hemlockhill::Wire::Peer::LeaveResults>
+Peer::Client::leaveRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Hemlockhill::Wire::Peer::LeaveParams,  ::Hemlockhill::Wire::Peer::LeaveResults>(
+      0xa6580a51c1dcf6bfull, 6, sizeHint);
+}
+::kj::Promise<void> Peer::Server::leave(LeaveContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "leave",
+      0xa6580a51c1dcf6bfull, 6);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3853,6 +4078,12 @@
              ::Hemlockhill::Wire::Peer::QueryParams,  ::Hemlockhill::Wire::Peer::QueryResults>(context)),
         false
       };
+    case 6:
+      return {
+        leave(::capnp::Capability::Server::internalGetTypedContext<
+             ::Hemlockhill::Wire::Peer::LeaveParams,  ::Hemlockhill::Wire::Peer::LeaveResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3964,6 +4195,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::QueryResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::LeaveParams
+constexpr uint16_t Peer::LeaveParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::LeaveParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::LeaveParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::LeaveParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::LeaveResults
+constexpr uint16_t Peer::LeaveResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::LeaveResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::LeaveResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::LeaveResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::Hemlockhill::Wire::PeerGate::HelloParams,  ::Hemlockhill::Wire::PeerGate::HelloResults>
 PeerGate::Client::helloRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -33,6 +33,15 @@
 CAPNP_DECLARE_SCHEMA(9a2614b6e8d3b4b1);
 CAPNP_DECLARE_SCHEMA(d5262c2628535400);
 CAPNP_DECLARE_SCHEMA(8cc686d2424c8a5d);
+CAPNP_DECLARE_SCHEMA(a817cf6a143c7f1c);
+enum class LeaveOutcome_a817cf6a143c7f1c: uint16_t {
+  NOT_LEADER,
+  PENDING,
+  REMOVED,
+  KEPT,
+};
+CAPNP_DECLARE_ENUM(LeaveOutcome, a817cf6a143c7f1c);
+CAPNP_DECLARE_SCHEMA(a87057f7f46820d3);
 CAPNP_DECLARE_SCHEMA(fdf497fe4a97a6be);
 CAPNP_DECLARE_SCHEMA(b03c630585afb38c);
 CAPNP_DECLARE_SCHEMA(fd8ded1fa830a9ad);
@@ -70,6 +79,8 @@
 CAPNP_DECLARE_SCHEMA(841745b7ffb8693a);
 CAPNP_DECLARE_SCHEMA(e4689f5cf1931bb7);
 CAPNP_DECLARE_SCHEMA(cdec0f8a3d420f96);
+CAPNP_DECLARE_SCHEMA(f6eb045dbbda1e7b);
+CAPNP_DECLARE_SCHEMA(c4a98d77f7efce74);
 CAPNP_DECLARE_SCHEMA(cb3c3042fe73480d);
 CAPNP_DECLARE_SCHEMA(dd750a0d6cd472f4);
 CAPNP_DECLARE_SCHEMA(a830d2affa67babd);
@@ -280,7 +291,24 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8cc686d2424c8a5d, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(8cc686d2424c8a5d, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+typedef ::capnp::schemas::LeaveOutcome_a817cf6a143c7f1c LeaveOutcome;
+
+struct LeaveReply {
+  LeaveReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a87057f7f46820d3, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -476,6 +504,8 @@
   struct SubmitResults;
   struct QueryParams;
   struct QueryResults;
+  struct LeaveParams;
+  struct LeaveResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -665,6 +695,36 @@
   };
 };
 
+struct Peer::LeaveParams {
+  LeaveParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f6eb045dbbda1e7b, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::LeaveResults {
+  LeaveResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c4a98d77f7efce74, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerGate {
   PeerGate() = delete;
 
@@ -1956,6 +2016,9 @@
   inline bool hasInitialMembership() const;
   inline  ::Hemlockhill::Wire::VoterMembership::Reader getInitialMembership() const;
 
+  inline bool hasLeader() const;
+  inline  ::capnp::Text::Reader getLeader() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2001,6 +2064,13 @@
   inline void adoptInitialMembership(::capnp::Orphan< ::Hemlockhill::Wire::VoterMembership>&& value);
   inline ::capnp::Orphan< ::Hemlockhill::Wire::VoterMembership> disownInitialMembership();
 
+  inline bool hasLeader();
+  inline  ::capnp::Text::Builder getLeader();
+  inline void setLeader( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeader(unsigned int size);
+  inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeader();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2028,6 +2098,82 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeaveReply::Reader {
+public:
+  typedef LeaveReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::Hemlockhill::Wire::LeaveOutcome getOutcome() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeaveReply::Builder {
+public:
+  typedef LeaveReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::Hemlockhill::Wire::LeaveOutcome getOutcome();
+  inline void setOutcome( ::Hemlockhill::Wire::LeaveOutcome value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeaveReply::Pipeline {
+public:
+  typedef LeaveReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FollowRequest::Reader {
 public:
   typedef FollowRequest Reads;
@@ -3332,6 +3478,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Hemlockhill::Wire::Peer::QueryParams,  ::Hemlockhill::Wire::Peer::QueryResults> queryRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hemlockhill::Wire::Peer::LeaveParams,  ::Hemlockhill::Wire::Peer::LeaveResults> leaveRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -3372,6 +3520,10 @@
   typedef  ::Hemlockhill::Wire::Peer::QueryResults QueryResults;
   typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
   virtual ::kj::Promise<void> query(QueryContext context);
+  typedef  ::Hemlockhill::Wire::Peer::LeaveParams LeaveParams;
+  typedef  ::Hemlockhill::Wire::Peer::LeaveResults LeaveResults;
+  typedef ::capnp::CallContext<LeaveParams, LeaveResults> LeaveContext;
+  virtual ::kj::Promise<void> leave(LeaveContext context);
 
   inline  ::Hemlockhill::Wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4347,6 +4499,169 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::LeaveParams::Reader {
+public:
+  typedef LeaveParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVoter() const;
+  inline  ::capnp::Text::Reader getVoter() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LeaveParams::Builder {
+public:
+  typedef LeaveParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVoter();
+  inline  ::capnp::Text::Builder getVoter();
+  inline void setVoter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVoter(unsigned int size);
+  inline void adoptVoter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVoter();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LeaveParams::Pipeline {
+public:
+  typedef LeaveParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::LeaveResults::Reader {
+public:
+  typedef LeaveResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::Hemlockhill::Wire::LeaveReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LeaveResults::Builder {
+public:
+  typedef LeaveResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::Hemlockhill::Wire::LeaveReply::Builder getReply();
+  inline void setReply( ::Hemlockhill::Wire::LeaveReply::Reader value);
+  inline  ::Hemlockhill::Wire::LeaveReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::LeaveReply>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::LeaveReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LeaveResults::Pipeline {
+public:
+  typedef LeaveResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Hemlockhill::Wire::LeaveReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class PeerGate::Client
     : public virtual ::capnp::Capability::Client {
@@ -5927,6 +6242,54 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool IdentityReply::Reader::hasLeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool IdentityReply::Builder::hasLeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader IdentityReply::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder IdentityReply::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void IdentityReply::Builder::setLeader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder IdentityReply::Builder::initLeader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void IdentityReply::Builder::adoptLeader(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> IdentityReply::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::Hemlockhill::Wire::LeaveOutcome LeaveReply::Reader::getOutcome() const {
+  return _reader.getDataField< ::Hemlockhill::Wire::LeaveOutcome>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Hemlockhill::Wire::LeaveOutcome LeaveReply::Builder::getOutcome() {
+  return _builder.getDataField< ::Hemlockhill::Wire::LeaveOutcome>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeaveReply::Builder::setOutcome( ::Hemlockhill::Wire::LeaveOutcome value) {
+  _builder.setDataField< ::Hemlockhill::Wire::LeaveOutcome>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FollowRequest::Reader::getConfirmed() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7917,6 +8280,79 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::LeaveParams::Reader::hasVoter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::LeaveParams::Builder::hasVoter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::LeaveParams::Reader::getVoter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::LeaveParams::Builder::getVoter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::LeaveParams::Builder::setVoter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::LeaveParams::Builder::initVoter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::LeaveParams::Builder::adoptVoter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::LeaveParams::Builder::disownVoter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::LeaveResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::LeaveResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hemlockhill::Wire::LeaveReply::Reader Peer::LeaveResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::LeaveReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::LeaveReply::Builder Peer::LeaveResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::LeaveReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::LeaveReply::Pipeline Peer::LeaveResults::Pipeline::getReply() {
+  return  ::Hemlockhill::Wire::LeaveReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::LeaveResults::Builder::setReply( ::Hemlockhill::Wire::LeaveReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::LeaveReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::LeaveReply::Builder Peer::LeaveResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::LeaveReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::LeaveResults::Builder::adoptReply(
+    ::capnp::Orphan< ::Hemlockhill::Wire::LeaveReply>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::LeaveReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::LeaveReply> Peer::LeaveResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::LeaveReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline PeerGate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/libhemlockhill/peers/peer_codec.cpp
+++ b/src/libhemlockhill/peers/peer_codec.cpp
@@ -249,11 +249,45 @@
     builder.setVoter(reply.voter.value);
     builder.setBlank(reply.blank);
     write(builder.initInitialMembership(), reply.initialMembership);
+    builder.setLeader(reply.leader.value);
 }
 
 IdentityReply read(Wire::IdentityReply::Reader reader)
 {
-    return {VoterId{textOf(reader.getVoter())}, reader.getBlank(), read(reader.getInitialMembership())};
+    return {VoterId{textOf(reader.getVoter())}, reader.getBlank(), read(reader.getInitialMembership()), VmId{textOf(reader.getLeader())}};
+}
+
+void write(Wire::LeaveReply::Builder builder, const LeaveReply &reply)
+{
+    switch (reply.outcome) {
+    case LeaveOutcome::NotLeader:
+        builder.setOutcome(Wire::LeaveOutcome::NOT_LEADER);
+        break;
+    case LeaveOutcome::Pending:
+        builder.setOutcome(Wire::LeaveOutcome::PENDING);
+        break;
+    case LeaveOutcome::Removed:
+        builder.setOutcome(Wire::LeaveOutcome::REMOVED);
+        break;
+    case LeaveOutcome::Kept:
+        builder.setOutcome(Wire::LeaveOutcome::KEPT);
+        break;
+    }
+}
+
+LeaveReply read(Wire::LeaveReply::Reader reader)
+{
+    switch (reader.getOutcome()) {
+    case Wire::LeaveOutcome::NOT_LEADER:
+        return {LeaveOutcome::NotLeader};
+    case Wire::LeaveOutcome::PENDING:
+        return {LeaveOutcome::Pending};
+    case Wire::LeaveOutcome::REMOVED:
+        return {LeaveOutcome::Removed};
+    case Wire::LeaveOutcome::KEPT:
+        return {LeaveOutcome::Kept};
+    }
+    throw DecodeError("unknown outcome of a leave request");
 }
 
 void write(Wire::FollowRequest::Builder builder, const FollowRequest &request)
--- a/src/libhemlockhill/peers/peer_codec.h
+++ b/src/libhemlockhill/peers/peer_codec.h
@@ -15,6 +15,9 @@
 void write(Wire::IdentityReply::Builder builder, const IdentityReply &reply);
 IdentityReply read(Wire::IdentityReply::Reader reader);
 
+void write(Wire::LeaveReply::Builder builder, const LeaveReply &reply);
+LeaveReply read(Wire::LeaveReply::Reader reader);
+
 void write(Wire::FollowRequest::Builder builder, const FollowRequest &request);
 FollowRequest read(Wire::FollowRequest::Reader reader);
 
--- a/src/libhemlockhill/peers/peer_link.cpp
+++ b/src/libhemlockhill/peers/peer_link.cpp
@@ -34,6 +34,11 @@
     return read(results.getReply());
 }
 
+PeerReply replyOf(const capnp::Response<Wire::Peer::LeaveResults> &results)
+{
+    return read(results.getReply());
+}
+
 PeerReply replyOf(const capnp::Response<Wire::Peer::FollowResults> &results)
 {
     return read(results.getReply());
@@ -213,6 +218,13 @@
     await(id, call.send(), ShortCallTimeout);
 }
 
+void PeerLink::sendTyped(CallId id, const LeaveRequest &request)
+{
+    auto call = m_connection->peer.leaveRequest();
+    call.setVoter(request.voter.value);
+    await(id, call.send(), ShortCallTimeout);
+}
+
 template<typename Results>
 void PeerLink::await(CallId id, kj::Promise<Results> &&promise, kj::Duration timeout)
 {
--- a/src/libhemlockhill/peers/peer_link.h
+++ b/src/libhemlockhill/peers/peer_link.h
@@ -42,6 +42,7 @@
     void sendTyped(CallId id, const AttestRequest &request);
     void sendTyped(CallId id, const SubmitRequest &request);
     void sendTyped(CallId id, const QueryRequest &request);
+    void sendTyped(CallId id, const LeaveRequest &request);
     // Reports the reply of a call, or its failure if there is no reply within the timeout.
     template<typename Results>
     void await(CallId id, kj::Promise<Results> &&promise, kj::Duration timeout);
--- a/src/libhemlockhill/peers/peer_thread.cpp
+++ b/src/libhemlockhill/peers/peer_thread.cpp
@@ -121,6 +121,11 @@
         return forward<QueryReply>(QueryRequest{std::string(params.getStatement().cStr()), params.getJson()}, context);
     }
 
+    kj::Promise<void> leave(LeaveContext context) override
+    {
+        return forward<LeaveReply>(LeaveRequest{VoterId{std::string(context.getParams().getVoter().cStr())}}, context);
+    }
+
 private:
     template<typename Reply, typename Context>
     kj::Promise<void> forward(PeerRequest request, Context context)
