Look for the leader among the present members of the group, several at a time

Cause: a follower kept every controller that it had ever heard of and asked one at a time; one that is gone costs a second and 150 ms. From 16 on new ones were dropped.

Change: LeaderSearch. The members that the last leader named come first, then the seeds, then two other followers a pass, the lost leader last. Three are asked at once, another one each 150 ms, and none waits for another. Statistics are sent to the leader only. Controllers no longer ask all former ones for their identity. "leader found" says how long the search took.

Why it works: the list is bounded by the group, and a silent node costs nothing but its own call.

--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -138,6 +138,8 @@
     bool shouldRequestIdentities(TimePoint now) const;
     void requestIdentities(TimePoint now);
     void requestLeave();
+    // Whether a controller is presumably gone for good.
+    bool isForgotten(const VmId &vm, TimePoint now) const;
     std::vector<VmId> controllers() const;
     void compactIfNeeded();
     const std::string &packedDeployment() const;
@@ -161,6 +163,8 @@
     std::vector<PeerSettings> m_initialControllers;
     bool m_mayCreateGroup = true;
     TimePoint m_identitiesRequestedAt;
+    // When each other controller was last heard of.
+    std::map<VmId, TimePoint> m_heardOfAt;
 
     // Whether this process is about to end, and what the leader has answered to that.
     bool m_leaving = false;
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -7,6 +7,7 @@
 #include "hemlockhill/controller.h"
 #include "hemlockhill/deployment.h"
 #include "hemlockhill/event_loop_thread.h"
+#include "hemlockhill/leader_search.h"
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/peer_thread.h"
 #include "hemlockhill/settings.h"
@@ -15,11 +16,13 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace Hemlockhill
 {
@@ -72,8 +75,8 @@
     std::size_t followers() const;
     // Sends this follower's statistics to the leader immediately instead of with the next follow request.
     void reportFigures();
-    // Adds a controller that was added to the settings at run time.
-    void addSeed(const VmId &vm) { addCandidate(vm, false); }
+    // The settings name these seed controllers now.
+    void setSeeds(const std::vector<VmId> &seeds);
     // Prepares the end of this process: see Controller::leave(). To be called repeatedly until it returns true.
     bool leave();
 
@@ -86,12 +89,17 @@
     void onFollowReply(const VmId &from, const FollowReply &reply, TimePoint sentAt);
     void applyDocument(const FollowReply &reply);
     void applyDirectoryChanges(const FollowReply &reply, TimePoint sentAt);
-    // Sends a follow request and records the time.
-    CallId startFollowCall(const VmId &to);
+    // Sends a follow request and records it.
+    CallId startFollowCall(const VmId &to, FollowRequest request);
+    // The request to the leader, with this node's statistics; a node that may not be the leader is asked without them.
+    FollowRequest requestToLeader() const;
     FollowRequest followRequest() const;
-    void sendFollowRequest();
-    void tryNextCandidate();
-    void addCandidate(const VmId &vm, bool front);
+    void searchLeader();
+    void continueSearch();
+    void ask(const VmId &vm);
+    // In an open group, where a VM's id is its IP address and all nodes listen on the same port, enables calls to a node that is not in the
+    // settings.
+    void learnPeer(const VmId &vm, bool isController);
     CallId startCall(const VmId &to, PeerRequest request);
     void answerCall(IncomingId incoming, PeerReply reply);
     void applyDocument(const DeploymentDocument &document);
@@ -107,16 +115,18 @@
     Mailbox<PeerEvent> m_peerEvents;
     PeerThread m_peers;
     std::set<VmId> m_knownPeers;
-    // Controllers that a follower may send follow requests to, the next one first.
-    std::deque<VmId> m_candidates;
+    // The leader that a follower follows; empty while it searches.
     VmId m_leader;
+    LeaderSearch m_search;
+    TimePoint m_searchingSince;
+    bool m_searchScheduled = false;
     DeploymentVersion m_deploymentVersion;
     DirectoryReplica m_directory;
     std::vector<VmId> m_followers;
     StateDigest m_followersDigest;
-    // Pending long-poll follow call. Calls of reportFigures() are not tracked.
+    // Pending long-poll follow call to the leader.
     std::optional<CallId> m_followCall;
-    // Times at which the pending follow calls, including those of reportFigures(), were sent.
+    // Times at which all pending follow calls, including those of reportFigures() and of searches, were sent.
     std::map<CallId, TimePoint> m_followCallsSentAt;
     std::uint64_t m_lastCall = 0;
 };
--- a/src/include/hemlockhill/peer_messages.h
+++ b/src/include/hemlockhill/peer_messages.h
@@ -109,7 +109,7 @@
     // requested while the leader held the request. The follower adds it to the time since it sent the request, which needs no clocks in
     // common.
     Duration listingAge{0};
-    // All controllers known to the leader.
+    // The members of the leader's group.
     std::vector<VmId> controllers;
     // Digest of the leader's list of followers, the nodes that have recently sent it a FollowRequest, and the list itself if the node's
     // digest differs.
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -20,6 +20,8 @@
 constexpr Duration DiscoveryPeriod = std::chrono::seconds(1);
 // Interval at which a controller that is about to stop asks for the removal of its vote.
 constexpr Duration LeaveRequestInterval = std::chrono::milliseconds(100);
+// A controller that is neither a seed nor a member is not asked for its identity any more after this time.
+constexpr Duration ControllerRetention = std::chrono::seconds(60);
 // A node without a follow request for this time is no longer listed as a follower.
 constexpr Duration FollowerTimeout = std::chrono::seconds(5);
 // Time within which an accepted operator command must be in force on every node; otherwise it is answered as NoQuorum.
@@ -139,6 +141,7 @@
 
 void Controller::onIdentity(const VmId &from, const IdentityReply &reply, TimePoint now)
 {
+    m_heardOfAt[from] = now;
     m_repair.onIdentity(from, reply, now);
     if (m_open && !m_initialMembership) {
         tryCreateGroup(now);
@@ -148,6 +151,7 @@
 
 void Controller::onIdentityRequested(const VmId &from, TimePoint now)
 {
+    m_heardOfAt[from] = now;
     if (leads(now) && m_repair.isOutdated(from, now)) {
         m_hooks.requestIdentity(from);
     }
@@ -520,18 +524,34 @@
 {
     m_identitiesRequestedAt = now;
     for (const PeerSettings &peer : m_settings.peers.others) {
-        if (peer.controller) {
+        if (!peer.controller) {
+            continue;
+        }
+        m_heardOfAt.try_emplace(peer.vm, now);
+        if (!isForgotten(peer.vm, now)) {
             m_hooks.requestIdentity(peer.vm);
         }
     }
 }
 
+// Controllers that were replaced must not be asked for ever. One that returns asks this controller, and is asked again.
+bool Controller::isForgotten(const VmId &vm, TimePoint now) const
+{
+    const auto isSame = [&vm](const PeerSettings &peer) { return peer.vm == vm; };
+    const bool isSeed = std::any_of(m_initialControllers.begin(), m_initialControllers.end(), isSame);
+    const std::vector<VmId> members = controllers();
+    const bool isMember = std::find(members.begin(), members.end(), vm) != members.end();
+    return !isSeed && !isMember && now - m_heardOfAt.at(vm) >= ControllerRetention;
+}
+
 std::vector<VmId> Controller::controllers() const
 {
     std::vector<VmId> vms;
     if (m_consensus) {
-        for (const VoterId &voter : m_consensus->membership().voters) {
-            vms.push_back(vmOf(voter));
+        for (const std::set<VoterId> *members : {&m_consensus->membership().voters, &m_consensus->membership().learners}) {
+            for (const VoterId &member : *members) {
+                vms.push_back(vmOf(member));
+            }
         }
     }
     return vms;
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -4,7 +4,6 @@
 #include "hemlockhill/exchange_messages.h"
 #include "hemlockhill/log.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Hemlockhill
@@ -14,10 +13,20 @@
 {
 
 constexpr std::size_t MailboxCapacity = 16'384;
-// Delay before the next controller is tried after a failed or redirected follow request, to avoid a busy loop.
-constexpr Duration FollowRetryDelay = std::chrono::milliseconds(150);
-// Maximum number of controllers that a follower keeps as candidates for follow requests.
-constexpr std::size_t CandidateLimit = 16;
+// Number of nodes that a follower asks at once when it has lost the leader, and interval at which it asks another one.
+constexpr std::size_t FirstCandidates = 3;
+constexpr Duration SearchInterval = std::chrono::milliseconds(150);
+
+std::vector<VmId> seedsOf(const Settings &settings)
+{
+    std::vector<VmId> seeds;
+    for (const PeerSettings &peer : settings.peers.others) {
+        if (peer.controller) {
+            seeds.push_back(peer.vm);
+        }
+    }
+    return seeds;
+}
 
 } // namespace
 
@@ -31,12 +40,10 @@
     , m_storageEvents(loop, MailboxCapacity, [this](StorageEvent &&event) { m_controller->onStorage(std::move(event), currentTime()); })
     , m_peerEvents(loop, MailboxCapacity, [this](PeerEvent &&event) { onPeerEvent(std::move(event)); })
     , m_peers(settings, metrics, [this](PeerEvent event) { return m_peerEvents.post(std::move(event)); })
+    , m_search(settings.vm, seedsOf(settings))
 {
     for (const PeerSettings &peer : settings.peers.others) {
         m_knownPeers.insert(peer.vm);
-        if (peer.controller) {
-            m_candidates.push_back(peer.vm);
-        }
     }
     if (settings.dataFolder) {
         m_controller = std::make_unique<Controller>(settings, metrics, controllerHooks());
@@ -54,7 +61,7 @@
 {
     ControllerHooks hooks;
     hooks.sendConsensus = [this](const VmId &to, ConsensusBatch batch) {
-        addCandidate(to, false);
+        learnPeer(to, true);
         startCall(to, std::move(batch));
     };
     hooks.requestIdentity = [this](const VmId &to) { startCall(to, IdentityRequest{}); };
@@ -78,7 +85,7 @@
         m_storage->start();
         m_timers.every(m_settings.control.heartbeat / 2, m_loop, [this] { m_controller->tick(currentTime()); });
     } else {
-        sendFollowRequest();
+        searchLeader();
     }
 }
 
@@ -163,11 +170,11 @@
     std::visit(
         Overloaded{
             [&](const ConsensusBatch &batch) {
-                addCandidate(call.from, false);
+                learnPeer(call.from, true);
                 m_controller->onConsensus(batch, now);
             },
             [&](const IdentityRequest &) {
-                addCandidate(call.from, false);
+                learnPeer(call.from, true);
                 answerCall(call.incoming, m_controller->identity());
                 m_controller->onIdentityRequested(call.from, now);
             },
@@ -197,7 +204,7 @@
     if (const auto *identity = std::get_if<IdentityReply>(&answer.reply)) {
         if (m_controller) {
             // The seeds that still run may not include the leader.
-            addCandidate(identity->leader, false);
+            learnPeer(identity->leader, true);
             m_controller->onIdentity(answer.from, *identity, currentTime());
         }
         return;
@@ -210,52 +217,57 @@
     }
     if (const auto *follow = std::get_if<FollowReply>(&answer.reply)) {
         const auto sent = m_followCallsSentAt.extract(answer.call);
-        onFollowReply(answer.from, *follow, sent.empty() ? TimePoint{} : sent.mapped());
+        m_search.onDone(answer.from);
         if (m_followCall == answer.call) {
             m_followCall.reset();
-            if (follow->leading) {
-                sendFollowRequest();
-            } else {
-                tryNextCandidate();
-            }
+        }
+        onFollowReply(answer.from, *follow, sent.empty() ? TimePoint{} : sent.mapped());
+        if (!m_leader.empty() && !m_followCall) {
+            m_followCall = startFollowCall(m_leader, requestToLeader());
         }
     }
 }
 
 void GroupMember::onFailed(const PeerCallFailed &failure)
 {
-    m_followCallsSentAt.erase(failure.call);
-    if (m_followCall != failure.call) {
+    if (m_followCallsSentAt.erase(failure.call) == 0) {
         return;
     }
-    m_followCall.reset();
-    if (m_leader == failure.to) {
+    m_search.onDone(failure.to);
+    if (m_followCall == failure.call) {
         logEvent(Severity::Warning, "connection to leader lost", {{"leader", m_leader.value}, {"deployment", m_deploymentVersion.value}});
-        m_leader = VmId{};
+        searchLeader();
     }
-    tryNextCandidate();
 }
 
 void GroupMember::onFollowReply(const VmId &from, const FollowReply &reply, TimePoint sentAt)
 {
     if (!reply.leading) {
-        if (!reply.leader.empty()) {
-            addCandidate(reply.leader, true);
+        if (m_leader == from) {
+            searchLeader();
+        }
+        if (m_leader.empty() && m_search.onHint(reply.leader, currentTime())) {
+            ask(reply.leader);
         }
         return;
     }
-    if (m_leader != from) {
+    if (m_leader.empty()) {
         m_leader = from;
-        logEvent(Severity::Info, "leader found", {{"leader", m_leader.value}, {"deployment", m_deploymentVersion.value}});
-    }
-    for (const VmId &controller : reply.controllers) {
-        addCandidate(controller, false);
+        const auto searched = std::chrono::duration_cast<std::chrono::milliseconds>(currentTime() - m_searchingSince);
+        logEvent(Severity::Info,
+                 "leader found",
+                 {{"leader", m_leader.value}, {"deployment", m_deploymentVersion.value}, {"searched_ms", searched.count()}});
+    } else if (m_leader != from) {
+        // The late reply of another candidate of the search.
+        return;
     }
+    m_search.setMembers(reply.controllers);
     if (!reply.followers.empty()) {
         m_followersDigest = reply.followersDigest;
     }
     if (!reply.followers.empty() && reply.followers != m_followers) {
         m_followers = reply.followers;
+        m_search.setFollowers(m_followers);
         m_hooks.followersChanged(m_followers);
     }
     if (!reply.deployment.empty()) {
@@ -289,25 +301,23 @@
     }
 }
 
-void GroupMember::sendFollowRequest()
+CallId GroupMember::startFollowCall(const VmId &to, FollowRequest request)
 {
-    if (m_candidates.empty()) {
-        return;
-    }
-    m_followCall = startFollowCall(m_candidates.front());
+    const CallId id = startCall(to, std::move(request));
+    m_followCallsSentAt[id] = currentTime();
+    return id;
 }
 
-CallId GroupMember::startFollowCall(const VmId &to)
+FollowRequest GroupMember::requestToLeader() const
 {
-    const CallId id = startCall(to, followRequest());
-    m_followCallsSentAt[id] = currentTime();
-    return id;
+    FollowRequest request = followRequest();
+    request.figures = m_hooks.collectFigures();
+    return request;
 }
 
 FollowRequest GroupMember::followRequest() const
 {
     FollowRequest request;
-    request.figures = m_hooks.collectFigures();
     request.deployment = m_deploymentVersion;
     request.directory = m_directory.revision();
     request.followersDigest = m_followersDigest;
@@ -319,52 +329,60 @@
     if (m_controller || m_leader.empty()) {
         return;
     }
-    startFollowCall(m_leader);
+    startFollowCall(m_leader, requestToLeader());
 }
 
-// Moves the current candidate to the end of the list and sends a follow request to the next one after a delay.
-void GroupMember::tryNextCandidate()
+void GroupMember::searchLeader()
 {
-    m_candidates.push_back(m_candidates.front());
-    m_candidates.pop_front();
-    m_timers.after(FollowRetryDelay, m_loop, [this] {
-        if (!m_followCall) {
-            sendFollowRequest();
-        }
-    });
+    m_search.begin(std::exchange(m_leader, {}));
+    m_followCall.reset();
+    m_searchingSince = currentTime();
+    for (const VmId &vm : m_search.next(FirstCandidates, m_searchingSince)) {
+        ask(vm);
+    }
+    if (!std::exchange(m_searchScheduled, true)) {
+        m_timers.after(SearchInterval, m_loop, [this] { continueSearch(); });
+    }
 }
 
-// Adds a controller to the candidates. In an open group, where a VM's id is its IP address and all controllers listen on the same port, it
-// also connects to a controller that is not in the settings. With front, the controller becomes the next candidate.
-void GroupMember::addCandidate(const VmId &vm, bool front)
+void GroupMember::continueSearch()
 {
-    if (vm.empty() || vm == m_settings.vm) {
+    m_searchScheduled = false;
+    if (!m_leader.empty()) {
         return;
     }
-    if (m_settings.peers.openMembership && m_knownPeers.insert(vm).second) {
-        const PeerSettings peer{vm, {}, Address{vm.value, m_settings.peers.listen.port}, true};
-        logEvent(Severity::Info, "controller discovered", {{"vm", vm.value}});
-        m_peers.post(AddPeer{peer});
-        if (m_controller) {
-            m_controller->addPeer(peer);
-        }
+    for (const VmId &vm : m_search.next(1, currentTime())) {
+        ask(vm);
     }
-    const auto found = std::find(m_candidates.begin(), m_candidates.end(), vm);
-    if (found == m_candidates.end()) {
-        m_candidates.push_back(vm);
+    m_searchScheduled = true;
+    m_timers.after(SearchInterval, m_loop, [this] { continueSearch(); });
+}
+
+void GroupMember::ask(const VmId &vm)
+{
+    learnPeer(vm, false);
+    startFollowCall(vm, followRequest());
+}
+
+void GroupMember::setSeeds(const std::vector<VmId> &seeds)
+{
+    m_search.setSeeds(seeds);
+    for (const VmId &seed : seeds) {
+        learnPeer(seed, true);
     }
-    if (front) {
-        // tryNextCandidate() moves the first candidate to the end, so the next one is the second.
-        const VmId current = m_candidates.front();
-        m_candidates.erase(std::find(m_candidates.begin(), m_candidates.end(), vm));
-        if (vm == current) {
-            m_candidates.push_front(vm);
-        } else {
-            m_candidates.insert(m_candidates.begin() + 1, vm);
-        }
+}
+
+void GroupMember::learnPeer(const VmId &vm, bool isController)
+{
+    const bool isOther = !vm.empty() && vm != m_settings.vm;
+    if (!m_settings.peers.openMembership || !isOther || !m_knownPeers.insert(vm).second) {
+        return;
     }
-    while (m_candidates.size() > CandidateLimit) {
-        m_candidates.pop_back();
+    const PeerSettings peer{vm, {}, Address{vm.value, m_settings.peers.listen.port}, isController};
+    logEvent(Severity::Info, "node discovered", {{"vm", vm.value}});
+    m_peers.post(AddPeer{peer});
+    if (m_controller) {
+        m_controller->addPeer(peer);
     }
 }
 
