Clear parts of prompts that endpoints go on writing on, and try refused parts that are common

Every sound request was then refused for ten minutes, as all share their first part.

Cause: only a whole answer showed that a part is sound, and only memory held it. Once the shared part was refused, nothing with it was sent that could clear it. The entry nodes' logs of the case on: all 1,041 refusals are "quarantined"; that models or room were lacking is ruled out.

Change: a stream that has gone on for 300 ms after its first event clears the parts of its prompt. A refused part that is in a tenth of the requests is tried by one request of all nodes together after 3 s, then after 8 and 64 times as long.

--- a/src/include/hemlockhill/crash_guard.h
+++ b/src/include/hemlockhill/crash_guard.h
@@ -21,7 +21,8 @@
     CrashSuspectLimits promptParts{.refusalThreshold = 3,
                                    .answeredRefusalThreshold = 6,
                                    .coincidence = std::chrono::milliseconds(200),
-                                   .answeredRefusalPeriod = std::chrono::seconds(2)};
+                                   .answeredRefusalPeriod = std::chrono::seconds(2),
+                                   .trialDelay = std::chrono::seconds(3)};
 };
 
 // Why a request is refused, and for how long.
@@ -42,6 +43,12 @@
     void onCallerLeft(const RoutedRequestHead &request, LossId loss, TimePoint now);
     // The request was answered completely, which clears it and all parts of its prompt.
     void onAnswered(const RoutedRequestHead &request);
+    // The answer has been written for some time, which clears all parts of the prompt: one that crashes endpoints does so when they begin to
+    // write.
+    void onProgress(const RoutedRequestHead &request);
+    void onArrival(const RoutedRequestHead &request);
+    // The nodes that share what they know, including this one. They begin trials in different orders for different parts.
+    void setNodes(const VmId &self, const std::vector<VmId> &nodes);
     // See CrashSuspects.
     void onEndpointAnswered(LossId loss, TimePoint sentAt);
     void onListed(const std::set<LossId> &listed, TimePoint now);
@@ -50,6 +57,12 @@
     // Returns why the request must not run now; empty if it may.
     std::optional<CrashRefusal> refusal(const RoutedRequestHead &request, TimePoint now) const;
 
+    // Whether this node should let a refused request run as a trial, because nothing but parts that are common among the requests speak
+    // against it.
+    bool isTrialDue(const RoutedRequestHead &request, TimePoint now) const;
+    // The request is sent although it is refused.
+    void onTrial(const RoutedRequestHead &request, TimePoint now);
+
     // Returns what the other nodes must learn since the last call.
     std::vector<CrashSuspectNotice> takeNotices(TimePoint now);
     // The suspects that are refused, a notice for each subject that has any.
@@ -61,10 +74,15 @@
 
 private:
     void suspectAbandoned(const std::vector<AbandonedRun> &runs);
+    std::vector<Fingerprint> refusedParts(const RoutedRequestHead &request, TimePoint now) const;
+    // Number of nodes that may begin a trial of the part before this one.
+    std::size_t trialRank(Fingerprint part) const;
 
     CrashSuspects m_requests;
     CrashSuspects m_promptParts;
     AbandonedRuns m_abandonedRuns;
+    VmId m_self;
+    std::vector<VmId> m_nodes;
 };
 
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/crash_suspects.h
+++ b/src/include/hemlockhill/crash_suspects.h
@@ -50,10 +50,12 @@
     std::vector<LossId> disproved;
     // Suspects that had been answered completely before their losses.
     std::vector<Fingerprint> answeredBefore;
+    // Refused suspects of which the sender lets one request run, to see whether it crashes its endpoint.
+    std::vector<Fingerprint> tried;
     // The sender has just started and requests what the receiver knows.
     bool isRequest = false;
 
-    bool empty() const { return suspects.empty() && answered.empty() && disproved.empty() && answeredBefore.empty() && !isRequest; }
+    bool empty() const { return suspects.empty() && answered.empty() && disproved.empty() && answeredBefore.empty() && tried.empty() && !isRequest; }
     bool operator==(const CrashSuspectNotice &) const = default;
 };
 
@@ -72,13 +74,22 @@
     Duration maxRefusalPeriod = std::chrono::hours(24);
     // An incarnation that is still listed this long after its supposed loss has not crashed. Longer than a list shows a crashed endpoint.
     Duration lossConfirmation = std::chrono::seconds(15);
+    // A refused suspect that is common among the requests may not be the culprit, and nothing could clear it: after this time one request
+    // with it may run as a trial. Each further trial waits trialBackoff times as long. Zero for no trials.
+    Duration trialDelay{0};
+    unsigned trialBackoff = 8;
+    // Time that each node leaves to the one before it to begin the trial.
+    Duration trialSlot = std::chrono::milliseconds(250);
+    // A suspect is common if it is in this many requests that arrived since its first loss, and in this share of them.
+    std::uint64_t commonArrivals = 3;
+    double commonRatio = 0.1;
     // Maximum number of fingerprints that are remembered as answered.
     std::size_t answered = 16'384;
     // Maximum number of suspects, and of losses that are kept of each.
     std::size_t suspects = 4096;
     std::size_t lossesOfSuspect = 8;
     // Maximum length of each list in a notice, so that it fits into a datagram.
-    std::size_t noticeEntries = 12;
+    std::size_t noticeEntries = 10;
 };
 
 // A bounded set of fingerprints, from which those that were added long ago are dropped.
@@ -107,8 +118,10 @@
 
     // An endpoint broke off this node's exchange; it may have crashed. The loss identifies the endpoint's incarnation.
     void onBrokenOff(Fingerprint fingerprint, LossId loss, TimePoint now);
-    // The request, or one with this part, was answered completely.
+    // The request, or one with this part, was answered so far that it does not crash the endpoint.
     void onAnswered(Fingerprint fingerprint);
+    // A request with these fingerprints has arrived.
+    void onArrival(const std::vector<Fingerprint> &fingerprints);
     // The incarnation has answered a request that was sent to it at this time. It cannot have crashed before.
     void onEndpointAnswered(LossId loss, TimePoint sentAt);
     // These incarnations, named by the losses that they would suffer, are listed as running.
@@ -119,6 +132,11 @@
     // Time for which the suspect is still refused; empty if it may run.
     std::optional<Duration> refusedFor(Fingerprint fingerprint, TimePoint now) const;
 
+    // Whether a refused suspect should be tried now by the node with this rank, the number of nodes that may begin a trial before it.
+    bool isTrialDue(Fingerprint fingerprint, std::size_t rank, TimePoint now) const;
+    // This node lets a request with the suspect run as a trial.
+    void onTrial(Fingerprint fingerprint, TimePoint now);
+
     // Returns what the other nodes must learn since the last call.
     std::vector<CrashSuspectNotice> takeNotices(TimePoint now);
     // Returns the suspects that are refused, the latest first, as many as fit into a notice.
@@ -131,6 +149,11 @@
     struct Suspect {
         std::map<LossId, TimePoint> losses;
         TimePoint lastLossAt;
+        // Requests that have arrived with the suspect, and all that had arrived before its first loss.
+        std::uint64_t arrivals = 0;
+        std::uint64_t earlierArrivals = 0;
+        unsigned trials = 0;
+        TimePoint triedAt;
     };
 
     // Returns whether the loss counts and was not known.
@@ -139,6 +162,8 @@
     // Tells the other nodes that a suspect which they may soon refuse had been answered before its losses.
     void reportIfAnswered(Fingerprint fingerprint);
     std::size_t threshold(Fingerprint fingerprint) const;
+    bool isCommon(const Suspect &suspect) const;
+    void countTrial(Fingerprint fingerprint, TimePoint now);
     void evictIfFull();
     void disprove(LossId loss);
     Duration refusalPeriod(Fingerprint fingerprint, const Suspect &suspect) const;
@@ -152,11 +177,13 @@
     std::map<LossId, TimePoint> m_lostAt;
     // What has been answered completely at any time, as far as this node knows.
     RecentFingerprints m_everAnswered;
+    std::uint64_t m_arrivals = 0;
     // What the next notices will say.
     std::set<Fingerprint> m_changed;
     std::vector<Fingerprint> m_answeredBefore;
     std::vector<Fingerprint> m_answered;
     std::vector<LossId> m_disproved;
+    std::vector<Fingerprint> m_tried;
 };
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -243,6 +243,7 @@
 void Gateway::setNodes(const std::vector<VmId> &nodes)
 {
     m_nodes = std::set<VmId>(nodes.begin(), nodes.end());
+    m_crashGuard.setNodes(VmId{m_settings.listen.host}, nodes);
     m_chooser.requestRates().setNodeCount(nodes.size());
 }
 
--- a/src/libhemlockhill/node/gateway_crashing_prompt_part_test.cpp
+++ b/src/libhemlockhill/node/gateway_crashing_prompt_part_test.cpp
@@ -13,11 +13,41 @@
 // A part may cost this many endpoints.
 constexpr int AllowedCrashes = 3;
 
+constexpr std::uint16_t StreamPort = 9'325;
+constexpr Duration EventInterval = std::chrono::milliseconds(50);
+constexpr int StreamEvents = 14;
+
 std::string number(int value)
 {
     return std::to_string(value);
 }
 
+// Endpoints that answer each request with a stream of events at intervals.
+GatewayFixture::EndpointFactory streamingEndpoints(TimerService &timers)
+{
+    const auto stream = [&timers](
+                            boost::asio::io_context &loop, const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+        HttpResponse head = signedAnswer(request);
+        head.contentType = "text/event-stream";
+        head.body.clear();
+        responder->begin(std::move(head));
+        for (int event = 1; event <= StreamEvents; ++event) {
+            timers.after(event * EventInterval, loop, [responder, event] { responder->write("id: " + number(event) + "\ndata: x\n\n"); });
+        }
+        timers.after((StreamEvents + 1) * EventInterval, loop, [responder] { responder->end(); });
+    };
+    return [stream](boost::asio::io_context &loop, const Address &address) {
+        return std::make_shared<HttpServer>(
+            loop,
+            address,
+            HttpServerLimits{},
+            [stream, &loop](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                stream(loop, request, responder);
+            },
+            [](Reason) {});
+    };
+}
+
 } // namespace
 
 // Guards against requests that are all different but for a part of their prompts, and crash one endpoint after the other.
@@ -132,3 +162,36 @@
     BOOST_CHECK_EQUAL(fleet.status(0, "/x/sound", "subject"), 200);
     BOOST_CHECK_EQUAL(fleet.crashes, 0);
 }
+
+// Guards against a part that stays refused although endpoints go on writing on it: a part that crashes them does so at the beginning.
+BOOST_AUTO_TEST_CASE(part_stays_refused_although_a_stream_with_it_goes_on)
+{
+    TimerService timers;
+    GatewayScenario scenario;
+    scenario.kind = RouteKind::Streaming;
+    scenario.firstPort = StreamPort;
+    boost::asio::io_context *loop = nullptr;
+    GatewayFixture fixture(scenario, [&](boost::asio::io_context &ownLoop, const Address &address) {
+        loop = &ownLoop;
+        return streamingEndpoints(timers)(ownLoop, address);
+    });
+    fixture.extraHeaders = {{"Parts", "first subject"}};
+    CrashSuspectNotice notice;
+    notice.subject = CrashSuspectSubject::PromptPart;
+    CrashSuspect first{Fingerprint{std::hash<std::string>()("first")}, {}};
+    for (std::uint64_t loss = 1; loss <= 3; ++loss) {
+        first.losses.push_back({LossId{loss}, std::chrono::milliseconds(300 * loss)});
+    }
+    notice.suspects = {first};
+    std::size_t refusedBefore = 0;
+    std::optional<std::size_t> refusedAfter;
+    timers.after(2 * EventInterval, *loop, [&] {
+        fixture.gateway().onRemoteCrashSuspects(notice);
+        refusedBefore = fixture.gateway().refusedSuspects().size();
+    });
+    timers.after((StreamEvents - 2) * EventInterval, *loop, [&] { refusedAfter = fixture.gateway().refusedSuspects().size(); });
+    BOOST_CHECK(fixture.exchange("/x/1"));
+    BOOST_CHECK_EQUAL(refusedBefore, 1);
+    BOOST_REQUIRE(refusedAfter);
+    BOOST_CHECK_EQUAL(*refusedAfter, 0);
+}
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -68,6 +68,7 @@
         }
     });
     m_gateway.retryBudget(m_requirements.service).onRequest();
+    m_gateway.m_crashGuard.onArrival(m_head);
     if (!m_head.target.model.empty()) {
         TargetDemand &demand = m_gateway.m_demand[m_head.target];
         ++demand.arrivals;
@@ -138,7 +139,8 @@
         return m_done;
     }
     const auto refusal = m_gateway.m_crashGuard.refusal(m_head, currentTime());
-    if (!refusal) {
+    const bool mayBeTried = m_history.exchanges == 0 && m_gateway.m_crashGuard.isTrialDue(m_head, currentTime());
+    if (!refusal || mayBeTried) {
         return false;
     }
     if (hasResponseStarted()) {
@@ -152,6 +154,17 @@
     return true;
 }
 
+void Gateway::Request::announceTrial()
+{
+    if (!m_gateway.m_crashGuard.refusal(m_head, currentTime())) {
+        return;
+    }
+    m_gateway.m_metrics.countEvent("suspected_prompt_part_tried");
+    logEvent(Severity::Info, "request with a suspected part of its prompt tried", {{"request", m_head.id.value}});
+    m_gateway.m_crashGuard.onTrial(m_head, currentTime());
+    m_gateway.scheduleSuspectNotices();
+}
+
 void Gateway::Request::suspectCrash()
 {
     m_gateway.m_metrics.countEvent("request_broken_off");
@@ -202,12 +215,14 @@
     m_sentAt = now;
     m_listingAge = now - m_gateway.m_directory.listedAt();
     m_requirements.avoided.insert(endpoint);
+    announceTrial();
     ++m_history.exchanges;
     ++m_currentExchange;
     m_status = 0;
     m_headers.clear();
     m_body.clear();
     m_answerBytes = 0;
+    m_progressSince.reset();
     m_events.dropPartial();
     const TokenCount unread = m_gateway.m_chooser.uncachedTokens(endpoint, m_requirements);
     m_gateway.m_chooser.onDispatched(endpoint, m_requirements, now);
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -100,6 +100,10 @@
     void onBody(std::string bytes);
     void onEnd();
     void onExchangeFailed(const ExchangeFailure &failure);
+    // Tells the other nodes if the request is sent as a trial, although a part of its prompt is suspected.
+    void announceTrial();
+    // Records that the answer has been written for some time.
+    void recordProgress(TimePoint now);
     // Records that the endpoint broke off the exchange, perhaps because it crashed.
     void suspectCrash();
     // Records that the request was answered completely.
@@ -181,6 +185,9 @@
     bool m_streaming = false;
     EventForwarder m_events;
     std::optional<Duration> m_firstByte;
+    // When the first event of the current exchange arrived, and whether the stream has gone on for long enough since.
+    std::optional<TimePoint> m_progressSince;
+    bool m_hasProgressed = false;
     // Timing of the events written to the caller.
     TimePoint m_lastEventAt;
     Duration m_longestGap{0};
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -23,6 +23,8 @@
 constexpr Duration MaximumRetryAfter = std::chrono::milliseconds(1500);
 // Reading from the endpoint pauses while this many bytes have not been written to the caller.
 constexpr std::size_t PendingLimitBytes = 65'536;
+// A stream that has gone on for this long after its first event does not crash its endpoint.
+constexpr Duration ProgressTime = std::chrono::milliseconds(300);
 // Answers up to this size are buffered and sent with their length; larger ones are streamed.
 constexpr std::size_t BufferedAnswerLimitBytes = 262'144;
 
@@ -101,6 +103,7 @@
         return;
     }
     const TimePoint now = currentTime();
+    recordProgress(now);
     if (m_lastEventAt == TimePoint{}) {
         onFirstEvent();
         m_firstByte = now - m_arrivedAt;
@@ -114,6 +117,17 @@
     applyBackpressure();
 }
 
+void Gateway::Request::recordProgress(TimePoint now)
+{
+    if (!m_progressSince) {
+        m_progressSince = now;
+    } else if (!m_hasProgressed && now - *m_progressSince >= ProgressTime) {
+        m_hasProgressed = true;
+        m_gateway.m_crashGuard.onProgress(m_head);
+        m_gateway.scheduleSuspectNotices();
+    }
+}
+
 void Gateway::Request::onFirstEvent()
 {
     if (!m_route.resumable) {
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -221,6 +221,8 @@
   subject @4 :Subject;
   # Fingerprints of suspects that had been answered completely before their losses.
   answeredBefore @5 :List(UInt64);
+  # Fingerprints of refused suspects of which the sender lets one request run.
+  tried @6 :List(UInt64);
 
   enum Subject {
     request @0;
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -415,7 +415,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f51724eff50c6a5c, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f51724eff50c6a5c, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2957,6 +2957,9 @@
   inline bool hasAnsweredBefore() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAnsweredBefore() const;
 
+  inline bool hasTried() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTried() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3022,6 +3025,14 @@
   inline void adoptAnsweredBefore(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAnsweredBefore();
 
+  inline bool hasTried();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTried();
+  inline void setTried( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTried(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTried(unsigned int size);
+  inline void adoptTried(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTried();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7502,6 +7513,44 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool CrashSuspectNotice::Reader::hasTried() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspectNotice::Builder::hasTried() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashSuspectNotice::Reader::getTried() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspectNotice::Builder::getTried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void CrashSuspectNotice::Builder::setTried( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void CrashSuspectNotice::Builder::setTried(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspectNotice::Builder::initTried(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspectNotice::Builder::adoptTried(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashSuspectNotice::Builder::disownTried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::Hemlockhill::Wire::StreamOriginMessage::Kind StreamOriginMessage::Reader::getKind() const {
   return _reader.getDataField< ::Hemlockhill::Wire::StreamOriginMessage::Kind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -112,6 +112,7 @@
     writeList(message.initAnswered(static_cast<unsigned>(notice.answered.size())), notice.answered);
     writeList(message.initDisproved(static_cast<unsigned>(notice.disproved.size())), notice.disproved);
     writeList(message.initAnsweredBefore(static_cast<unsigned>(notice.answeredBefore.size())), notice.answeredBefore);
+    writeList(message.initTried(static_cast<unsigned>(notice.tried.size())), notice.tried);
     message.setIsRequest(notice.isRequest);
     message.setSubject(notice.subject == CrashSuspectSubject::Request ? Wire::CrashSuspectNotice::Subject::REQUEST
                                                                       : Wire::CrashSuspectNotice::Subject::PROMPT_PART);
@@ -185,6 +186,7 @@
     notice.answered = readList<Fingerprint>(reader.getAnswered());
     notice.disproved = readList<LossId>(reader.getDisproved());
     notice.answeredBefore = readList<Fingerprint>(reader.getAnsweredBefore());
+    notice.tried = readList<Fingerprint>(reader.getTried());
     notice.isRequest = reader.getIsRequest();
     notice.subject = readSubject(reader.getSubject());
     return notice;
--- a/src/libhemlockhill/peers/peer_datagrams_test.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams_test.cpp
@@ -23,13 +23,16 @@
         StreamOriginMessage{StreamOriginQuery{Request}},
         StreamOriginMessage{StreamOriginReply{Request, Version}},
         StreamOriginMessage{StreamOriginReply{Request, {}}},
-        CrashSuspectNotice{CrashSuspectSubject::Request, {}, {}, {}, {}, true},
-        CrashSuspectNotice{CrashSuspectSubject::PromptPart,
-                           {{Fingerprint{7}, {{LossId{1}, std::chrono::milliseconds(90)}, {LossId{2}, std::chrono::hours(24)}}}},
-                           {Fingerprint{8}},
-                           {LossId{3}},
-                           {Fingerprint{9}},
-                           false},
+        CrashSuspectNotice{CrashSuspectSubject::Request, {}, {}, {}, {}, {}, true},
+        CrashSuspectNotice{
+            CrashSuspectSubject::PromptPart,
+            {{Fingerprint{7},
+              {{LossId{1}, std::chrono::milliseconds(90)}, {LossId{2}, std::chrono::hours(24)}}}},
+            {Fingerprint{8}},
+            {LossId{3}},
+            {Fingerprint{9}},
+            {Fingerprint{10}},
+            false},
         RateLimitNotice{EndpointId{"i-7f3a91c2"}, Incarnation{"17"}, RequestRate{1.8}, std::chrono::milliseconds(40), CountId{5}, 12, true},
         RateLimitNotice{EndpointId{"i-7f3a91c2"}, {}, {}, std::chrono::milliseconds(40), {}, 0, false},
         ForwardingMessage{true, DataCentreId{"np-central-a"}, 0},
@@ -56,6 +59,7 @@
         notice.answered.push_back(Fingerprint{entry});
         notice.disproved.push_back(LossId{entry});
         notice.answeredBefore.push_back(Fingerprint{entry});
+        notice.tried.push_back(Fingerprint{entry});
     }
     BOOST_CHECK_LE(encode(notice).size(), DatagramLimitBytes);
 }
--- a/src/libhemlockhill/quarantine/crash_guard.cpp
+++ b/src/libhemlockhill/quarantine/crash_guard.cpp
@@ -2,6 +2,9 @@
 #include "hemlockhill/crash_guard.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
+#include <string>
 
 namespace Hemlockhill
 {
@@ -46,6 +49,26 @@
     }
 }
 
+void CrashGuard::onProgress(const RoutedRequestHead &request)
+{
+    for (const Fingerprint part : request.promptParts) {
+        m_promptParts.onAnswered(part);
+    }
+}
+
+void CrashGuard::onArrival(const RoutedRequestHead &request)
+{
+    if (!request.promptParts.empty()) {
+        m_promptParts.onArrival(request.promptParts);
+    }
+}
+
+void CrashGuard::setNodes(const VmId &self, const std::vector<VmId> &nodes)
+{
+    m_self = self;
+    m_nodes = nodes;
+}
+
 void CrashGuard::onEndpointAnswered(LossId loss, TimePoint sentAt)
 {
     m_requests.onEndpointAnswered(loss, sentAt);
@@ -86,6 +109,40 @@
     return refusal;
 }
 
+std::vector<Fingerprint> CrashGuard::refusedParts(const RoutedRequestHead &request, TimePoint now) const
+{
+    std::vector<Fingerprint> refused;
+    std::copy_if(request.promptParts.begin(), request.promptParts.end(), std::back_inserter(refused), [&](Fingerprint part) {
+        return m_promptParts.refusedFor(part, now).has_value();
+    });
+    return refused;
+}
+
+std::size_t CrashGuard::trialRank(Fingerprint part) const
+{
+    const auto order = [part](const VmId &vm) { return std::hash<std::string>()(vm.value + std::to_string(part.value)); };
+    const std::size_t own = order(m_self);
+    return static_cast<std::size_t>(
+        std::count_if(m_nodes.begin(), m_nodes.end(), [&](const VmId &vm) { return vm != m_self && order(vm) < own; }));
+}
+
+bool CrashGuard::isTrialDue(const RoutedRequestHead &request, TimePoint now) const
+{
+    const std::vector<Fingerprint> refused = refusedParts(request, now);
+    if (refused.empty() || m_requests.refusedFor(request.fingerprint, now)) {
+        return false;
+    }
+    const std::size_t rank = trialRank(refused.front());
+    return std::all_of(refused.begin(), refused.end(), [&](Fingerprint part) { return m_promptParts.isTrialDue(part, rank, now); });
+}
+
+void CrashGuard::onTrial(const RoutedRequestHead &request, TimePoint now)
+{
+    for (const Fingerprint part : refusedParts(request, now)) {
+        m_promptParts.onTrial(part, now);
+    }
+}
+
 std::vector<CrashSuspectNotice> CrashGuard::takeNotices(TimePoint now)
 {
     std::vector<CrashSuspectNotice> notices = m_requests.takeNotices(now);
--- a/src/libhemlockhill/quarantine/crash_suspects.cpp
+++ b/src/libhemlockhill/quarantine/crash_suspects.cpp
@@ -60,6 +60,17 @@
     }
 }
 
+void CrashSuspects::onArrival(const std::vector<Fingerprint> &fingerprints)
+{
+    ++m_arrivals;
+    for (const Fingerprint fingerprint : fingerprints) {
+        const auto found = m_suspects.find(fingerprint);
+        if (found != m_suspects.end()) {
+            ++found->second.arrivals;
+        }
+    }
+}
+
 void CrashSuspects::onEndpointAnswered(LossId loss, TimePoint sentAt)
 {
     const auto lost = m_lostAt.find(loss);
@@ -101,12 +112,15 @@
     for (const LossId loss : notice.disproved) {
         disprove(loss);
     }
+    for (const Fingerprint fingerprint : notice.tried) {
+        countTrial(fingerprint, now);
+    }
 }
 
 bool CrashSuspects::addLoss(Fingerprint fingerprint, LossId loss, TimePoint lostAt)
 {
     evictIfFull();
-    Suspect &suspect = m_suspects[fingerprint];
+    Suspect &suspect = m_suspects.try_emplace(fingerprint, Suspect{{}, {}, 0, m_arrivals, 0, {}}).first->second;
     if (suspect.losses.contains(loss) || coincides(suspect, lostAt)) {
         return false;
     }
@@ -187,6 +201,41 @@
     return now < end ? std::optional<Duration>(end - now) : std::nullopt;
 }
 
+bool CrashSuspects::isCommon(const Suspect &suspect) const
+{
+    const auto all = static_cast<double>(m_arrivals - suspect.earlierArrivals);
+    return suspect.arrivals >= m_limits.commonArrivals && static_cast<double>(suspect.arrivals) >= m_limits.commonRatio * all;
+}
+
+bool CrashSuspects::isTrialDue(Fingerprint fingerprint, std::size_t rank, TimePoint now) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (m_limits.trialDelay == Duration(0) || found == m_suspects.end() || !isCommon(found->second)) {
+        return false;
+    }
+    const Suspect &suspect = found->second;
+    Duration delay = m_limits.trialDelay;
+    for (unsigned trial = 0; trial < suspect.trials && delay < m_limits.maxRefusalPeriod; ++trial) {
+        delay *= m_limits.trialBackoff;
+    }
+    return now >= std::max(suspect.lastLossAt, suspect.triedAt) + delay + m_limits.trialSlot * rank;
+}
+
+void CrashSuspects::onTrial(Fingerprint fingerprint, TimePoint now)
+{
+    countTrial(fingerprint, now);
+    m_tried.push_back(fingerprint);
+}
+
+void CrashSuspects::countTrial(Fingerprint fingerprint, TimePoint now)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end()) {
+        ++found->second.trials;
+        found->second.triedAt = now;
+    }
+}
+
 CrashSuspect CrashSuspects::describe(Fingerprint fingerprint, const Suspect &suspect, TimePoint now) const
 {
     CrashSuspect described;
@@ -208,13 +257,14 @@
         }
     }
     std::vector<CrashSuspectNotice> notices;
-    while (!suspects.empty() || !m_answered.empty() || !m_disproved.empty() || !m_answeredBefore.empty()) {
+    while (!suspects.empty() || !m_answered.empty() || !m_disproved.empty() || !m_answeredBefore.empty() || !m_tried.empty()) {
         CrashSuspectNotice notice;
         notice.subject = m_subject;
         notice.suspects = takeLast(suspects, m_limits.noticeEntries);
         notice.answered = takeLast(m_answered, m_limits.noticeEntries);
         notice.disproved = takeLast(m_disproved, m_limits.noticeEntries);
         notice.answeredBefore = takeLast(m_answeredBefore, m_limits.noticeEntries);
+        notice.tried = takeLast(m_tried, m_limits.noticeEntries);
         notices.push_back(std::move(notice));
     }
     return notices;
--- a/src/libhemlockhill/quarantine/crash_suspects_test.cpp
+++ b/src/libhemlockhill/quarantine/crash_suspects_test.cpp
@@ -274,3 +274,112 @@
     suspects.onAnswered(Culprit);
     BOOST_CHECK_EQUAL(suspects.size(), 0);
 }
+
+namespace
+{
+
+constexpr Fingerprint FirstPart{10};
+constexpr Fingerprint BadPart{11};
+constexpr int Arrivals = 60;
+
+// No two requests are alike.
+RoutedRequestHead promptOf(const std::vector<Fingerprint> &parts)
+{
+    static std::uint64_t requests = 0;
+    RoutedRequestHead head;
+    head.fingerprint = Fingerprint{1000 + ++requests};
+    head.promptParts = parts;
+    return head;
+}
+
+// Two nodes that have just started, at which three endpoints have been lost beneath the first part of all prompts and a culprit.
+struct SharedPart {
+    SharedPart()
+    {
+        const std::vector<VmId> nodes{VmId{"10.0.0.1"}, VmId{"10.0.0.2"}};
+        here.setNodes(nodes[0], nodes);
+        there.setNodes(nodes[1], nodes);
+        for (std::uint64_t loss = 1; loss <= 3; ++loss) {
+            lastLossAt = Start + loss * std::chrono::milliseconds(300);
+            here.onBrokenOff(promptOf({FirstPart, BadPart}), LossId{loss}, lastLossAt);
+        }
+        exchangeNotices(lastLossAt);
+        for (int arrival = 0; arrival < Arrivals; ++arrival) {
+            const RoutedRequestHead request = arrival % 20 == 0 ? culprit : sound;
+            here.onArrival(request);
+            there.onArrival(request);
+        }
+    }
+
+    void exchangeNotices(TimePoint now)
+    {
+        const std::vector<CrashSuspectNotice> fromHere = here.takeNotices(now);
+        for (const CrashSuspectNotice &notice : there.takeNotices(now)) {
+            here.onNotice(notice, now);
+        }
+        for (const CrashSuspectNotice &notice : fromHere) {
+            there.onNotice(notice, now);
+        }
+    }
+
+    // Returns the node that begins a trial by this time; null if none does.
+    CrashGuard *startTrial(TimePoint until)
+    {
+        for (; now < until; now += std::chrono::milliseconds(50)) {
+            for (CrashGuard *guard : {&here, &there}) {
+                if (guard->refusal(sound, now) && guard->isTrialDue(sound, now)) {
+                    guard->onTrial(sound, now);
+                    exchangeNotices(now);
+                    ++trials;
+                    return guard;
+                }
+            }
+        }
+        return nullptr;
+    }
+
+    CrashGuard here;
+    CrashGuard there;
+    RoutedRequestHead sound = promptOf({FirstPart, Fingerprint{12}});
+    RoutedRequestHead culprit = promptOf({FirstPart, BadPart});
+    TimePoint lastLossAt;
+    TimePoint now = Start + std::chrono::seconds(1);
+    int trials = 0;
+};
+
+} // namespace
+
+// Guards against a part that all requests share and that stays refused, as no request with it is sent that could clear it.
+BOOST_AUTO_TEST_CASE(part_that_all_requests_share_stays_refused_as_nothing_with_it_is_sent)
+{
+    SharedPart shared;
+    BOOST_CHECK(shared.here.refusal(shared.sound, shared.now));
+    CrashGuard *trying = shared.startTrial(shared.lastLossAt + std::chrono::seconds(5));
+    BOOST_REQUIRE(trying != nullptr);
+    BOOST_CHECK(shared.now >= shared.lastLossAt + std::chrono::seconds(3));
+    // One request at a time, of all nodes together, and none with the culprit.
+    BOOST_CHECK(!shared.here.isTrialDue(shared.sound, shared.now));
+    BOOST_CHECK(!shared.there.isTrialDue(shared.sound, shared.now));
+    trying->onProgress(shared.sound);
+    shared.exchangeNotices(shared.now);
+    for (const CrashGuard *guard : {&shared.here, &shared.there}) {
+        BOOST_CHECK(!guard->refusal(shared.sound, shared.now));
+        BOOST_CHECK(guard->refusal(shared.culprit, shared.now));
+        BOOST_CHECK(!guard->isTrialDue(shared.culprit, shared.now + std::chrono::seconds(60)));
+    }
+}
+
+// Guards against trials of a part that does crash endpoints, which go on and on.
+BOOST_AUTO_TEST_CASE(part_that_crashes_endpoints_is_tried_again_and_again)
+{
+    SharedPart shared;
+    const TimePoint end = Start + std::chrono::minutes(10);
+    std::uint64_t loss = 3;
+    while (CrashGuard *trying = shared.startTrial(end)) {
+        shared.now += std::chrono::milliseconds(100);
+        trying->onBrokenOff(promptOf(shared.sound.promptParts), LossId{++loss}, shared.now);
+        shared.exchangeNotices(shared.now);
+    }
+    BOOST_CHECK_LE(shared.trials, 3);
+    BOOST_CHECK(shared.here.refusal(shared.sound, end));
+}
