Disprove a crash only by evidence of the lifetime that is supposed to have ended

Cause: an answer counted as one of the incarnation that the directory showed.

Change: an answer disproves a loss at once only over a connection that is older than the broken exchange; over a later one, once a list that was requested more than its lag afterwards shows the same incarnation. Losses carry how much earlier than noticed they may have happened. Runs whose callers have left are cleared by the same rule; answers through other nodes clear nothing here.

Why it works: one process serves a connection from its beginning to its end, so the connection names the lifetime.

The test of reset connections now shows the list again before it asks: an acquittal by answers over new connections alone can't be told from a restart.

--- a/src/include/hemlockhill/abandoned_runs.h
+++ b/src/include/hemlockhill/abandoned_runs.h
@@ -4,12 +4,13 @@
 // Deterministic, without I/O: the caller passes in the current time.
 #pragma once
 
+#include "hemlockhill/crash_suspects.h"
 #include "hemlockhill/request_dialect.h"
 #include "hemlockhill/world.h"
 
 #include <cstddef>
 #include <deque>
-#include <set>
+#include <optional>
 #include <vector>
 
 namespace Hemlockhill
@@ -18,6 +19,8 @@
 struct AbandonedRunLimits {
     // How long a run is watched. Longer than a list shows a crashed endpoint.
     Duration watchPeriod = std::chrono::seconds(15);
+    // Maximum age of what a list shows at the time when it is requested.
+    Duration listLag = std::chrono::milliseconds(1500);
     // Maximum number of runs that are watched; the oldest are dropped first.
     std::size_t runs = 1024;
 };
@@ -28,6 +31,8 @@
     Fingerprint fingerprint;
     std::vector<Fingerprint> promptParts;
     TimePoint abandonedAt;
+    // When the endpoint first answered a later request, over a connection that does not show its incarnation.
+    std::optional<TimePoint> answeredAt;
 };
 
 // Watches abandoned runs until their endpoint is heard from again or turns out to be lost.
@@ -38,12 +43,12 @@
 
     // The caller of a run at the endpoint has left.
     void add(const RoutedRequestHead &request, LossId loss, TimePoint now);
-    // The endpoint has answered a request that was sent to it at this time: runs that were abandoned before did not crash it.
-    void onEndpointAnswered(LossId loss, TimePoint sentAt);
+    // An endpoint has answered: runs that were abandoned before did not crash the incarnation that wrote the answer. See CrashSuspects.
+    void onEndpointAnswered(const EndpointAnswer &answer, TimePoint now);
     // The endpoint is lost. Returns the runs that were abandoned there, which are no longer watched.
     std::vector<AbandonedRun> takeLost(LossId loss, TimePoint now);
-    // Endpoints that are not among the listed ones, named by the losses that they would suffer, are lost. Returns their runs.
-    std::vector<AbandonedRun> takeUnlisted(const std::set<LossId> &listed, TimePoint now);
+    // Endpoints that are not among the listed ones are lost. Returns their runs.
+    std::vector<AbandonedRun> takeUnlisted(const ListedIncarnations &listed, TimePoint now);
     bool empty() const { return m_runs.empty(); }
 
 private:
--- a/src/include/hemlockhill/crash_guard.h
+++ b/src/include/hemlockhill/crash_guard.h
@@ -8,7 +8,6 @@
 
 #include <cstddef>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace Hemlockhill
@@ -37,21 +36,21 @@
 public:
     explicit CrashGuard(CrashGuardLimits limits = {});
 
-    // An endpoint broke off this node's exchange; it may have crashed.
-    void onBrokenOff(const RoutedRequestHead &request, LossId loss, TimePoint now);
+    // An endpoint broke off this node's exchange; it may have crashed since the request was sent.
+    void onBrokenOff(const RoutedRequestHead &request, LossId loss, TimePoint sentAt, TimePoint now);
     // The caller of this node's exchange has left, before the answer was complete.
     void onCallerLeft(const RoutedRequestHead &request, LossId loss, TimePoint now);
     // The request was answered completely, which clears it and all parts of its prompt.
     void onAnswered(const RoutedRequestHead &request);
-    // The answer has been written for some time, which clears all parts of the prompt: one that crashes endpoints does so when they begin to
-    // write.
+    // The answer has been written for some time, which clears all parts of the prompt: one that crashes endpoints does so when they begin
+    // to write.
     void onProgress(const RoutedRequestHead &request);
     void onArrival(const RoutedRequestHead &request);
     // The nodes that share what they know, including this one. They begin trials in different orders for different parts.
     void setNodes(const VmId &self, const std::vector<VmId> &nodes);
     // See CrashSuspects.
-    void onEndpointAnswered(LossId loss, TimePoint sentAt);
-    void onListed(const std::set<LossId> &listed, TimePoint now);
+    void onEndpointAnswered(const EndpointAnswer &answer, TimePoint now);
+    void onListed(const ListedIncarnations &listed, TimePoint now);
     void onNotice(const CrashSuspectNotice &notice, TimePoint now);
 
     // Returns why the request must not run now; empty if it may.
--- a/src/include/hemlockhill/crash_suspects.h
+++ b/src/include/hemlockhill/crash_suspects.h
@@ -24,14 +24,35 @@
 
 std::string_view toText(CrashSuspectSubject subject);
 
-// The loss of an endpoint's incarnation, and the time since.
+// The loss of an endpoint's incarnation, and the time since it was noticed. The incarnation may have ended earlier, by up to the
+// uncertainty.
 struct CrashLoss {
     LossId loss;
     std::chrono::milliseconds age{0};
+    std::chrono::milliseconds uncertainty{0};
 
     bool operator==(const CrashLoss &) const = default;
 };
 
+// An answer of an endpoint, as evidence that an incarnation has not ended. An answer does not name the incarnation that wrote it: after a
+// restart under the same id it comes from the next one while the directory still shows the former.
+struct EndpointAnswer {
+    // The loss that the incarnation would suffer which the directory showed when the request was sent.
+    LossId loss;
+    // When the connection of the answer was established. One incarnation serves a connection from its beginning to its end. Empty if
+    // unknown.
+    std::optional<TimePoint> connectedAt;
+    TimePoint sentAt;
+};
+
+// The endpoint list, as evidence that incarnations have not ended.
+struct ListedIncarnations {
+    // The losses that the listed incarnations would suffer.
+    std::set<LossId> losses;
+    // When the list was requested.
+    TimePoint listedAt;
+};
+
 // A request or part that was in progress on endpoints that were lost.
 struct CrashSuspect {
     Fingerprint fingerprint;
@@ -55,7 +76,10 @@
     // The sender has just started and requests what the receiver knows.
     bool isRequest = false;
 
-    bool empty() const { return suspects.empty() && answered.empty() && disproved.empty() && answeredBefore.empty() && tried.empty() && !isRequest; }
+    bool empty() const
+    {
+        return suspects.empty() && answered.empty() && disproved.empty() && answeredBefore.empty() && tried.empty() && !isRequest;
+    }
     bool operator==(const CrashSuspectNotice &) const = default;
 };
 
@@ -72,6 +96,8 @@
     // Length of the first refusal of one that had been answered before. Short, as nothing can be answered and clear it meanwhile.
     Duration answeredRefusalPeriod = std::chrono::minutes(10);
     Duration maxRefusalPeriod = std::chrono::hours(24);
+    // Maximum age of what a list shows at the time when it is requested.
+    Duration listLag = std::chrono::milliseconds(1500);
     // An incarnation that is still listed this long after its supposed loss has not crashed. Longer than a list shows a crashed endpoint.
     Duration lossConfirmation = std::chrono::seconds(15);
     // A refused suspect that is common among the requests may not be the culprit, and nothing could clear it: after this time one request
@@ -116,16 +142,17 @@
 public:
     explicit CrashSuspects(CrashSuspectSubject subject, CrashSuspectLimits limits = {});
 
-    // An endpoint broke off this node's exchange; it may have crashed. The loss identifies the endpoint's incarnation.
-    void onBrokenOff(Fingerprint fingerprint, LossId loss, TimePoint now);
+    // An endpoint broke off this node's exchange; it may have crashed, up to this time ago. The loss identifies the endpoint's incarnation.
+    void onBrokenOff(Fingerprint fingerprint, LossId loss, TimePoint now, Duration uncertainty = Duration(0));
     // The request, or one with this part, was answered so far that it does not crash the endpoint.
     void onAnswered(Fingerprint fingerprint);
     // A request with these fingerprints has arrived.
     void onArrival(const std::vector<Fingerprint> &fingerprints);
-    // The incarnation has answered a request that was sent to it at this time. It cannot have crashed before.
-    void onEndpointAnswered(LossId loss, TimePoint sentAt);
-    // These incarnations, named by the losses that they would suffer, are listed as running.
-    void onListed(const std::set<LossId> &listed, TimePoint now);
+    // An endpoint has answered. An incarnation that answers over a connection from before its supposed loss has not crashed. An answer over
+    // a later connection counts once a list shows that the incarnation is still the same.
+    void onEndpointAnswered(const EndpointAnswer &answer, TimePoint now);
+    // These incarnations are listed as running.
+    void onListed(const ListedIncarnations &listed, TimePoint now);
     // Another node sent a notice.
     void onNotice(const CrashSuspectNotice &notice, TimePoint now);
 
@@ -156,8 +183,17 @@
         TimePoint triedAt;
     };
 
+    // When an incarnation may have ended.
+    struct LossTime {
+        TimePoint earliest;
+        TimePoint latest;
+        // When the endpoint first answered a request that was sent after the loss, over a connection that does not show its incarnation.
+        std::optional<TimePoint> answeredAt;
+    };
+
     // Returns whether the loss counts and was not known.
-    bool addLoss(Fingerprint fingerprint, LossId loss, TimePoint lostAt);
+    bool addLoss(Fingerprint fingerprint, LossId loss, TimePoint lostAt, Duration uncertainty);
+    void recordTime(LossId loss, TimePoint lostAt, Duration uncertainty);
     bool coincides(const Suspect &suspect, TimePoint lostAt) const;
     // Tells the other nodes that a suspect which they may soon refuse had been answered before its losses.
     void reportIfAnswered(Fingerprint fingerprint);
@@ -173,8 +209,8 @@
     CrashSuspectSubject m_subject;
     CrashSuspectLimits m_limits;
     std::map<Fingerprint, Suspect> m_suspects;
-    // Time of each loss of a suspect.
-    std::map<LossId, TimePoint> m_lostAt;
+    // Times of the losses of suspects.
+    std::map<LossId, LossTime> m_lossTimes;
     // What has been answered completely at any time, as far as this node knows.
     RecentFingerprints m_everAnswered;
     std::uint64_t m_arrivals = 0;
--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -82,6 +82,8 @@
     // Drops the rest of the response. If the rest is short and arrives soon, the connection is reused, otherwise it is closed. No
     // callback is called afterwards.
     virtual void discard() = 0;
+    // When the connection of the exchange was established; empty until then.
+    virtual std::optional<TimePoint> connectedAt() const = 0;
     // Pauses and resumes reading the body. The betweenBytes timeout is suspended while paused.
     virtual void pause() = 0;
     virtual void resume() = 0;
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -75,6 +75,7 @@
     void start(const HttpRequest &request, ConnectionChoice choice);
     void cancel() override;
     void discard() override;
+    std::optional<TimePoint> connectedAt() const override { return m_connection ? m_connection->connectedAt : std::nullopt; }
     void pause() override { m_paused = true; }
     void resume() override;
 
@@ -172,6 +173,7 @@
     m_connection->stream.async_connect(tcp::endpoint(host, m_address.port),
                                        [self = shared_from_this(), done = std::move(done)](error_code error) {
                                            if (!error) {
+                                               self->m_connection->connectedAt = currentTime();
                                                error_code ignored;
                                                self->m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
                                                enableDeadPeerDetection(self->m_connection->stream.socket());
--- a/src/libhemlockhill/net/idle_connections.h
+++ b/src/libhemlockhill/net/idle_connections.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace Hemlockhill
 {
@@ -30,6 +31,7 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    std::optional<TimePoint> connectedAt;
     // True once the connection has carried an exchange.
     bool reused = false;
     bool idle = false;
--- a/src/libhemlockhill/node/crashing_fleet_testing.h
+++ b/src/libhemlockhill/node/crashing_fleet_testing.h
@@ -20,7 +20,9 @@
 inline constexpr Duration LateCrashDelay = std::chrono::milliseconds(40);
 inline constexpr Duration ShortStay = std::chrono::milliseconds(15);
 // An endpoint that is listed this long after a supposed loss runs; nodes notice it within a second.
-inline constexpr Duration LossConfirmation = std::chrono::milliseconds(150);
+inline constexpr Duration LossConfirmation = std::chrono::milliseconds(400);
+// The list shows a change this much later, if the fleet's list lags.
+inline constexpr Duration ListLag = std::chrono::milliseconds(90);
 inline constexpr Duration ReviewTime = std::chrono::milliseconds(1300);
 inline constexpr Duration AnswerTimeout = std::chrono::seconds(3);
 
@@ -48,6 +50,8 @@
         settings.listen = {"127.0.0.1", static_cast<std::uint16_t>(m_firstPort + m_nodes.size())};
         settings.crashes.requests.lossConfirmation = LossConfirmation;
         settings.crashes.promptParts.lossConfirmation = LossConfirmation;
+        settings.crashes.requests.listLag = ListLag;
+        settings.crashes.promptParts.listLag = ListLag;
         // A request that is sent to a second endpoint crashes it at once.
         settings.crashes.promptParts.coincidence = Duration(0);
         m_addresses.push_back(settings.listen);
@@ -113,6 +117,22 @@
 
     // The list shows only endpoints that run.
     void publish()
+    {
+        if (!keepsIds) {
+            publish(listed());
+            return;
+        }
+        m_timers.after(ListLag, m_loop, [this, endpoints = listed()] { publish(endpoints); });
+    }
+
+    void publish(const EndpointsById &endpoints)
+    {
+        for (const auto &node : m_nodes) {
+            node->onLeaderDirectory(endpoints, currentTime());
+        }
+    }
+
+    EndpointsById listed() const
     {
         EndpointsById endpoints;
         for (std::size_t index = 0; index < m_endpoints.size(); ++index) {
@@ -121,19 +141,20 @@
             }
             LiveEndpoint endpoint;
             endpoint.id = m_endpoints[index].id;
+            endpoint.incarnation = m_endpoints[index].incarnation;
             endpoint.service = Register;
             endpoint.address = endpointAddress(index);
             endpoint.slots = 4;
             endpoints.emplace(endpoint.id, endpoint);
         }
-        for (const auto &node : m_nodes) {
-            node->onLeaderDirectory(endpoints, currentTime());
-        }
+        return endpoints;
     }
 
     std::size_t nodes() const { return m_nodes.size(); }
     Gateway &node(std::size_t index) { return *m_nodes.at(index); }
 
+    // Whether endpoints that crashed return under the ids that they had, and the list lags.
+    bool keepsIds = false;
     // Paths whose requests crash the endpoint that runs them.
     std::set<std::string> crashing;
     // Parts of prompts that crash the endpoint once it has begun to answer.
@@ -149,6 +170,7 @@
 private:
     struct Endpoint {
         EndpointId id;
+        Incarnation incarnation;
         std::shared_ptr<RawEndpoint> server;
         bool runs = false;
     };
@@ -161,7 +183,9 @@
     void start(std::size_t index)
     {
         Endpoint &endpoint = m_endpoints[index];
-        endpoint.id = EndpointId{"e" + std::to_string(++m_lastInstance)};
+        ++m_lastInstance;
+        endpoint.id = EndpointId{"e" + std::to_string(keepsIds ? index + 1 : m_lastInstance)};
+        endpoint.incarnation = Incarnation{std::to_string(m_lastInstance)};
         endpoint.runs = true;
         endpoint.server = std::make_shared<RawEndpoint>(
             m_loop, endpointAddress(index), [this, index](const RawEndpoint::Request &request) { return answer(index, request); });
--- a/src/libhemlockhill/node/direct_exchange.cpp
+++ b/src/libhemlockhill/node/direct_exchange.cpp
@@ -78,6 +78,7 @@
         m_exchange->discard();
     }
 
+    std::optional<TimePoint> connectedAt() const override { return m_exchange->connectedAt(); }
     void pause() override { m_exchange->pause(); }
     void resume() override { m_exchange->resume(); }
 
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -195,6 +195,7 @@
 void Gateway::onLeaderListing(TimePoint listedAt)
 {
     m_directory.onLeaderListing(listedAt);
+    reviewSuspects();
 }
 
 void Gateway::onOwnListing(EndpointsById listing, TimePoint listedAt)
@@ -218,6 +219,7 @@
     m_chooser.onDirectory(m_directory.endpoints(), currentTime());
     m_paths->onDirectory(m_directory.endpoints());
     m_versions.onDirectory(m_directory.endpoints(), currentTime());
+    reviewSuspects();
     dispatchWaiting();
 }
 
@@ -387,9 +389,10 @@
     if (!m_crashGuard.needsReview()) {
         return;
     }
-    std::set<LossId> listed;
+    ListedIncarnations listed;
+    listed.listedAt = m_directory.listedAt();
     for (const auto &[id, endpoint] : m_directory.endpoints()) {
-        listed.insert(lossIdOf(id, endpoint.incarnation));
+        listed.losses.insert(lossIdOf(id, endpoint.incarnation));
     }
     m_crashGuard.onListed(listed, currentTime());
     m_crashGuard.dropExpired(currentTime());
--- a/src/libhemlockhill/node/gateway_crashing_request_test.cpp
+++ b/src/libhemlockhill/node/gateway_crashing_request_test.cpp
@@ -29,6 +29,24 @@
     BOOST_CHECK_EQUAL(served, Repeats);
 }
 
+// Guards against a crash that counts for nothing, because the endpoint answers sound requests under the same id before the list shows that
+// it was restarted.
+BOOST_AUTO_TEST_CASE(request_that_crashes_endpoints_restarted_under_their_ids_is_sent_to_ever_more_of_them)
+{
+    CrashingFleet fleet(FirstPort, 2);
+    fleet.keepsIds = true;
+    fleet.crashing = {"/x/crash"};
+    for (int repeat = 0; repeat < Repeats; ++repeat) {
+        fleet.status(static_cast<std::size_t>(repeat) % fleet.nodes(), "/x/crash");
+        fleet.run(RestartTime);
+        for (int sound = 0; sound < 6; ++sound) {
+            fleet.status(static_cast<std::size_t>(sound) % fleet.nodes(), "/x/sound-" + std::to_string(sound));
+        }
+        fleet.run(ListLag);
+    }
+    BOOST_CHECK_LE(fleet.crashes, AllowedCrashes);
+}
+
 // Guards against a node that lets such a request through because it has just started.
 BOOST_AUTO_TEST_CASE(request_that_crashes_endpoints_is_sent_by_a_node_that_has_just_started)
 {
@@ -72,6 +90,9 @@
     for (int number = 0; number < 20; ++number) {
         fleet.status(static_cast<std::size_t>(number) % 2, "/x/sound-" + std::to_string(number));
     }
+    // The answers may be those of other incarnations, until a later list shows the same ones.
+    fleet.run(ListLag);
+    fleet.publish();
     fleet.run(Pause);
     fleet.reset.clear();
     BOOST_CHECK_EQUAL(fleet.status(0, "/x/reset"), 200);
--- a/src/libhemlockhill/node/gateway_forwarded_request.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_request.cpp
@@ -134,7 +134,8 @@
     const EndpointAnswerHead answer = m_gateway.m_dialect.readAnswer(status, headers);
     m_gateway.onDeclaredCapacity(m_endpoint, m_incarnation, answer.capacity, m_startedAt);
     if (answer.isSigned) {
-        m_gateway.m_crashGuard.onEndpointAnswered(lossIdOf(m_endpoint, m_incarnation), m_startedAt);
+        m_gateway.m_crashGuard.onEndpointAnswered({lossIdOf(m_endpoint, m_incarnation), m_exchange->connectedAt(), m_startedAt},
+                                                  currentTime());
         m_gateway.scheduleSuspectNotices();
     }
     const auto listed = m_gateway.m_directory.endpoints().find(m_endpoint);
@@ -199,7 +200,7 @@
     const bool wasBrokenOff = failure.reason == Reason::EndpointLost || failure.reason == Reason::IncompleteAnswer;
     if (wasBrokenOff && failure.mayHaveReached) {
         m_gateway.m_metrics.countEvent("request_broken_off");
-        m_gateway.m_crashGuard.onBrokenOff(m_head, lossIdOf(m_endpoint, m_incarnation), currentTime());
+        m_gateway.m_crashGuard.onBrokenOff(m_head, lossIdOf(m_endpoint, m_incarnation), m_startedAt, currentTime());
         m_gateway.scheduleSuspectNotices();
     }
     // Silence is what is said of an endpoint that is connected.
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -168,7 +168,7 @@
 void Gateway::Request::suspectCrash()
 {
     m_gateway.m_metrics.countEvent("request_broken_off");
-    m_gateway.m_crashGuard.onBrokenOff(m_head, m_endpointLoss, currentTime());
+    m_gateway.m_crashGuard.onBrokenOff(m_head, m_endpointLoss, m_sentAt, currentTime());
     m_gateway.scheduleSuspectNotices();
 }
 
@@ -326,8 +326,8 @@
         endpointFailed(Reason::IncompleteAnswer, true, true);
         return;
     }
-    if (answer.isSigned) {
-        m_gateway.m_crashGuard.onEndpointAnswered(m_endpointLoss, m_sentAt);
+    if (answer.isSigned && !m_peer) {
+        m_gateway.m_crashGuard.onEndpointAnswered({m_endpointLoss, m_exchange->connectedAt(), m_sentAt}, currentTime());
         m_gateway.scheduleSuspectNotices();
     }
     m_isEventStream = isSuccess(status) && answer.isEventStream;
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -207,6 +207,8 @@
   losses @1 :List(UInt64);
   # Time since each loss.
   agesMs @2 :List(UInt32);
+  # By how much earlier than noticed the endpoint may have ended, at each loss.
+  uncertaintiesMs @3 :List(UInt32);
 }
 
 struct CrashSuspectNotice {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -398,7 +398,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(af549ea9e3caf259, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(af549ea9e3caf259, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2851,6 +2851,9 @@
   inline bool hasAgesMs() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getAgesMs() const;
 
+  inline bool hasUncertaintiesMs() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getUncertaintiesMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2898,6 +2901,14 @@
   inline void adoptAgesMs(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownAgesMs();
 
+  inline bool hasUncertaintiesMs();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getUncertaintiesMs();
+  inline void setUncertaintiesMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUncertaintiesMs(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initUncertaintiesMs(unsigned int size);
+  inline void adoptUncertaintiesMs(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownUncertaintiesMs();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7337,6 +7348,44 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool CrashSuspect::Reader::hasUncertaintiesMs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspect::Builder::hasUncertaintiesMs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashSuspect::Reader::getUncertaintiesMs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspect::Builder::getUncertaintiesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashSuspect::Builder::setUncertaintiesMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void CrashSuspect::Builder::setUncertaintiesMs(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspect::Builder::initUncertaintiesMs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspect::Builder::adoptUncertaintiesMs(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> CrashSuspect::Builder::disownUncertaintiesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool CrashSuspectNotice::Reader::hasSuspects() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -75,15 +75,23 @@
     return identities;
 }
 
+std::uint32_t ageMs(Duration age)
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(milliseconds, 0, AgeLimitMs));
+}
+
 void write(Wire::CrashSuspect::Builder builder, const CrashSuspect &suspect)
 {
     const auto count = static_cast<unsigned>(suspect.losses.size());
     builder.setFingerprint(suspect.fingerprint.value);
     auto losses = builder.initLosses(count);
     auto ages = builder.initAgesMs(count);
+    auto uncertainties = builder.initUncertaintiesMs(count);
     for (unsigned index = 0; index < count; ++index) {
         losses.set(index, suspect.losses[index].loss.value);
-        ages.set(index, static_cast<std::uint32_t>(std::min<std::int64_t>(suspect.losses[index].age.count(), AgeLimitMs)));
+        ages.set(index, ageMs(suspect.losses[index].age));
+        uncertainties.set(index, ageMs(suspect.losses[index].uncertainty));
     }
 }
 
@@ -96,8 +104,11 @@
     if (losses.size() != ages.size()) {
         throw DecodeError("notice names another number of losses than of their ages");
     }
+    // Nodes of earlier versions name none.
+    const auto uncertainties = reader.getUncertaintiesMs();
     for (unsigned index = 0; index < losses.size(); ++index) {
-        suspect.losses.push_back({LossId{losses[index]}, std::chrono::milliseconds(ages[index])});
+        const std::chrono::milliseconds uncertainty(index < uncertainties.size() ? uncertainties[index] : 0);
+        suspect.losses.push_back({LossId{losses[index]}, std::chrono::milliseconds(ages[index]), uncertainty});
     }
     return suspect;
 }
@@ -118,12 +129,6 @@
                                                                       : Wire::CrashSuspectNotice::Subject::PROMPT_PART);
 }
 
-std::uint32_t ageMs(Duration age)
-{
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(milliseconds, 0, AgeLimitMs));
-}
-
 void write(Wire::PeerDatagram::Builder builder, const RateLimitNotice &notice)
 {
     auto message = builder.initRateLimit();
--- a/src/libhemlockhill/peers/peer_datagrams_test.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams_test.cpp
@@ -27,7 +27,7 @@
         CrashSuspectNotice{
             CrashSuspectSubject::PromptPart,
             {{Fingerprint{7},
-              {{LossId{1}, std::chrono::milliseconds(90)}, {LossId{2}, std::chrono::hours(24)}}}},
+              {{LossId{1}, std::chrono::milliseconds(90), std::chrono::milliseconds(7)}, {LossId{2}, std::chrono::hours(24)}}}},
             {Fingerprint{8}},
             {LossId{3}},
             {Fingerprint{9}},
--- a/src/libhemlockhill/quarantine/abandoned_runs.cpp
+++ b/src/libhemlockhill/quarantine/abandoned_runs.cpp
@@ -33,12 +33,19 @@
     if (m_runs.size() >= m_limits.runs) {
         m_runs.pop_front();
     }
-    m_runs.push_back({loss, request.fingerprint, request.promptParts, now});
+    m_runs.push_back({loss, request.fingerprint, request.promptParts, now, std::nullopt});
 }
 
-void AbandonedRuns::onEndpointAnswered(LossId loss, TimePoint sentAt)
+void AbandonedRuns::onEndpointAnswered(const EndpointAnswer &answer, TimePoint now)
 {
-    std::erase_if(m_runs, [&](const AbandonedRun &run) { return run.loss == loss && run.abandonedAt < sentAt; });
+    const auto isLater = [&](const AbandonedRun &run) { return run.loss == answer.loss && run.abandonedAt < answer.sentAt; };
+    std::erase_if(m_runs,
+                  [&](const AbandonedRun &run) { return isLater(run) && answer.connectedAt && *answer.connectedAt < run.abandonedAt; });
+    for (AbandonedRun &run : m_runs) {
+        if (isLater(run) && !run.answeredAt) {
+            run.answeredAt = now;
+        }
+    }
 }
 
 std::vector<AbandonedRun> AbandonedRuns::takeLost(LossId loss, TimePoint now)
@@ -47,10 +54,14 @@
     return takeIf(m_runs, [&](const AbandonedRun &run) { return run.loss == loss; });
 }
 
-std::vector<AbandonedRun> AbandonedRuns::takeUnlisted(const std::set<LossId> &listed, TimePoint now)
+std::vector<AbandonedRun> AbandonedRuns::takeUnlisted(const ListedIncarnations &listed, TimePoint now)
 {
     dropExpired(now);
-    return takeIf(m_runs, [&](const AbandonedRun &run) { return !listed.contains(run.loss); });
+    // A later incarnation that answered before would be listed by now.
+    std::erase_if(m_runs, [&](const AbandonedRun &run) {
+        return listed.losses.contains(run.loss) && run.answeredAt && listed.listedAt >= *run.answeredAt + m_limits.listLag;
+    });
+    return takeIf(m_runs, [&](const AbandonedRun &run) { return !listed.losses.contains(run.loss); });
 }
 
 void AbandonedRuns::dropExpired(TimePoint now)
--- a/src/libhemlockhill/quarantine/crash_guard.cpp
+++ b/src/libhemlockhill/quarantine/crash_guard.cpp
@@ -15,11 +15,12 @@
 {
 }
 
-void CrashGuard::onBrokenOff(const RoutedRequestHead &request, LossId loss, TimePoint now)
+void CrashGuard::onBrokenOff(const RoutedRequestHead &request, LossId loss, TimePoint sentAt, TimePoint now)
 {
-    m_requests.onBrokenOff(request.fingerprint, loss, now);
+    const auto uncertainty = std::chrono::duration_cast<Duration>(now - sentAt);
+    m_requests.onBrokenOff(request.fingerprint, loss, now, uncertainty);
     for (const Fingerprint part : request.promptParts) {
-        m_promptParts.onBrokenOff(part, loss, now);
+        m_promptParts.onBrokenOff(part, loss, now, uncertainty);
     }
     suspectAbandoned(m_abandonedRuns.takeLost(loss, now));
 }
@@ -69,14 +70,14 @@
     m_nodes = nodes;
 }
 
-void CrashGuard::onEndpointAnswered(LossId loss, TimePoint sentAt)
+void CrashGuard::onEndpointAnswered(const EndpointAnswer &answer, TimePoint now)
 {
-    m_requests.onEndpointAnswered(loss, sentAt);
-    m_promptParts.onEndpointAnswered(loss, sentAt);
-    m_abandonedRuns.onEndpointAnswered(loss, sentAt);
+    m_requests.onEndpointAnswered(answer, now);
+    m_promptParts.onEndpointAnswered(answer, now);
+    m_abandonedRuns.onEndpointAnswered(answer, now);
 }
 
-void CrashGuard::onListed(const std::set<LossId> &listed, TimePoint now)
+void CrashGuard::onListed(const ListedIncarnations &listed, TimePoint now)
 {
     m_requests.onListed(listed, now);
     m_promptParts.onListed(listed, now);
--- a/src/libhemlockhill/quarantine/crash_suspects.cpp
+++ b/src/libhemlockhill/quarantine/crash_suspects.cpp
@@ -43,9 +43,9 @@
 {
 }
 
-void CrashSuspects::onBrokenOff(Fingerprint fingerprint, LossId loss, TimePoint now)
+void CrashSuspects::onBrokenOff(Fingerprint fingerprint, LossId loss, TimePoint now, Duration uncertainty)
 {
-    if (addLoss(fingerprint, loss, now)) {
+    if (addLoss(fingerprint, loss, now, uncertainty)) {
         m_changed.insert(fingerprint);
         reportIfAnswered(fingerprint);
     }
@@ -71,22 +71,35 @@
     }
 }
 
-void CrashSuspects::onEndpointAnswered(LossId loss, TimePoint sentAt)
+void CrashSuspects::onEndpointAnswered(const EndpointAnswer &answer, TimePoint now)
 {
-    const auto lost = m_lostAt.find(loss);
-    if (lost != m_lostAt.end() && sentAt > lost->second) {
-        disprove(loss);
-        m_disproved.push_back(loss);
+    const auto lost = m_lossTimes.find(answer.loss);
+    if (lost == m_lossTimes.end() || answer.sentAt <= lost->second.latest) {
+        return;
+    }
+    if (answer.connectedAt && *answer.connectedAt < lost->second.earliest) {
+        disprove(answer.loss);
+        m_disproved.push_back(answer.loss);
+    } else if (!lost->second.answeredAt) {
+        lost->second.answeredAt = now;
     }
 }
 
-void CrashSuspects::onListed(const std::set<LossId> &listed, TimePoint now)
+void CrashSuspects::onListed(const ListedIncarnations &listed, TimePoint now)
 {
     std::vector<LossId> running;
-    for (const auto &[loss, lostAt] : m_lostAt) {
-        if (listed.contains(loss) && now - lostAt >= m_limits.lossConfirmation) {
+    for (const auto &[loss, time] : m_lossTimes) {
+        if (!listed.losses.contains(loss)) {
+            continue;
+        }
+        // A later incarnation that answered before would be listed by now.
+        const bool isSame = time.answeredAt && listed.listedAt >= *time.answeredAt + m_limits.listLag;
+        if (isSame || now - time.latest >= m_limits.lossConfirmation) {
             running.push_back(loss);
         }
+        if (isSame) {
+            m_disproved.push_back(loss);
+        }
     }
     for (const LossId loss : running) {
         disprove(loss);
@@ -97,7 +110,7 @@
 {
     for (const CrashSuspect &suspect : notice.suspects) {
         for (const CrashLoss &known : suspect.losses) {
-            if (addLoss(suspect.fingerprint, known.loss, now - known.age)) {
+            if (addLoss(suspect.fingerprint, known.loss, now - known.age, known.uncertainty)) {
                 reportIfAnswered(suspect.fingerprint);
             }
         }
@@ -117,7 +130,7 @@
     }
 }
 
-bool CrashSuspects::addLoss(Fingerprint fingerprint, LossId loss, TimePoint lostAt)
+bool CrashSuspects::addLoss(Fingerprint fingerprint, LossId loss, TimePoint lostAt, Duration uncertainty)
 {
     evictIfFull();
     Suspect &suspect = m_suspects.try_emplace(fingerprint, Suspect{{}, {}, 0, m_arrivals, 0, {}}).first->second;
@@ -127,11 +140,25 @@
     suspect.lastLossAt = std::max(suspect.lastLossAt, lostAt);
     if (suspect.losses.size() < m_limits.lossesOfSuspect) {
         suspect.losses.emplace(loss, lostAt);
-        m_lostAt.try_emplace(loss, lostAt);
+        recordTime(loss, lostAt, uncertainty);
     }
     return true;
 }
 
+void CrashSuspects::recordTime(LossId loss, TimePoint lostAt, Duration uncertainty)
+{
+    const TimePoint earliest = lostAt - std::max(Duration(0), uncertainty);
+    const auto [known, isNew] = m_lossTimes.try_emplace(loss, LossTime{earliest, lostAt, std::nullopt});
+    if (isNew) {
+        return;
+    }
+    known->second.earliest = std::min(known->second.earliest, earliest);
+    if (lostAt > known->second.latest) {
+        known->second.latest = lostAt;
+        known->second.answeredAt.reset();
+    }
+}
+
 bool CrashSuspects::coincides(const Suspect &suspect, TimePoint lostAt) const
 {
     return std::any_of(suspect.losses.begin(), suspect.losses.end(), [&](const auto &known) {
@@ -168,7 +195,7 @@
 
 void CrashSuspects::disprove(LossId loss)
 {
-    m_lostAt.erase(loss);
+    m_lossTimes.erase(loss);
     for (auto &[fingerprint, suspect] : m_suspects) {
         suspect.losses.erase(loss);
     }
@@ -242,7 +269,10 @@
     described.fingerprint = fingerprint;
     for (const auto &[loss, lostAt] : suspect.losses) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - lostAt);
-        described.losses.push_back({loss, std::max(age, std::chrono::milliseconds(0))});
+        const auto time = m_lossTimes.find(loss);
+        const Duration uncertainty = time == m_lossTimes.end() ? Duration(0) : lostAt - std::min(lostAt, time->second.earliest);
+        described.losses.push_back(
+            {loss, std::max(age, std::chrono::milliseconds(0)), std::chrono::ceil<std::chrono::milliseconds>(uncertainty)});
     }
     return described;
 }
@@ -297,7 +327,7 @@
             known.insert(loss);
         }
     }
-    std::erase_if(m_lostAt, [&known](const auto &entry) { return !known.contains(entry.first); });
+    std::erase_if(m_lossTimes, [&known](const auto &entry) { return !known.contains(entry.first); });
 }
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/quarantine/crash_suspects_test.cpp
+++ b/src/libhemlockhill/quarantine/crash_suspects_test.cpp
@@ -203,12 +203,67 @@
     CrashSuspects suspects(CrashSuspectSubject::Request);
     suspects.onBrokenOff(Culprit, LossId{1}, Start);
     suspects.onBrokenOff(Culprit, LossId{2}, Start);
-    suspects.onEndpointAnswered(LossId{1}, Start - std::chrono::milliseconds(1));
+    const TimePoint before = Start - std::chrono::seconds(1);
+    const TimePoint after = Start + std::chrono::milliseconds(1);
+    suspects.onEndpointAnswered({LossId{1}, before, Start - std::chrono::milliseconds(1)}, after);
     BOOST_CHECK(suspects.refusedFor(Culprit, Start));
-    suspects.onEndpointAnswered(LossId{1}, Start + std::chrono::milliseconds(1));
+    suspects.onEndpointAnswered({LossId{1}, before, after}, after);
     BOOST_CHECK(!suspects.refusedFor(Culprit, Start));
 }
 
+// Guards against a crash that is disproved by the next incarnation, which answers while the directory still shows the former one.
+BOOST_AUTO_TEST_CASE(answer_of_the_next_incarnation_clears_the_suspect)
+{
+    CrashSuspects suspects(CrashSuspectSubject::Request);
+    suspects.onBrokenOff(Culprit, LossId{1}, Start);
+    suspects.onBrokenOff(Culprit, LossId{2}, Start);
+    const TimePoint later = Start + std::chrono::seconds(3);
+    suspects.onEndpointAnswered({LossId{1}, later, later}, later);
+    suspects.onEndpointAnswered({LossId{2}, std::nullopt, later}, later);
+    BOOST_CHECK(suspects.refusedFor(Culprit, later));
+    // A list that may be older than the next incarnation shows nothing, one without the former incarnation confirms the crash.
+    suspects.onListed({{LossId{1}, LossId{2}}, later + std::chrono::seconds(1)}, later + std::chrono::seconds(1));
+    suspects.onListed({{LossId{3}, LossId{4}}, later + std::chrono::seconds(2)}, later + std::chrono::seconds(2));
+    BOOST_CHECK(suspects.refusedFor(Culprit, later + std::chrono::seconds(2)));
+}
+
+// Guards against a suspect that stays refused although the incarnations go on running: their connections were reset.
+BOOST_AUTO_TEST_CASE(suspect_stays_refused_although_its_endpoints_answer_and_are_listed_as_before)
+{
+    CrashSuspects suspects(CrashSuspectSubject::Request);
+    suspects.onBrokenOff(Culprit, LossId{1}, Start);
+    suspects.onBrokenOff(Culprit, LossId{2}, Start);
+    const TimePoint later = Start + std::chrono::milliseconds(100);
+    suspects.onEndpointAnswered({LossId{1}, later, later}, later);
+    suspects.onListed({{LossId{1}, LossId{2}}, later + std::chrono::milliseconds(1500)}, later + std::chrono::seconds(2));
+    BOOST_CHECK(!suspects.refusedFor(Culprit, later + std::chrono::seconds(2)));
+    bool isReported = false;
+    for (const CrashSuspectNotice &notice : suspects.takeNotices(later + std::chrono::seconds(2))) {
+        isReported = isReported || notice.disproved == std::vector<LossId>{LossId{1}};
+    }
+    BOOST_CHECK(isReported);
+}
+
+// Guards against a crash that is disproved because its node noticed it late: the next incarnation accepted the connection before.
+BOOST_AUTO_TEST_CASE(crash_noticed_after_a_pause_is_disproved_by_the_next_incarnation)
+{
+    constexpr Duration Paused = std::chrono::seconds(4);
+    CrashSuspects here(CrashSuspectSubject::Request);
+    CrashSuspects there(CrashSuspectSubject::Request);
+    here.onBrokenOff(Culprit, LossId{1}, Start, Paused);
+    here.onBrokenOff(Culprit, LossId{2}, Start, Paused);
+    for (const CrashSuspectNotice &notice : here.takeNotices(Start)) {
+        there.onNotice(notice, Start);
+    }
+    const TimePoint after = Start + std::chrono::milliseconds(1);
+    for (CrashSuspects *suspects : {&here, &there}) {
+        suspects->onEndpointAnswered({LossId{1}, Start - std::chrono::seconds(1), after}, after);
+        BOOST_CHECK(suspects->refusedFor(Culprit, after));
+        suspects->onEndpointAnswered({LossId{1}, Start - std::chrono::seconds(5), after}, after);
+        BOOST_CHECK(!suspects->refusedFor(Culprit, after));
+    }
+}
+
 // Guards against nodes that pass an expired suspect round and so keep it for ever.
 BOOST_AUTO_TEST_CASE(repeated_notices_do_not_make_a_loss_younger)
 {
@@ -301,7 +356,7 @@
         there.setNodes(nodes[1], nodes);
         for (std::uint64_t loss = 1; loss <= 3; ++loss) {
             lastLossAt = Start + loss * std::chrono::milliseconds(300);
-            here.onBrokenOff(promptOf({FirstPart, BadPart}), LossId{loss}, lastLossAt);
+            here.onBrokenOff(promptOf({FirstPart, BadPart}), LossId{loss}, lastLossAt, lastLossAt);
         }
         exchangeNotices(lastLossAt);
         for (int arrival = 0; arrival < Arrivals; ++arrival) {
@@ -377,7 +432,7 @@
     std::uint64_t loss = 3;
     while (CrashGuard *trying = shared.startTrial(end)) {
         shared.now += std::chrono::milliseconds(100);
-        trying->onBrokenOff(promptOf(shared.sound.promptParts), LossId{++loss}, shared.now);
+        trying->onBrokenOff(promptOf(shared.sound.promptParts), LossId{++loss}, shared.now, shared.now);
         shared.exchangeNotices(shared.now);
     }
     BOOST_CHECK_LE(shared.trials, 3);
