--- a/src/libhemlockhill/node/gateway_repeated_refusal_test.cpp
+++ b/src/libhemlockhill/node/gateway_repeated_refusal_test.cpp
@@ -1,4 +1,5 @@
 // Tests the gateway with endpoints that write an earlier refusal once more on a connection that is kept open.
+#include "net/raw_endpoint_testing.h"
 #include "node/gateway_testing.h"
 
 #include <boost/asio/read_until.hpp>
@@ -16,7 +17,7 @@
 using boost::system::error_code;
 
 constexpr std::uint16_t FirstPort = 9'350;
-const std::string Refusal = "HTTP/1.1 503 Busy\r\nId: request-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string FirstRefusal = "HTTP/1.1 503 Busy\r\nId: request-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const std::string Answer = "HTTP/1.1 200 OK\r\nId: request-1\r\nSignature: s\r\nContent-Length: 6\r\n\r\nserved";
 
 // Refuses the first request and runs all others. Before it answers the second one on a connection, it writes the refusal again.
@@ -71,8 +72,8 @@
         ++connection->requests;
         const bool runs = ++m_requests > 1;
         m_runs += runs ? 1 : 0;
-        connection->answer = connection->requests > 1 ? Refusal : "";
-        connection->answer += runs ? Answer : Refusal;
+        connection->answer = connection->requests > 1 ? FirstRefusal : "";
+        connection->answer += runs ? Answer : FirstRefusal;
         boost::asio::async_write(
             connection->socket, boost::asio::buffer(connection->answer), [this, connection](error_code error, std::size_t) {
                 if (!error) {
@@ -103,3 +104,47 @@
     BOOST_CHECK_EQUAL(answer->status, 200);
     BOOST_CHECK_EQUAL(runs, 1);
 }
+
+// A refusal that names no request could not be told from the answer to the next request, if it came once more.
+BOOST_AUTO_TEST_CASE(connection_of_a_refusal_without_an_id_is_reused)
+{
+    for (const bool isNamed : {true, false}) {
+        std::vector<std::shared_ptr<RawEndpoint>> endpoints;
+        GatewayScenario scenario;
+        scenario.kind = RouteKind::Unsafe;
+        scenario.firstPort = FirstPort;
+        GatewayFixture fixture(scenario, [&](boost::asio::io_context &loop, const Address &address) {
+            endpoints.push_back(std::make_shared<RawEndpoint>(loop, address, [isNamed, requests = 0](const RawEndpoint::Request &) mutable {
+                const std::string unnamed = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+                return RawAnswer{++requests > 1 ? Answer : (isNamed ? FirstRefusal : unnamed), ConnectionEnd::KeepOpen, {}};
+            }));
+            return endpoints.back();
+        });
+        BOOST_CHECK_EQUAL(fixture.exchange("/x/1").value().status, 200);
+        fixture.runFor(std::chrono::milliseconds(40));
+        const std::size_t open = endpoints[0]->openConnections() + endpoints[1]->openConnections();
+        BOOST_CHECK_EQUAL(open, isNamed ? 3 : 1);
+    }
+}
+
+// Guards against a status that promises callers that their request has not run, though the endpoint has not said so.
+BOOST_AUTO_TEST_CASE(unsigned_status_of_an_endpoint_promises_that_the_request_has_not_run)
+{
+    for (const char *status : {"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"}) {
+        int runs = 0;
+        GatewayScenario scenario;
+        scenario.kind = RouteKind::Unsafe;
+        scenario.firstPort = FirstPort;
+        GatewayFixture fixture(scenario, [&](boost::asio::io_context &loop, const Address &address) {
+            return std::make_shared<RawEndpoint>(loop, address, [&runs, status](const RawEndpoint::Request &) {
+                ++runs;
+                const std::string head = "HTTP/1.1 " + std::string(status) + "\r\nId: request-1\r\nContent-Length: 0\r\n\r\n";
+                return RawAnswer{head, ConnectionEnd::KeepOpen, {}};
+            });
+        });
+        const auto answer = fixture.exchange("/x/1");
+        BOOST_REQUIRE(answer);
+        BOOST_CHECK_EQUAL(answer->status, 502);
+        BOOST_CHECK_EQUAL(runs, 1);
+    }
+}
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -19,6 +19,8 @@
 // Maximum size of an answer that is forwarded.
 constexpr Bytes AnswerLimit{16'777'216};
 constexpr unsigned FirstServerError = 500;
+constexpr unsigned StatusRequestTimeout = 408;
+constexpr unsigned StatusTooManyRequests = 429;
 constexpr unsigned StatusServiceUnavailable = 503;
 
 bool isSuccess(unsigned status)
@@ -26,6 +28,12 @@
     return status >= 200 && status < 300;
 }
 
+// Whether callers take the status for the statement that the request has not run and will not.
+bool promisesNotRun(unsigned status)
+{
+    return status == StatusRequestTimeout || status == StatusTooManyRequests || status == StatusServiceUnavailable;
+}
+
 } // namespace
 
 Gateway::Request::Request(Gateway &gateway,
@@ -317,11 +325,19 @@
         if (m_rejected && !m_peer && listed != m_gateway.m_directory.endpoints().end()) {
             m_gateway.m_chooser.availability().onRejected(listed->second, currentTime());
         }
-        m_exchange->discard();
+        if (answer.id.empty()) {
+            // If the endpoint wrote this refusal once more, nothing would tell it from the answer to the next request on the connection.
+            m_gateway.m_metrics.countEvent("refusal_without_id");
+            m_exchange->cancel();
+        } else {
+            m_exchange->discard();
+        }
         endpointFailed(Reason::EndpointRefused, false, false);
         return;
     }
-    if (isSuccess(status) && !answer.isSigned) {
+    // Nobody vouches that the request has not run, which these statuses would tell the caller.
+    const bool isBarePromise = promisesNotRun(status) && !answer.isSigned;
+    if (isBarePromise || (isSuccess(status) && !answer.isSigned)) {
         m_exchange->cancel();
         endpointFailed(Reason::IncompleteAnswer, true, true);
         return;
