Refuse what is read after a node has stopped accepting, and answer what runs at the end of its grace

What callers saw (reports of other operators): requests that came late in the grace of a planned stop were passed on and cut off without an answer at its end, among them some that may not be repeated.

Cause, here as well: a connection that had sent a part of a head stayed open after the stop, and its request was passed on however late it was complete. Only waiting requests looked at whether the node stops.

Change: such a request is refused as not run.

--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -130,6 +130,8 @@
     void beginDraining();
     // Accepts no more requests and refuses those that are waiting. Requests dispatched to endpoints continue.
     void stopAccepting();
+    // Ends the requests that are still in progress: a caller that has received nothing yet is told that its request failed.
+    void endRequests();
     std::size_t requestsInProgress() const { return m_requests.size() + m_forwardedRequests.size(); }
     // True when no request is in progress and every answer has been written and its connection closed.
     bool isIdle() const;
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -466,6 +466,14 @@
     dispatchWaiting();
 }
 
+void Gateway::endRequests()
+{
+    // Each request removes itself when it ends.
+    for (const auto &[number, request] : std::map(m_requests)) {
+        request->onShutdown();
+    }
+}
+
 bool Gateway::isIdle() const
 {
     const std::size_t connections = m_server->connections() + (m_forwardingServer ? m_forwardingServer->connections() : 0);
@@ -491,6 +499,11 @@
         return;
     }
     m_metrics.countRequest(toText(route->kind));
+    if (m_isStopping) {
+        // Its answer might not be complete before the process ends.
+        refuse(*responder, Reason::Draining, head, "this node is shutting down");
+        return;
+    }
     double total = 0;
     for (const WeightedService &share : route->weightedServices) {
         total += share.weight;
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -528,6 +528,25 @@
     giveUp();
 }
 
+void Gateway::Request::onShutdown()
+{
+    if (m_done) {
+        return;
+    }
+    if (m_exchange) {
+        m_exchange->cancel();
+        ++m_history.possibleRuns;
+        releaseEndpoint();
+    }
+    if (hasResponseStarted()) {
+        performStep(RetryDecision::Abort, Reason::Draining);
+    } else if (m_history.possibleRuns > 0) {
+        fail(Reason::Draining);
+    } else {
+        refuse(Reason::Draining, "this node is shutting down");
+    }
+}
+
 void Gateway::Request::onCallerGone()
 {
     if (m_done) {
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -70,6 +70,8 @@
     // The endpoint to which the request has been sent and that has not answered it completely.
     std::optional<EndpointId> currentEndpoint() const { return m_exchange ? std::optional(m_endpoint) : std::nullopt; }
     const ServiceId &service() const { return m_requirements.service; }
+    // Ends the request because the process is about to end.
+    void onShutdown();
 
 private:
     // Whether the caller wants to continue a stream of which it has received events.
--- a/src/libhemlockhill/node/gateway_test.cpp
+++ b/src/libhemlockhill/node/gateway_test.cpp
@@ -196,6 +196,38 @@
     BOOST_CHECK(currentTime() - start < std::chrono::milliseconds(300));
 }
 
+// Guards against requests that come late in a planned stop, are passed on, and are cut off when the process ends.
+BOOST_AUTO_TEST_CASE(a_request_that_is_read_after_the_node_stopped_is_passed_on)
+{
+    GatewayFixture fixture(RouteKind::Unsafe, false, [](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+        responder->answer(signedAnswer(request));
+    });
+    fixture.stopAfter(std::chrono::milliseconds(20));
+    const std::string answer = fixture.sendRaw(
+        "POST /x/1 HTTP/1.1\r\nHost: 127.0.0.1:9390\r\n", "Id: request-1\r\nContent-Length: 0\r\n\r\n", std::chrono::milliseconds(60));
+    BOOST_CHECK(answer.starts_with("HTTP/1.1 503 "));
+    BOOST_CHECK(answer.find("\"ran\":\"no\"") != std::string::npos);
+    BOOST_CHECK_EQUAL(fixture.runs, 0);
+}
+
+// Guards against callers that get no answer at the end of a planned stop, when their requests are still running.
+BOOST_AUTO_TEST_CASE(a_request_that_runs_at_the_end_of_a_stop_gets_no_answer)
+{
+    std::vector<std::shared_ptr<HttpResponder>> running;
+    GatewayFixture *started = nullptr;
+    GatewayFixture fixture(RouteKind::Unsafe, false, [&](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
+        running.push_back(responder);
+        started->gateway().stopAccepting();
+        started->gateway().endRequests();
+    });
+    started = &fixture;
+    const auto answer = fixture.exchange("/x/1");
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->status, 502);
+    BOOST_CHECK_EQUAL(fixture.runs, 1);
+    fixture.runUntilIdle();
+}
+
 // If a node stopped as soon as its last request has ended, the end of an answer that is still being written would be lost.
 BOOST_AUTO_TEST_CASE(a_gateway_is_idle_only_after_its_answers_are_written)
 {
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -180,12 +180,16 @@
         return *complete ? std::optional(*answer) : std::nullopt;
     }
 
-    // Sends raw bytes and returns everything received until the connection is closed.
-    std::string sendRaw(const std::string &bytes)
+    // Sends raw bytes, the rest of them after a pause, and returns everything received until the connection is closed.
+    std::string sendRaw(const std::string &bytes, const std::string &rest = {}, Duration pause = Duration(0))
     {
         boost::asio::ip::tcp::socket socket(m_loop);
         socket.connect({boost::asio::ip::make_address(m_address.host), m_address.port});
         boost::asio::write(socket, boost::asio::buffer(bytes));
+        if (!rest.empty()) {
+            runFor(pause);
+            boost::asio::write(socket, boost::asio::buffer(rest));
+        }
         std::string answer;
         bool ended = false;
         boost::asio::async_read(
