--- a/src/libhemlockhill/net/http_exchange_unbounded_test.cpp
+++ b/src/libhemlockhill/net/http_exchange_unbounded_test.cpp
@@ -144,3 +144,36 @@
         BOOST_CHECK_LT(unbounded.sentBytes(), SentLimitBytes);
     }
 }
+
+// Guards against a response that comes byte by byte and keeps its exchange for as long as it comes.
+BOOST_AUTO_TEST_CASE(response_that_drips_without_end_outlasts_its_time)
+{
+    constexpr Duration Interval = std::chrono::milliseconds(20);
+    constexpr Duration Limit = std::chrono::milliseconds(300);
+    for (const std::string &bytes : {std::string("HTTP/1.1 200 "), Head + "Name: ", ChunkedHead + "4000\r\n", Head + "\r\n"}) {
+        boost::asio::io_context loop(1);
+        TimerService timers;
+        boost::asio::ip::tcp::acceptor acceptor(loop, {boost::asio::ip::make_address(ServerAddress.host), ServerAddress.port});
+        boost::asio::ip::tcp::socket socket(loop);
+        acceptor.async_accept(socket, [&](boost::system::error_code) { boost::asio::write(socket, boost::asio::buffer(bytes)); });
+        timers.every(Interval, loop, [&] {
+            boost::system::error_code ignored;
+            socket.write_some(boost::asio::buffer("x", 1), ignored);
+        });
+        ConnectionPool pool(loop, 1);
+        ExchangeLimits limits;
+        limits.firstByte = Limit;
+        limits.completeBefore = currentTime() + Limit;
+        std::optional<ExchangeFailure> failure;
+        ExchangeHooks hooks;
+        hooks.onFailed = [&failure](const ExchangeFailure &event) { failure = event; };
+        const TimePoint start = currentTime();
+        pool.start(ServerAddress, {"GET", "/", {}, {}}, limits, ConnectionChoice::FreshOnly, hooks);
+        while (!failure && currentTime() - start < CloseTimeout) {
+            loop.run_one_for(Interval);
+        }
+        timers.stop();
+        BOOST_REQUIRE(failure);
+        BOOST_CHECK(failure->reason == Reason::EndpointSilent);
+    }
+}
--- a/src/libhemlockhill/node/gateway_truncated_answer_test.cpp
+++ b/src/libhemlockhill/node/gateway_truncated_answer_test.cpp
@@ -210,3 +210,21 @@
     BOOST_REQUIRE(answer);
     BOOST_CHECK_EQUAL(answer->body, comment + events(1, EventCount));
 }
+
+// Guards against an answer that passes for complete although its head ended early, wherever the endpoint stopped.
+BOOST_AUTO_TEST_CASE(answer_that_ends_inside_its_head_is_complete)
+{
+    const std::string whole = answerBytes("text/plain", Framing::None, "");
+    for (std::size_t length = 0; length < whole.size(); length += 3) {
+        for (const ConnectionEnd end : {ConnectionEnd::Close, ConnectionEnd::Exit, ConnectionEnd::Reset}) {
+            int runs = 0;
+            GatewayFixture fixture(scenario(RouteKind::Unsafe), rawEndpoints(runs, {whole.substr(0, length), end, {}}));
+            const auto answer = fixture.exchange("/x/1");
+            BOOST_TEST_CONTEXT("after " << length << " bytes")
+            {
+                BOOST_REQUIRE(answer);
+                BOOST_CHECK_EQUAL(answer->status, 502);
+            }
+        }
+    }
+}
