A new leader does not keep a vote before its voters have had time to answer it

By reading: the leader counts as responding the voters that have answered it. One that was elected a moment ago has heard only a quorum, the stopping controller perhaps among them, and would have answered "kept" to a vote that can be spared. For one election timeout it answers "pending" instead; a stop of the leader takes up to a second longer.

Also: doc comments, and a suspect's first arrival count is set where it is created.

--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -79,7 +79,7 @@
     // Prepares the end of this process, after which this controller may never return: transfers leadership and asks the new leader to take
     // its vote away. To be called repeatedly until it returns true: then the vote is gone, or the others need it.
     bool leave(TimePoint now);
-    // Another controller is about to stop.
+    // Another controller is about to stop. Takes its vote away if this controller leads and the others can spare it.
     LeaveReply onLeaveRequested(const LeaveRequest &request, TimePoint now);
     void onLeaveReply(const LeaveReply &reply);
 
@@ -137,6 +137,7 @@
     bool repairMembership(TimePoint now);
     bool shouldRequestIdentities(TimePoint now) const;
     void requestIdentities(TimePoint now);
+    // Tells the other members that this controller is about to stop.
     void requestLeave();
     // Whether a controller is presumably gone for good.
     bool isForgotten(const VmId &vm, TimePoint now) const;
--- a/src/include/hemlockhill/crash_guard.h
+++ b/src/include/hemlockhill/crash_guard.h
@@ -45,6 +45,7 @@
     // The answer has been written for some time, which clears all parts of the prompt: one that crashes endpoints does so when they begin
     // to write.
     void onProgress(const RoutedRequestHead &request);
+    // A request has arrived, whether or not it is refused.
     void onArrival(const RoutedRequestHead &request);
     // The nodes that share what they know, including this one. They begin trials in different orders for different parts.
     void setNodes(const VmId &self, const std::vector<VmId> &nodes);
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -94,8 +94,10 @@
     // The request to the leader, with this node's statistics; a node that may not be the leader is asked without them.
     FollowRequest requestToLeader() const;
     FollowRequest followRequest() const;
+    // Starts to search the leader, after it has been lost or at the start.
     void searchLeader();
     void continueSearch();
+    // Asks a node whether it leads, or who does.
     void ask(const VmId &vm);
     // In an open group, where a VM's id is its IP address and all nodes listen on the same port, enables calls to a node that is not in the
     // settings.
--- a/src/libhemlockhill/control/membership_repair.cpp
+++ b/src/libhemlockhill/control/membership_repair.cpp
@@ -88,7 +88,10 @@
     if (!m_openMembership) {
         return LeaveOutcome::Kept;
     }
-    return canSpare(consensus, voter, now) || expectsVoter(consensus, now) ? LeaveOutcome::Pending : LeaveOutcome::Kept;
+    // Not all voters that respond have answered a new leader yet.
+    const bool isNewLeader = now - m_leaderSince < m_electionTimeout;
+    const bool mayBeRemoved = isNewLeader || canSpare(consensus, voter, now) || expectsVoter(consensus, now);
+    return mayBeRemoved ? LeaveOutcome::Pending : LeaveOutcome::Kept;
 }
 
 bool MembershipRepair::canSpare(const Consensus &consensus, const VoterId &voter, TimePoint now) const
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -147,8 +147,10 @@
         return m_done;
     }
     const auto refusal = m_gateway.m_crashGuard.refusal(m_head, currentTime());
-    const bool mayBeTried = m_history.exchanges == 0 && m_gateway.m_crashGuard.isTrialDue(m_head, currentTime());
-    if (!refusal || mayBeTried) {
+    if (!refusal) {
+        return false;
+    }
+    if (m_history.exchanges == 0 && m_gateway.m_crashGuard.isTrialDue(m_head, currentTime())) {
         return false;
     }
     if (hasResponseStarted()) {
--- a/src/libhemlockhill/quarantine/crash_suspects.cpp
+++ b/src/libhemlockhill/quarantine/crash_suspects.cpp
@@ -133,7 +133,11 @@
 bool CrashSuspects::addLoss(Fingerprint fingerprint, LossId loss, TimePoint lostAt, Duration uncertainty)
 {
     evictIfFull();
-    Suspect &suspect = m_suspects.try_emplace(fingerprint, Suspect{{}, {}, 0, m_arrivals, 0, {}}).first->second;
+    const auto [entry, isNew] = m_suspects.try_emplace(fingerprint);
+    Suspect &suspect = entry->second;
+    if (isNew) {
+        suspect.earlierArrivals = m_arrivals;
+    }
     if (suspect.losses.contains(loss) || coincides(suspect, lostAt)) {
         return false;
     }
