--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -29,7 +29,7 @@
 }
 
 // Whether callers take the status for the statement that the request has not run and will not.
-bool promisesNotRun(unsigned status)
+bool meansNotRun(unsigned status)
 {
     return status == StatusRequestTimeout || status == StatusTooManyRequests || status == StatusServiceUnavailable;
 }
@@ -337,9 +337,9 @@
         endpointFailed(Reason::EndpointRefused, false, false);
         return;
     }
-    // Nobody vouches that the request has not run, which these statuses would tell the caller.
-    const bool isBarePromise = promisesNotRun(status) && !answer.isSigned;
-    if (isBarePromise || (isSuccess(status) && !answer.isSigned)) {
+    // The endpoint has not stated that the request has not run, which the status would tell the caller.
+    const bool isUnconfirmedRefusal = meansNotRun(status) && !answer.isSigned;
+    if (isUnconfirmedRefusal || (isSuccess(status) && !answer.isSigned)) {
         m_exchange->cancel();
         endpointFailed(Reason::IncompleteAnswer, true, true);
         return;
