A trial of a shared prompt part counts only if it has run, and comes first where fewer parts are suspected

Cause, from the logs: three seconds after the last loss the list still showed the lost ids, so that the endpoint refused the trial (421); or the trial was forwarded through another node, which refused it as suspected. Either counted as a trial, and the next one waited 24 s. Besides, requests with the culprit were as good for a trial as those without.

Change: a trial goes on at other endpoints until it may have run, on this node's own connections; notices name the loss that its endpoint would suffer, and only that loss, if it is new, lengthens the pause; a node leaves the next trial to the others; each further refused part of a request costs it a second. Notices list nine entries in place of ten to fit into a datagram.

Why it works: what says nothing of the suspect no longer delays the next piece of evidence, and sound requests are tried before those with the culprit.

--- a/src/include/hemlockhill/crash_guard.h
+++ b/src/include/hemlockhill/crash_guard.h
@@ -60,8 +60,8 @@
     // Whether this node should let a refused request run as a trial, because nothing but parts that are common among the requests speak
     // against it.
     bool isTrialDue(const RoutedRequestHead &request, TimePoint now) const;
-    // The request is sent although it is refused.
-    void onTrial(const RoutedRequestHead &request, TimePoint now);
+    // The request is sent although it is refused, to an endpoint that would suffer this loss.
+    void onTrial(const RoutedRequestHead &request, LossId loss, TimePoint now);
 
     // Returns what the other nodes must learn since the last call.
     std::vector<CrashSuspectNotice> takeNotices(TimePoint now);
--- a/src/include/hemlockhill/crash_suspects.h
+++ b/src/include/hemlockhill/crash_suspects.h
@@ -53,6 +53,23 @@
     TimePoint listedAt;
 };
 
+// Which other requests may be tried before one.
+struct TrialOrder {
+    // Number of nodes that may begin a trial of the suspect before this one.
+    std::size_t nodesBefore = 0;
+    // Number of further refused suspects in the request.
+    std::size_t otherSuspects = 0;
+};
+
+// A request that is sent although it has a refused suspect, to see whether it crashes its endpoint.
+struct CrashTrial {
+    Fingerprint fingerprint;
+    // The loss that the endpoint would suffer.
+    LossId loss;
+
+    bool operator==(const CrashTrial &) const = default;
+};
+
 // A request or part that was in progress on endpoints that were lost.
 struct CrashSuspect {
     Fingerprint fingerprint;
@@ -71,8 +88,8 @@
     std::vector<LossId> disproved;
     // Suspects that had been answered completely before their losses.
     std::vector<Fingerprint> answeredBefore;
-    // Refused suspects of which the sender lets one request run, to see whether it crashes its endpoint.
-    std::vector<Fingerprint> tried;
+    // Trials that the sender has begun.
+    std::vector<CrashTrial> tried;
     // The sender has just started and requests what the receiver knows.
     bool isRequest = false;
 
@@ -101,11 +118,14 @@
     // An incarnation that is still listed this long after its supposed loss has not crashed. Longer than a list shows a crashed endpoint.
     Duration lossConfirmation = std::chrono::seconds(15);
     // A refused suspect that is common among the requests may not be the culprit, and nothing could clear it: after this time one request
-    // with it may run as a trial. Each further trial waits trialBackoff times as long. Zero for no trials.
+    // with it may run as a trial. After each trial that its endpoint did not survive, the next one waits trialBackoff times as long. Zero
+    // for no trials.
     Duration trialDelay{0};
     unsigned trialBackoff = 8;
     // Time that each node leaves to the one before it to begin the trial.
     Duration trialSlot = std::chrono::milliseconds(250);
+    // Time that a request leaves to those with one refused suspect less, whose trials tell more.
+    Duration trialPrecedence = std::chrono::seconds(1);
     // A suspect is common if it is in this many requests that arrived since its first loss, and in this share of them.
     std::uint64_t commonArrivals = 3;
     double commonRatio = 0.1;
@@ -115,7 +135,7 @@
     std::size_t suspects = 4096;
     std::size_t lossesOfSuspect = 8;
     // Maximum length of each list in a notice, so that it fits into a datagram.
-    std::size_t noticeEntries = 10;
+    std::size_t noticeEntries = 9;
 };
 
 // A bounded set of fingerprints, from which those that were added long ago are dropped.
@@ -159,10 +179,10 @@
     // Time for which the suspect is still refused; empty if it may run.
     std::optional<Duration> refusedFor(Fingerprint fingerprint, TimePoint now) const;
 
-    // Whether a refused suspect should be tried now by the node with this rank, the number of nodes that may begin a trial before it.
-    bool isTrialDue(Fingerprint fingerprint, std::size_t rank, TimePoint now) const;
-    // This node lets a request with the suspect run as a trial.
-    void onTrial(Fingerprint fingerprint, TimePoint now);
+    // Whether a refused suspect should be tried now by a request with this order.
+    bool isTrialDue(Fingerprint fingerprint, const TrialOrder &order, TimePoint now) const;
+    // This node begins a trial.
+    void onTrial(const CrashTrial &trial, TimePoint now);
 
     // Returns what the other nodes must learn since the last call.
     std::vector<CrashSuspectNotice> takeNotices(TimePoint now);
@@ -179,8 +199,13 @@
         // Requests that have arrived with the suspect, and all that had arrived before its first loss.
         std::uint64_t arrivals = 0;
         std::uint64_t earlierArrivals = 0;
-        unsigned trials = 0;
+        // When the last trial began, the losses that the endpoints of trials would suffer, and how many have suffered theirs. A trial that
+        // did not run, as its endpoint refused it, tells nothing.
         TimePoint triedAt;
+        std::set<LossId> trialLosses;
+        unsigned lostTrials = 0;
+        // Whether this node has begun the last trial.
+        bool isOwnTrial = false;
     };
 
     // When an incarnation may have ended.
@@ -199,7 +224,7 @@
     void reportIfAnswered(Fingerprint fingerprint);
     std::size_t threshold(Fingerprint fingerprint) const;
     bool isCommon(const Suspect &suspect) const;
-    void countTrial(Fingerprint fingerprint, TimePoint now);
+    void recordTrial(const CrashTrial &trial, bool isOwn, TimePoint now);
     void evictIfFull();
     void disprove(LossId loss);
     Duration refusalPeriod(Fingerprint fingerprint, const Suspect &suspect) const;
@@ -219,7 +244,7 @@
     std::vector<Fingerprint> m_answeredBefore;
     std::vector<Fingerprint> m_answered;
     std::vector<LossId> m_disproved;
-    std::vector<Fingerprint> m_tried;
+    std::vector<CrashTrial> m_tried;
 };
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/node/crashing_fleet_testing.h
+++ b/src/libhemlockhill/node/crashing_fleet_testing.h
@@ -163,6 +163,8 @@
     std::set<std::string> lateCrashingParts;
     // Paths whose requests are reset by the endpoint, which goes on serving others.
     std::set<std::string> reset;
+    // Number of requests that endpoints refuse next, without running them.
+    int refusalsLeft = 0;
     int crashesLeft = std::numeric_limits<int>::max();
     int crashes = 0;
     int resets = 0;
@@ -198,6 +200,10 @@
         const std::string path(request.target());
         const std::string id(request["Id"]);
         const std::string head = "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSignature: s\r\nContent-Length: 6\r\n\r\n";
+        if (refusalsLeft > 0) {
+            --refusalsLeft;
+            return {"HTTP/1.1 503 Busy\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", ConnectionEnd::KeepOpen, {}};
+        }
         if (crashing.contains(path) && crashesLeft > 0) {
             crash(index);
             return {"", ConnectionEnd::Crash, {}};
--- a/src/libhemlockhill/node/gateway_crashing_prompt_part_test.cpp
+++ b/src/libhemlockhill/node/gateway_crashing_prompt_part_test.cpp
@@ -22,6 +22,19 @@
     return std::to_string(value);
 }
 
+// A part that was refused three losses ago, the last of them this long ago.
+CrashSuspectNotice refusedPart(const std::string &part, std::chrono::milliseconds age)
+{
+    CrashSuspect suspect{Fingerprint{std::hash<std::string>()(part)}, {}};
+    for (std::uint64_t loss = 1; loss <= AllowedCrashes; ++loss) {
+        suspect.losses.push_back({LossId{loss}, age + std::chrono::milliseconds(300 * (loss - 1))});
+    }
+    CrashSuspectNotice notice;
+    notice.subject = CrashSuspectSubject::PromptPart;
+    notice.suspects = {suspect};
+    return notice;
+}
+
 // Endpoints that answer each request with a stream of events at intervals.
 GatewayFixture::EndpointFactory streamingEndpoints(TimerService &timers)
 {
@@ -176,17 +189,10 @@
         return streamingEndpoints(timers)(ownLoop, address);
     });
     fixture.extraHeaders = {{"Parts", "first subject"}};
-    CrashSuspectNotice notice;
-    notice.subject = CrashSuspectSubject::PromptPart;
-    CrashSuspect first{Fingerprint{std::hash<std::string>()("first")}, {}};
-    for (std::uint64_t loss = 1; loss <= 3; ++loss) {
-        first.losses.push_back({LossId{loss}, std::chrono::milliseconds(300 * loss)});
-    }
-    notice.suspects = {first};
     std::size_t refusedBefore = 0;
     std::optional<std::size_t> refusedAfter;
     timers.after(2 * EventInterval, *loop, [&] {
-        fixture.gateway().onRemoteCrashSuspects(notice);
+        fixture.gateway().onRemoteCrashSuspects(refusedPart("first", std::chrono::milliseconds(300)));
         refusedBefore = fixture.gateway().refusedSuspects().size();
     });
     timers.after((StreamEvents - 2) * EventInterval, *loop, [&] { refusedAfter = fixture.gateway().refusedSuspects().size(); });
@@ -195,3 +201,17 @@
     BOOST_REQUIRE(refusedAfter);
     BOOST_CHECK_EQUAL(*refusedAfter, 0);
 }
+
+// Guards against a shared part that stays refused because the endpoint of its trial had just started and took no requests yet.
+BOOST_AUTO_TEST_CASE(trial_of_a_part_ends_with_the_first_endpoint_that_refuses_it)
+{
+    CrashingFleet fleet(FirstPort, 1, EndpointCount);
+    fleet.node(0).onRemoteCrashSuspects(refusedPart("first", std::chrono::milliseconds(2900)));
+    for (int repeat = 0; repeat < 4; ++repeat) {
+        BOOST_REQUIRE_EQUAL(fleet.status(0, "/x/refused-" + number(repeat), "first subject"), 503);
+    }
+    fleet.run(std::chrono::milliseconds(200));
+    fleet.refusalsLeft = 1;
+    BOOST_CHECK_EQUAL(fleet.status(0, "/x/trial", "first subject"), 200);
+    BOOST_CHECK_EQUAL(fleet.status(0, "/x/next", "first another"), 200);
+}
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -147,10 +147,7 @@
         return m_done;
     }
     const auto refusal = m_gateway.m_crashGuard.refusal(m_head, currentTime());
-    if (!refusal) {
-        return false;
-    }
-    if (m_history.exchanges == 0 && m_gateway.m_crashGuard.isTrialDue(m_head, currentTime())) {
+    if (!refusal || mayRunAsTrial()) {
         return false;
     }
     if (hasResponseStarted()) {
@@ -164,14 +161,25 @@
     return true;
 }
 
+// A trial that an endpoint refused goes on at another one: it tells nothing unless it runs.
+bool Gateway::Request::mayRunAsTrial() const
+{
+    if (m_isTrial) {
+        return m_history.possibleRuns == 0;
+    }
+    return m_history.exchanges == 0 && m_gateway.m_crashGuard.isTrialDue(m_head, currentTime());
+}
+
 void Gateway::Request::announceTrial()
 {
     if (!m_gateway.m_crashGuard.refusal(m_head, currentTime())) {
         return;
     }
-    m_gateway.m_metrics.countEvent("suspected_prompt_part_tried");
-    logEvent(Severity::Info, "request with a suspected part of its prompt tried", {{"request", m_head.id.value}});
-    m_gateway.m_crashGuard.onTrial(m_head, currentTime());
+    if (!std::exchange(m_isTrial, true)) {
+        m_gateway.m_metrics.countEvent("suspected_prompt_part_tried");
+        logEvent(Severity::Info, "request with a suspected part of its prompt tried", {{"request", m_head.id.value}});
+    }
+    m_gateway.m_crashGuard.onTrial(m_head, m_endpointLoss, currentTime());
     m_gateway.scheduleSuspectNotices();
 }
 
@@ -245,7 +253,8 @@
     options.resumeAfter = m_events.lastEventId().empty() ? m_head.lastEventId : m_events.lastEventId();
     HttpRequest forwarded = m_gateway.m_dialect.forward(m_request, options);
     m_nothingSent = false;
-    m_peer = m_gateway.m_paths->choosePeer(live, m_avoidedPeers);
+    // Other nodes refuse what is suspected.
+    m_peer = m_isTrial ? std::nullopt : m_gateway.m_paths->choosePeer(live, m_avoidedPeers);
     if (!m_peer) {
         const auto connection = options.isRepeated ? ConnectionChoice::FreshOnly : ConnectionChoice::PreferIdle;
         m_exchange = m_gateway.m_paths->startDirect(live, forwarded, exchangeLimits(), connection, exchangeHooks());
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -102,7 +102,9 @@
     void onBody(std::string bytes);
     void onEnd();
     void onExchangeFailed(const ExchangeFailure &failure);
-    // Tells the other nodes if the request is sent as a trial, although a part of its prompt is suspected.
+    // Whether the request may run although a part of its prompt is suspected.
+    bool mayRunAsTrial() const;
+    // Tells the other nodes if the request is sent as a trial.
     void announceTrial();
     // Records that the answer has been written for some time.
     void recordProgress(TimePoint now);
@@ -168,6 +170,8 @@
     std::set<VmId> m_avoidedPeers;
     // Whether the last exchange failed before anything was sent to the endpoint.
     bool m_nothingSent = false;
+    // Whether the request has been sent although a part of its prompt is suspected.
+    bool m_isTrial = false;
     // Whether the endpoint has rejected the current exchange for want of room.
     bool m_rejected = false;
     Incarnation m_endpointIncarnation;
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -225,6 +225,8 @@
   answeredBefore @5 :List(UInt64);
   # Fingerprints of refused suspects of which the sender lets one request run.
   tried @6 :List(UInt64);
+  # For each of these, the loss that the endpoint of the request would suffer. Empty in notices of earlier versions.
+  triedAt @7 :List(UInt64);
 
   enum Subject {
     request @0;
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -415,7 +415,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f51724eff50c6a5c, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f51724eff50c6a5c, 1, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2971,6 +2971,9 @@
   inline bool hasTried() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTried() const;
 
+  inline bool hasTriedAt() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTriedAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3044,6 +3047,14 @@
   inline void adoptTried(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTried();
 
+  inline bool hasTriedAt();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTriedAt();
+  inline void setTriedAt( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTriedAt(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTriedAt(unsigned int size);
+  inline void adoptTriedAt(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTriedAt();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7600,6 +7611,44 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool CrashSuspectNotice::Reader::hasTriedAt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspectNotice::Builder::hasTriedAt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashSuspectNotice::Reader::getTriedAt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspectNotice::Builder::getTriedAt() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void CrashSuspectNotice::Builder::setTriedAt( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void CrashSuspectNotice::Builder::setTriedAt(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspectNotice::Builder::initTriedAt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspectNotice::Builder::adoptTriedAt(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashSuspectNotice::Builder::disownTriedAt() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::Hemlockhill::Wire::StreamOriginMessage::Kind StreamOriginMessage::Reader::getKind() const {
   return _reader.getDataField< ::Hemlockhill::Wire::StreamOriginMessage::Kind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -113,6 +113,17 @@
     return suspect;
 }
 
+void write(Wire::CrashSuspectNotice::Builder builder, const std::vector<CrashTrial> &trials)
+{
+    const auto count = static_cast<unsigned>(trials.size());
+    auto tried = builder.initTried(count);
+    auto triedAt = builder.initTriedAt(count);
+    for (unsigned index = 0; index < count; ++index) {
+        tried.set(index, trials[index].fingerprint.value);
+        triedAt.set(index, trials[index].loss.value);
+    }
+}
+
 void write(Wire::PeerDatagram::Builder builder, const CrashSuspectNotice &notice)
 {
     auto message = builder.initCrashSuspects();
@@ -123,7 +134,7 @@
     writeList(message.initAnswered(static_cast<unsigned>(notice.answered.size())), notice.answered);
     writeList(message.initDisproved(static_cast<unsigned>(notice.disproved.size())), notice.disproved);
     writeList(message.initAnsweredBefore(static_cast<unsigned>(notice.answeredBefore.size())), notice.answeredBefore);
-    writeList(message.initTried(static_cast<unsigned>(notice.tried.size())), notice.tried);
+    write(message, notice.tried);
     message.setIsRequest(notice.isRequest);
     message.setSubject(notice.subject == CrashSuspectSubject::Request ? Wire::CrashSuspectNotice::Subject::REQUEST
                                                                       : Wire::CrashSuspectNotice::Subject::PROMPT_PART);
@@ -182,6 +193,17 @@
     throw DecodeError("notice is about an unknown subject");
 }
 
+std::vector<CrashTrial> readTrials(Wire::CrashSuspectNotice::Reader reader)
+{
+    std::vector<CrashTrial> trials;
+    const auto tried = reader.getTried();
+    const auto triedAt = reader.getTriedAt();
+    for (unsigned index = 0; index < tried.size(); ++index) {
+        trials.push_back({Fingerprint{tried[index]}, LossId{index < triedAt.size() ? triedAt[index] : 0}});
+    }
+    return trials;
+}
+
 CrashSuspectNotice read(Wire::CrashSuspectNotice::Reader reader)
 {
     CrashSuspectNotice notice;
@@ -191,7 +213,7 @@
     notice.answered = readList<Fingerprint>(reader.getAnswered());
     notice.disproved = readList<LossId>(reader.getDisproved());
     notice.answeredBefore = readList<Fingerprint>(reader.getAnsweredBefore());
-    notice.tried = readList<Fingerprint>(reader.getTried());
+    notice.tried = readTrials(reader);
     notice.isRequest = reader.getIsRequest();
     notice.subject = readSubject(reader.getSubject());
     return notice;
--- a/src/libhemlockhill/peers/peer_datagrams_test.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams_test.cpp
@@ -31,7 +31,7 @@
             {Fingerprint{8}},
             {LossId{3}},
             {Fingerprint{9}},
-            {Fingerprint{10}},
+            {{Fingerprint{10}, LossId{4}}},
             false},
         RateLimitNotice{EndpointId{"i-7f3a91c2"}, Incarnation{"17"}, RequestRate{1.8}, std::chrono::milliseconds(40), CountId{5}, 12, true},
         RateLimitNotice{EndpointId{"i-7f3a91c2"}, {}, {}, std::chrono::milliseconds(40), {}, 0, false},
@@ -59,7 +59,7 @@
         notice.answered.push_back(Fingerprint{entry});
         notice.disproved.push_back(LossId{entry});
         notice.answeredBefore.push_back(Fingerprint{entry});
-        notice.tried.push_back(Fingerprint{entry});
+        notice.tried.push_back({Fingerprint{entry}, LossId{entry}});
     }
     BOOST_CHECK_LE(encode(notice).size(), DatagramLimitBytes);
 }
--- a/src/libhemlockhill/quarantine/crash_guard.cpp
+++ b/src/libhemlockhill/quarantine/crash_guard.cpp
@@ -133,14 +133,14 @@
     if (refused.empty() || m_requests.refusedFor(request.fingerprint, now)) {
         return false;
     }
-    const std::size_t rank = trialRank(refused.front());
-    return std::all_of(refused.begin(), refused.end(), [&](Fingerprint part) { return m_promptParts.isTrialDue(part, rank, now); });
+    const TrialOrder order{trialRank(refused.front()), refused.size() - 1};
+    return std::all_of(refused.begin(), refused.end(), [&](Fingerprint part) { return m_promptParts.isTrialDue(part, order, now); });
 }
 
-void CrashGuard::onTrial(const RoutedRequestHead &request, TimePoint now)
+void CrashGuard::onTrial(const RoutedRequestHead &request, LossId loss, TimePoint now)
 {
     for (const Fingerprint part : refusedParts(request, now)) {
-        m_promptParts.onTrial(part, now);
+        m_promptParts.onTrial({part, loss}, now);
     }
 }
 
--- a/src/libhemlockhill/quarantine/crash_suspects.cpp
+++ b/src/libhemlockhill/quarantine/crash_suspects.cpp
@@ -125,8 +125,8 @@
     for (const LossId loss : notice.disproved) {
         disprove(loss);
     }
-    for (const Fingerprint fingerprint : notice.tried) {
-        countTrial(fingerprint, now);
+    for (const CrashTrial &trial : notice.tried) {
+        recordTrial(trial, false, now);
     }
 }
 
@@ -138,7 +138,13 @@
     if (isNew) {
         suspect.earlierArrivals = m_arrivals;
     }
-    if (suspect.losses.contains(loss) || coincides(suspect, lostAt)) {
+    if (suspect.losses.contains(loss)) {
+        return false;
+    }
+    if (lostAt >= suspect.triedAt && suspect.trialLosses.erase(loss) > 0) {
+        ++suspect.lostTrials;
+    }
+    if (coincides(suspect, lostAt)) {
         return false;
     }
     suspect.lastLossAt = std::max(suspect.lastLossAt, lostAt);
@@ -238,7 +244,7 @@
     return suspect.arrivals >= m_limits.commonArrivals && static_cast<double>(suspect.arrivals) >= m_limits.commonRatio * all;
 }
 
-bool CrashSuspects::isTrialDue(Fingerprint fingerprint, std::size_t rank, TimePoint now) const
+bool CrashSuspects::isTrialDue(Fingerprint fingerprint, const TrialOrder &order, TimePoint now) const
 {
     const auto found = m_suspects.find(fingerprint);
     if (m_limits.trialDelay == Duration(0) || found == m_suspects.end() || !isCommon(found->second)) {
@@ -246,24 +252,33 @@
     }
     const Suspect &suspect = found->second;
     Duration delay = m_limits.trialDelay;
-    for (unsigned trial = 0; trial < suspect.trials && delay < m_limits.maxRefusalPeriod; ++trial) {
+    for (unsigned trial = 0; trial < suspect.lostTrials && delay < m_limits.maxRefusalPeriod; ++trial) {
         delay *= m_limits.trialBackoff;
     }
-    return now >= std::max(suspect.lastLossAt, suspect.triedAt) + delay + m_limits.trialSlot * rank;
+    delay += m_limits.trialSlot * order.nodesBefore + m_limits.trialPrecedence * order.otherSuspects;
+    if (suspect.isOwnTrial) {
+        // This node may reach no endpoint, so it leaves the next trial to the others.
+        delay += m_limits.trialDelay;
+    }
+    return now >= std::max(suspect.lastLossAt, suspect.triedAt) + delay;
 }
 
-void CrashSuspects::onTrial(Fingerprint fingerprint, TimePoint now)
+void CrashSuspects::onTrial(const CrashTrial &trial, TimePoint now)
 {
-    countTrial(fingerprint, now);
-    m_tried.push_back(fingerprint);
+    recordTrial(trial, true, now);
+    m_tried.push_back(trial);
 }
 
-void CrashSuspects::countTrial(Fingerprint fingerprint, TimePoint now)
+void CrashSuspects::recordTrial(const CrashTrial &trial, bool isOwn, TimePoint now)
 {
-    const auto found = m_suspects.find(fingerprint);
-    if (found != m_suspects.end()) {
-        ++found->second.trials;
-        found->second.triedAt = now;
+    const auto found = m_suspects.find(trial.fingerprint);
+    if (found == m_suspects.end()) {
+        return;
+    }
+    found->second.triedAt = now;
+    found->second.isOwnTrial = isOwn;
+    if (found->second.trialLosses.size() < m_limits.lossesOfSuspect) {
+        found->second.trialLosses.insert(trial.loss);
     }
 }
 
--- a/src/libhemlockhill/quarantine/crash_suspects_test.cpp
+++ b/src/libhemlockhill/quarantine/crash_suspects_test.cpp
@@ -349,7 +349,8 @@
 
 // Two nodes that have just started, at which three endpoints have been lost beneath the first part of all prompts and a culprit.
 struct SharedPart {
-    SharedPart()
+    // One request in so many has the culprit.
+    explicit SharedPart(int culpritEvery = 20)
     {
         const std::vector<VmId> nodes{VmId{"10.0.0.1"}, VmId{"10.0.0.2"}};
         here.setNodes(nodes[0], nodes);
@@ -360,7 +361,7 @@
         }
         exchangeNotices(lastLossAt);
         for (int arrival = 0; arrival < Arrivals; ++arrival) {
-            const RoutedRequestHead request = arrival % 20 == 0 ? culprit : sound;
+            const RoutedRequestHead request = arrival % culpritEvery == 0 ? culprit : sound;
             here.onArrival(request);
             there.onArrival(request);
         }
@@ -377,13 +378,24 @@
         }
     }
 
+    // When a node would first try the request.
+    TimePoint trialDueAt(const RoutedRequestHead &request) const
+    {
+        TimePoint at = now;
+        while (!here.isTrialDue(request, at) && !there.isTrialDue(request, at)) {
+            at += std::chrono::milliseconds(50);
+        }
+        return at;
+    }
+
     // Returns the node that begins a trial by this time; null if none does.
     CrashGuard *startTrial(TimePoint until)
     {
         for (; now < until; now += std::chrono::milliseconds(50)) {
             for (CrashGuard *guard : {&here, &there}) {
                 if (guard->refusal(sound, now) && guard->isTrialDue(sound, now)) {
-                    guard->onTrial(sound, now);
+                    trialLoss = LossId{trialLoss.value + 1};
+                    guard->onTrial(sound, trialLoss, now);
                     exchangeNotices(now);
                     ++trials;
                     return guard;
@@ -400,6 +412,8 @@
     TimePoint lastLossAt;
     TimePoint now = Start + std::chrono::seconds(1);
     int trials = 0;
+    // What the endpoint of the last trial would suffer.
+    LossId trialLoss{3};
 };
 
 } // namespace
@@ -429,12 +443,62 @@
 {
     SharedPart shared;
     const TimePoint end = Start + std::chrono::minutes(10);
-    std::uint64_t loss = 3;
     while (CrashGuard *trying = shared.startTrial(end)) {
         shared.now += std::chrono::milliseconds(100);
-        trying->onBrokenOff(promptOf(shared.sound.promptParts), LossId{++loss}, shared.now, shared.now);
+        trying->onBrokenOff(promptOf(shared.sound.promptParts), shared.trialLoss, shared.now, shared.now);
         shared.exchangeNotices(shared.now);
     }
     BOOST_CHECK_LE(shared.trials, 3);
     BOOST_CHECK(shared.here.refusal(shared.sound, end));
 }
+
+// Guards against a shared part that is tried no more for long after a trial that tells nothing, as its endpoint refused the request.
+BOOST_AUTO_TEST_CASE(trial_that_did_not_run_postpones_the_next_ones)
+{
+    SharedPart shared;
+    BOOST_REQUIRE(shared.startTrial(shared.lastLossAt + std::chrono::seconds(5)) != nullptr);
+    const TimePoint triedAt = shared.now;
+    BOOST_REQUIRE(shared.startTrial(triedAt + std::chrono::seconds(5)) != nullptr);
+    BOOST_CHECK(shared.now >= triedAt + std::chrono::seconds(3));
+}
+
+// Guards against the loss of an endpoint that did not run the trial, which postpones the next one for long.
+BOOST_AUTO_TEST_CASE(loss_of_another_endpoint_is_taken_for_the_outcome_of_a_trial)
+{
+    SharedPart shared;
+    CrashGuard *trying = shared.startTrial(shared.lastLossAt + std::chrono::seconds(5));
+    BOOST_REQUIRE(trying != nullptr);
+    shared.now += std::chrono::milliseconds(500);
+    trying->onBrokenOff(shared.culprit, LossId{50}, shared.now, shared.now);
+    shared.exchangeNotices(shared.now);
+    BOOST_CHECK(shared.startTrial(shared.now + std::chrono::seconds(5)) != nullptr);
+}
+
+// Guards against a trial that was sent to the address of an incarnation that had been lost before, which the list still showed.
+BOOST_AUTO_TEST_CASE(loss_from_before_the_trial_is_taken_for_its_outcome)
+{
+    SharedPart shared;
+    shared.trialLoss = LossId{2};
+    CrashGuard *trying = shared.startTrial(shared.lastLossAt + std::chrono::seconds(5));
+    BOOST_REQUIRE(trying != nullptr);
+    for (CrashGuard *guard : {&shared.here, &shared.there}) {
+        guard->onNotice(trying->refusals(shared.now).back(), shared.now);
+    }
+    BOOST_CHECK(shared.startTrial(shared.now + std::chrono::seconds(5)) != nullptr);
+}
+
+// Guards against a node that reaches no endpoint and begins all trials.
+BOOST_AUTO_TEST_CASE(node_whose_trials_do_not_run_begins_the_next_one)
+{
+    SharedPart shared;
+    const CrashGuard *first = shared.startTrial(shared.lastLossAt + std::chrono::seconds(5));
+    BOOST_CHECK(shared.startTrial(shared.now + std::chrono::seconds(5)) != first);
+}
+
+// Guards against a trial of the shared part by a request that has the culprit too, where the culprit is common as well.
+BOOST_AUTO_TEST_CASE(request_with_the_culprit_is_tried_as_early_as_one_without_it)
+{
+    const SharedPart shared(3);
+    BOOST_CHECK(shared.trialDueAt(shared.sound) <= shared.lastLossAt + std::chrono::milliseconds(3100));
+    BOOST_CHECK(shared.trialDueAt(shared.culprit) >= shared.trialDueAt(shared.sound) + std::chrono::milliseconds(700));
+}
