Discard writes and syncs of an earlier opening of the data folder

A voter whose folder was lost set it aside and opened a new one at once, before the controller's loop had heard of the failure. A write that the former voter posted in between went into the new folder.

Cause: neither writes nor finished syncs named the opening of the folder that they belong to. The class: a completion of an earlier lifetime acts on the next one.

Evidence: late_write_for_a_lost_folder_reaches_the_new_folder. With any open folder accepted, as before, the new folder is corrupt at its next opening ("log entries are missing after index 0"), so that this disk counts as lost a second time, and the new voter gets the mark of a sync that is not its own: from then on its votes and acknowledgements would leave before their sync.

Change: each opening has a number. A write or a first membership for another opening is discarded and counted (storage_work_discarded), a sync of another opening is ignored, and the log says which opening a controller runs on.

--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -25,10 +25,10 @@
     std::function<void(const VmId &to, ConsensusBatch batch)> sendConsensus;
     // Requests the identity of another controller. The reply is passed to Controller::onIdentity().
     std::function<void(const VmId &to)> requestIdentity;
-    // Persists the actions. StorageSynced with their mark must follow.
-    std::function<void(ConsensusActions actions)> persist;
+    // Persists the actions, for the opening of the data folder that they continue. StorageSynced with their mark must follow.
+    std::function<void(StorageOpening opening, ConsensusActions actions)> persist;
     // Persists the membership that the group was created with.
-    std::function<void(VoterMembership membership)> saveInitialMembership;
+    std::function<void(StorageOpening opening, VoterMembership membership)> saveInitialMembership;
     // Tells another controller that this one is about to stop, and asks it to take away its vote if it leads. The reply is passed to
     // Controller::onLeaveReply().
     std::function<void(const VmId &to, LeaveRequest request)> requestLeave;
@@ -156,6 +156,7 @@
     VoterId m_self;
     RestoredState m_restored;
     bool m_open = false;
+    StorageOpening m_opening;
     std::optional<VoterMembership> m_initialMembership;
     std::optional<Consensus> m_consensus;
 
--- a/src/include/hemlockhill/storage_thread.h
+++ b/src/include/hemlockhill/storage_thread.h
@@ -16,16 +16,21 @@
 namespace Hemlockhill
 {
 
+// Number of a successful opening of the data folder within the lifetime of the process.
+using StorageOpening = Quantity<struct StorageOpeningTag>;
+
 // The folder was opened; holds its identity and content.
 struct StorageOpened {
+    StorageOpening opening;
     VoterId identity;
     RestoredState restored;
     // Membership that the group was created with; empty if this controller has not joined a group.
     std::optional<VoterMembership> initialMembership;
 };
 
-// All batches up to this mark are on disk.
+// All batches up to this mark, which were written for this opening, are on disk.
 struct StorageSynced {
+    StorageOpening opening;
     PersistedMark mark;
 };
 
@@ -38,6 +43,9 @@
 using StorageEvent = std::variant<StorageOpened, StorageSynced, StorageFailed>;
 
 // Owner of the storage thread. start(), saveInitialMembership() and write() post work to it and return immediately.
+//
+// Work belongs to the opening for which it was posted: once the folder has failed, what was posted before the owner learned of that is
+// discarded. It continues a log that the folder may not have when it is open again.
 class StorageThread
 {
 public:
@@ -54,12 +62,14 @@
     // Stops and joins the thread.
     void stop();
     // Persists the membership that the group was created with. Only a failure is reported, as StorageFailed.
-    void saveInitialMembership(VoterMembership membership);
+    void saveInitialMembership(StorageOpening opening, VoterMembership membership);
     // Writes the data of the actions; StorageSynced follows. Pending writes are covered by one sync.
-    void write(ConsensusActions actions);
+    void write(StorageOpening opening, ConsensusActions actions);
 
 private:
     void open();
+    // Whether work that was posted for this opening may still be done. Counts it as discarded otherwise.
+    bool isCurrent(StorageOpening opening);
     void scheduleReopen();
     void syncWritten();
     void fail(const StorageError &error);
@@ -71,6 +81,7 @@
     EventLoopThread m_thread;
     boost::asio::steady_timer m_reopen;
     std::unique_ptr<LogStorage> m_storage;
+    StorageOpening m_opening;
     std::optional<PersistedMark> m_writtenMark;
     bool m_syncScheduled = false;
 };
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -92,15 +92,18 @@
         m_self = voterIdOf(m_settings.vm, opened->identity);
         m_restored = std::move(opened->restored);
         m_open = true;
+        m_opening = opened->opening;
         m_initialMembership = std::move(opened->initialMembership);
-        logEvent(Severity::Info, "data folder opened", {{"voter", m_self.value}, {"blank", !m_initialMembership.has_value()}});
+        logEvent(Severity::Info,
+                 "data folder opened",
+                 {{"voter", m_self.value}, {"blank", !m_initialMembership.has_value()}, {"opening", m_opening.value}});
         if (m_initialMembership) {
             startConsensus(*m_initialMembership, now);
         }
         return;
     }
     if (const auto *synced = std::get_if<StorageSynced>(&event)) {
-        if (m_consensus) {
+        if (m_consensus && synced->opening == m_opening) {
             m_consensus->persisted(synced->mark);
             executeActions(now);
         }
@@ -187,7 +190,7 @@
         return;
     }
     m_initialMembership = found;
-    m_hooks.saveInitialMembership(*found);
+    m_hooks.saveInitialMembership(m_opening, *found);
     startConsensus(*found, now);
     // Tells the leader, which asks back, that this controller can be added.
     requestIdentities(now);
@@ -229,7 +232,7 @@
         }
         const std::vector<LogEntry> committed = std::exchange(actions.committed, {});
         if (actions.mark) {
-            m_hooks.persist(std::move(actions));
+            m_hooks.persist(m_opening, std::move(actions));
         }
         for (const LogEntry &entry : committed) {
             apply(entry, now);
--- a/src/libhemlockhill/control/controller_host.cpp
+++ b/src/libhemlockhill/control/controller_host.cpp
@@ -75,8 +75,10 @@
     result.requestIdentity = std::move(hooks.requestIdentity);
     // The voters of this control plane are fixed by the settings.
     result.requestLeave = [](const VmId &, const LeaveRequest &) {};
-    result.persist = [this](ConsensusActions actions) { m_storage.write(std::move(actions)); };
-    result.saveInitialMembership = [this](VoterMembership membership) { m_storage.saveInitialMembership(std::move(membership)); };
+    result.persist = [this](StorageOpening opening, ConsensusActions actions) { m_storage.write(opening, std::move(actions)); };
+    result.saveInitialMembership = [this](StorageOpening opening, VoterMembership membership) {
+        m_storage.saveInitialMembership(opening, std::move(membership));
+    };
     result.leadershipChanged = [this](std::optional<Term> term) { onLeadership(term); };
     result.applied = [this](const ReplicatedCommand &command) { onApplied(command); };
     result.restored = [this] {
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -66,8 +66,10 @@
     };
     hooks.requestIdentity = [this](const VmId &to) { startCall(to, IdentityRequest{}); };
     hooks.requestLeave = [this](const VmId &to, LeaveRequest request) { startCall(to, std::move(request)); };
-    hooks.persist = [this](ConsensusActions actions) { m_storage->write(std::move(actions)); };
-    hooks.saveInitialMembership = [this](VoterMembership membership) { m_storage->saveInitialMembership(std::move(membership)); };
+    hooks.persist = [this](StorageOpening opening, ConsensusActions actions) { m_storage->write(opening, std::move(actions)); };
+    hooks.saveInitialMembership = [this](StorageOpening opening, VoterMembership membership) {
+        m_storage->saveInitialMembership(opening, std::move(membership));
+    };
     hooks.leadershipChanged = [this](std::optional<Term> term) { m_hooks.leadershipChanged(term); };
     hooks.applied = [this](const ReplicatedCommand &command) {
         if (command.machine == ReplicatedMachine::Deployment) {
--- a/src/libhemlockhill/control/simulated_region.h
+++ b/src/libhemlockhill/control/simulated_region.h
@@ -123,13 +123,15 @@
                 send(at, vmAt(node), [this, reply](std::size_t back) { m_vms[back].controller->onLeaveReply(reply); });
             });
         };
-        hooks.persist = [this, node](const ConsensusActions &actions) {
-            scheduleSync(node, [this, node, actions] {
+        hooks.persist = [this, node](StorageOpening opening, const ConsensusActions &actions) {
+            scheduleSync(node, [this, node, opening, actions] {
                 m_vms[node].disk.log.apply(actions);
-                m_vms[node].controller->onStorage(StorageSynced{*actions.mark}, now);
+                m_vms[node].controller->onStorage(StorageSynced{opening, *actions.mark}, now);
             });
         };
-        hooks.saveInitialMembership = [this, node](const VoterMembership &membership) { m_vms[node].disk.initialMembership = membership; };
+        hooks.saveInitialMembership = [this, node](StorageOpening, const VoterMembership &membership) {
+            m_vms[node].disk.initialMembership = membership;
+        };
         hooks.leadershipChanged = [](std::optional<Term>) {};
         hooks.applied = [this, node](const ReplicatedCommand &) { checkVersion(node); };
         hooks.restored = [this, node] { checkVersion(node); };
--- a/src/libhemlockhill/control/storage_thread.cpp
+++ b/src/libhemlockhill/control/storage_thread.cpp
@@ -103,15 +103,28 @@
             m_metrics.countEvent("torn_tail_cut");
             logEvent(Severity::Warning, "incomplete record at the end of the log removed", {{"bytes", m_storage->report().tornBytes}});
         }
-        m_eventHandler(StorageOpened{m_storage->identity(), m_storage->takeRestoredState(), readInitialMembership(m_folder)});
+        m_opening += StorageOpening{1};
+        m_eventHandler(StorageOpened{m_opening, m_storage->identity(), m_storage->takeRestoredState(), readInitialMembership(m_folder)});
     } catch (const StorageError &error) {
         fail(error);
     }
 }
 
-void StorageThread::saveInitialMembership(VoterMembership membership)
+bool StorageThread::isCurrent(StorageOpening opening)
 {
-    boost::asio::post(m_thread.context(), [this, membership = std::move(membership)] {
+    const bool isCurrent = m_storage && opening == m_opening;
+    if (!isCurrent) {
+        m_metrics.countEvent("storage_work_discarded");
+    }
+    return isCurrent;
+}
+
+void StorageThread::saveInitialMembership(StorageOpening opening, VoterMembership membership)
+{
+    boost::asio::post(m_thread.context(), [this, opening, membership = std::move(membership)] {
+        if (!isCurrent(opening)) {
+            return;
+        }
         try {
             writeInitialMembership(m_folder, membership);
         } catch (const StorageError &error) {
@@ -120,10 +133,10 @@
     });
 }
 
-void StorageThread::write(ConsensusActions actions)
+void StorageThread::write(StorageOpening opening, ConsensusActions actions)
 {
-    boost::asio::post(m_thread.context(), [this, actions = std::move(actions)] {
-        if (!m_storage) {
+    boost::asio::post(m_thread.context(), [this, opening, actions = std::move(actions)] {
+        if (!isCurrent(opening)) {
             return;
         }
         try {
@@ -152,7 +165,7 @@
         fail(error);
         return;
     }
-    m_eventHandler(StorageSynced{*m_writtenMark});
+    m_eventHandler(StorageSynced{m_opening, *m_writtenMark});
 }
 
 void StorageThread::fail(const StorageError &error)
--- a/src/libhemlockhill/control/storage_thread_test.cpp
+++ b/src/libhemlockhill/control/storage_thread_test.cpp
@@ -72,10 +72,10 @@
         folder, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
     storage.start();
     const auto opened = std::get<StorageOpened>(events.next());
-    storage.write(entry(1));
+    storage.write(opened.opening, entry(1));
     BOOST_CHECK(std::get<StorageSynced>(events.next()).mark == PersistedMark{1});
     isFull = true;
-    storage.write(entry(2));
+    storage.write(opened.opening, entry(2));
     BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::DiskFull);
     // The folder is opened again while the disk is still full.
     BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::DiskFull);
@@ -84,8 +84,40 @@
     BOOST_CHECK_EQUAL(again.identity, opened.identity);
     BOOST_REQUIRE_EQUAL(again.restored.entries.size(), 1);
     BOOST_CHECK_EQUAL(again.restored.entries[0].payload, "entry 1");
-    storage.write(entry(2));
+    storage.write(again.opening, entry(2));
     BOOST_CHECK(std::get<StorageSynced>(events.next()).mark == PersistedMark{2});
     storage.stop();
     std::filesystem::remove_all(folder);
 }
+
+// Guards against a write of a lost folder's voter that is carried out in the folder that takes its place: its log would begin with an entry
+// that follows nothing, and the next voter would take the sync for one of its own.
+BOOST_AUTO_TEST_CASE(late_write_for_a_lost_folder_reaches_the_new_folder)
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("storage_thread_late_write-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    Metrics metrics;
+    Events events;
+    auto storage =
+        std::make_unique<StorageThread>(folder / "data", metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
+    storage->start();
+    const auto opened = std::get<StorageOpened>(events.next());
+    storage->write(opened.opening, entry(1));
+    BOOST_CHECK(std::get<StorageSynced>(events.next()).mark == PersistedMark{1});
+    std::filesystem::remove_all(folder / "data");
+    storage->write(opened.opening, entry(2));
+    BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::FolderLost);
+    const auto again = std::get<StorageOpened>(events.next());
+    BOOST_CHECK_NE(again.identity, opened.identity);
+    // The owner has not yet learned of the failure.
+    storage->write(opened.opening, entry(3));
+    storage->write(again.opening, entry(1));
+    const auto synced = std::get<StorageSynced>(events.next());
+    BOOST_CHECK(synced.opening == again.opening);
+    BOOST_CHECK(synced.mark == PersistedMark{1});
+    storage.reset();
+    const RestoredState restored = LogStorage(StorageSettings{folder / "data"}).takeRestoredState();
+    BOOST_REQUIRE_EQUAL(restored.entries.size(), 1);
+    BOOST_CHECK_EQUAL(restored.entries[0].payload, "entry 1");
+    std::filesystem::remove_all(folder);
+}
