Repeat the hard state in a segment that was begun on a full disk

What callers saw: nothing was traced to it; found by reading for the report of full disks. A voter could vote twice in a term, so that two leaders take changes of which one loses what it acknowledged.

At the next start term and vote were gone.

Change: opening a folder repeats the hard state when its last segment has none. It is synced before the opening is reported.

--- a/src/libhemlockhill/storage/log_replay.cpp
+++ b/src/libhemlockhill/storage/log_replay.cpp
@@ -24,6 +24,7 @@
 std::size_t LogReplay::apply(std::string_view bytes, bool lastSegment, std::size_t syncedBytes)
 {
     m_highestInSegment = LogIndex{};
+    m_hasHardStateInSegment = false;
     std::size_t offset = 0;
     while (const auto decoded = decodeRecord(bytes, offset)) {
         applyRecord(decoded->record);
@@ -40,6 +41,7 @@
 {
     if (const auto *hardState = std::get_if<HardState>(&record)) {
         m_state.hardState = *hardState;
+        m_hasHardStateInSegment = true;
     } else if (const auto *entry = std::get_if<LogEntry>(&record)) {
         applyEntry(*entry);
     } else if (const auto *truncate = std::get_if<TruncateRecord>(&record)) {
--- a/src/libhemlockhill/storage/log_replay.h
+++ b/src/libhemlockhill/storage/log_replay.h
@@ -26,6 +26,8 @@
     LogIndex lastIndex() const;
     // Highest entry index in the most recently applied segment.
     LogIndex highestInSegment() const { return m_highestInSegment; }
+    // Whether the most recently applied segment holds the hard state.
+    bool hasHardStateInSegment() const { return m_hasHardStateInSegment; }
 
     // Moves out the recovered state. Throws StorageError with StorageFault::Corrupt when entries are missing between snapshot and log.
     RestoredState finish();
@@ -36,6 +38,7 @@
 
     RestoredState m_state;
     LogIndex m_highestInSegment;
+    bool m_hasHardStateInSegment = false;
 };
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/storage/log_storage.cpp
+++ b/src/libhemlockhill/storage/log_storage.cpp
@@ -228,12 +228,16 @@
     m_hardState = m_restored.hardState;
     m_syncedFile = std::make_unique<StorageFile>(m_hooks, pathOf("synced"), O_RDWR | O_CREAT);
     rewriteLast(bytes);
+    if (!replay.hasHardStateInSegment()) {
+        // The last segment may have been begun on a disk that was full before it could repeat the hard state.
+        append(m_hardState);
+    }
     const bool logFollowsSnapshot = !m_restored.entries.empty() || !m_restored.snapshot || m_restored.snapshot->index == m_lastIndex;
     if (!logFollowsSnapshot) {
         restartAfter(m_restored.snapshot->index);
-        flush();
-        syncSegment();
     }
+    flush();
+    syncSegment();
 }
 
 // Rewrites the last segment. After a failed sync the page cache may hold bytes that are not on disk, and only a new write makes them
--- a/src/libhemlockhill/storage/log_storage_test.cpp
+++ b/src/libhemlockhill/storage/log_storage_test.cpp
@@ -504,3 +504,34 @@
         }
     }
 }
+
+// Guards against a voter that forgets its vote: the segment that it began on a full disk did not repeat it, and the segments before are
+// removed once a snapshot covers them.
+BOOST_AUTO_TEST_CASE(hard_state_is_lost_after_a_segment_was_begun_on_a_full_disk)
+{
+    const TemporaryFolder folder;
+    bool isFull = false;
+    FileHooks hooks = posixFileHooks();
+    hooks.open = [&isFull, real = hooks.open](const char *path, int flags) {
+        const int file = real(path, flags);
+        isFull = isFull || fs::path(path).filename() == "log-000000000002";
+        return file;
+    };
+    hooks.write = [&isFull, real = hooks.write](int file, const char *bytes, std::size_t size) {
+        errno = ENOSPC;
+        return isFull ? -1 : real(file, bytes, size);
+    };
+    const HardState voted{Term{3}, VoterId{"a"}};
+    {
+        LogStorage storage(folder.settings(200), hooks);
+        ConsensusActions first = entries(1, 30);
+        first.hardState = voted;
+        requireFault(StorageFault::DiskFull, StorageReaction::Reopen, [&] { writeSynced(storage, first); });
+    }
+    {
+        LogStorage storage(folder.settings());
+        writeSynced(storage, snapshotAt(30));
+        BOOST_TEST(!fs::exists(folder.file(FirstSegment)));
+    }
+    BOOST_TEST((LogStorage(folder.settings()).takeRestoredState().hardState == voted));
+}
