Try a data folder again that was in use or could not be set aside

Cause: two conditions that pass were handled as permanent. A folder that another process had locked stopped the voter until its restart; a killed process whose thread still waits for its disk holds the lock beyond the start of its successor, so that a kill of all controllers could leave no quorum. And a folder that could not be set aside, as on a full disk, was never tried again.

Evidence: voter_stays_out_after_its_folder_was_in_use and voter_stays_out_after_its_folder_could_not_be_set_aside, both red with the former handling (no further event within 20 s).

Renaming goes through the file hooks, so that it has a typed fault and can fail in a test.

--- a/src/include/hemlockhill/log_storage.h
+++ b/src/include/hemlockhill/log_storage.h
@@ -35,10 +35,9 @@
 };
 
 // How the voter responds to a storage fault.
-// StopVoter: the voter stops, reports the fault and stays stopped until the process restarts.
 // RejoinAsLearner: the folder is renamed, and a new folder with a new identity is filled by replication.
 // Reopen: the voter is inactive until the folder has been reopened and read as at process start.
-enum class StorageReaction { StopVoter, RejoinAsLearner, Reopen };
+enum class StorageReaction { RejoinAsLearner, Reopen };
 
 std::string_view toText(StorageFault fault);
 std::string_view toText(StorageReaction reaction);
@@ -119,8 +118,7 @@
     std::unique_ptr<Folder> m_folder;
 };
 
-// Renames the folder to an unused sibling name, so that a new one can be created at its path. Returns the new path.
-// Throws std::filesystem::filesystem_error.
-std::filesystem::path setFolderAside(const std::filesystem::path &folder);
+// Renames the folder to an unused sibling name, so that a new one can be created at its path. Returns the new path. Throws StorageError.
+std::filesystem::path setFolderAside(const std::filesystem::path &folder, const FileHooks &hooks = posixFileHooks());
 
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/storage_thread.h
+++ b/src/include/hemlockhill/storage_thread.h
@@ -34,8 +34,7 @@
     PersistedMark mark;
 };
 
-// The folder cannot be used. For a fault with the reaction Reopen or RejoinAsLearner, StorageOpened follows once the folder, or for
-// RejoinAsLearner a new one in its place, is opened.
+// The folder cannot be used. StorageOpened follows once the folder, or for RejoinAsLearner a new one in its place, is opened.
 struct StorageFailed {
     StorageFault fault;
 };
@@ -73,6 +72,8 @@
     void scheduleReopen();
     void syncWritten();
     void fail(const StorageError &error);
+    // Sets the failed folder aside and opens a new one in its place; tries again later if that fails, for instance on a full disk.
+    void replaceFolder();
 
     std::filesystem::path m_folder;
     FileHooks m_hooks;
@@ -84,6 +85,8 @@
     StorageOpening m_opening;
     std::optional<PersistedMark> m_writtenMark;
     bool m_syncScheduled = false;
+    // The folder has failed for good and must be set aside before one is opened again.
+    bool m_isReplacementDue = false;
 };
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/control/storage_thread.cpp
+++ b/src/libhemlockhill/control/storage_thread.cpp
@@ -177,28 +177,40 @@
              "data folder failed",
              {{"fault", toText(error.fault())}, {"reaction", toText(error.reaction())}, {"problem", error.what()}});
     m_eventHandler(StorageFailed{error.fault()});
-    if (error.reaction() == StorageReaction::Reopen) {
+    m_isReplacementDue = m_isReplacementDue || error.reaction() == StorageReaction::RejoinAsLearner;
+    if (m_isReplacementDue) {
+        replaceFolder();
+    } else {
         scheduleReopen();
-        return;
-    }
-    if (error.reaction() != StorageReaction::RejoinAsLearner) {
-        return;
     }
+}
+
+void StorageThread::replaceFolder()
+{
     try {
         if (std::filesystem::exists(m_folder)) {
-            setFolderAside(m_folder);
+            setFolderAside(m_folder, m_hooks);
         }
-        open();
-    } catch (const std::exception &problem) {
+    } catch (const Error &problem) {
+        m_metrics.countEvent("storage_folder_not_replaced");
         logEvent(Severity::Error, "cannot replace failed data folder", {{"problem", problem.what()}});
+        scheduleReopen();
+        return;
     }
+    m_isReplacementDue = false;
+    open();
 }
 
 void StorageThread::scheduleReopen()
 {
     m_reopen.expires_after(ReopenDelay);
     m_reopen.async_wait([this](const boost::system::error_code &error) {
-        if (!error) {
+        if (error) {
+            return;
+        }
+        if (m_isReplacementDue) {
+            replaceFolder();
+        } else {
             open();
         }
     });
--- a/src/libhemlockhill/control/storage_thread_test.cpp
+++ b/src/libhemlockhill/control/storage_thread_test.cpp
@@ -121,3 +121,53 @@
     BOOST_CHECK_EQUAL(restored.entries[0].payload, "entry 1");
     std::filesystem::remove_all(folder);
 }
+
+// Guards against a voter that stays out until its process is restarted because its predecessor still held the lock when it started.
+BOOST_AUTO_TEST_CASE(voter_stays_out_after_its_folder_was_in_use)
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("storage_thread_in_use-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    auto predecessor = std::make_unique<LogStorage>(StorageSettings{folder / "data"});
+    Metrics metrics;
+    Events events;
+    StorageThread storage(folder / "data", metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
+    storage.start();
+    BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::FolderInUse);
+    const VoterId identity = predecessor->identity();
+    predecessor.reset();
+    BOOST_CHECK_EQUAL(std::get<StorageOpened>(events.next()).identity, identity);
+    storage.stop();
+    std::filesystem::remove_all(folder);
+}
+
+// Guards against a voter that stays out until its process is restarted because its folder could not be set aside on a full disk.
+BOOST_AUTO_TEST_CASE(voter_stays_out_after_its_folder_could_not_be_set_aside)
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("storage_thread_aside-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    const std::filesystem::path data = folder / "data";
+    std::atomic<int> failures{0};
+    FileHooks hooks = posixFileHooks();
+    hooks.rename = [&failures, data, rename = hooks.rename](const char *from, const char *to) {
+        if (data == from && failures++ == 0) {
+            errno = ENOSPC;
+            return -1;
+        }
+        return rename(from, to);
+    };
+    Metrics metrics;
+    Events events;
+    StorageThread storage(
+        data, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
+    storage.start();
+    const auto opened = std::get<StorageOpened>(events.next());
+    std::filesystem::remove(data / "identity");
+    storage.write(opened.opening, entry(1));
+    BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::FolderLost);
+    const auto again = std::get<StorageOpened>(events.next());
+    BOOST_CHECK_EQUAL(failures, 2);
+    BOOST_CHECK_NE(again.identity, opened.identity);
+    BOOST_CHECK(again.restored.entries.empty());
+    storage.stop();
+    std::filesystem::remove_all(folder);
+}
--- a/src/libhemlockhill/storage/log_storage.cpp
+++ b/src/libhemlockhill/storage/log_storage.cpp
@@ -450,13 +450,14 @@
     return m_folder->logBytes();
 }
 
-std::filesystem::path setFolderAside(const std::filesystem::path &folder)
+std::filesystem::path setFolderAside(const std::filesystem::path &folder, const FileHooks &hooks)
 {
     for (int number = 1;; ++number) {
         fs::path aside = folder;
         aside += ".aside-" + std::to_string(number);
-        if (!fs::exists(aside)) {
-            fs::rename(folder, aside);
+        std::error_code unknown;
+        if (!fs::exists(aside, unknown)) {
+            renameFile(hooks, folder, aside);
             return aside;
         }
     }
--- a/src/libhemlockhill/storage/storage_types.cpp
+++ b/src/libhemlockhill/storage/storage_types.cpp
@@ -26,8 +26,6 @@
 std::string_view toText(StorageReaction reaction)
 {
     switch (reaction) {
-    case StorageReaction::StopVoter:
-        return "stop_voter";
     case StorageReaction::RejoinAsLearner:
         return "rejoin_as_learner";
     case StorageReaction::Reopen:
@@ -42,8 +40,8 @@
     case StorageFault::Corrupt:
     case StorageFault::FolderLost:
         return StorageReaction::RejoinAsLearner;
+    // A killed process may hold its lock until its last disk operation has ended, beyond the start of its successor.
     case StorageFault::FolderInUse:
-        return StorageReaction::StopVoter;
     case StorageFault::DiskFull:
     case StorageFault::SyncFailed:
     case StorageFault::InputOutput:
