Keep the right to create the group in the folder, and let the next seed use it

Cause: only the seed with the lowest identity could create the group, and only in the process of the very first start. Killed within about 50 ms of it and back at once, or with a disk that was full for a moment at any time before, it had lost the right for good, and nobody else had it. The class: a condition that passes is handled as permanent.

Change: a folder that is created at the first start keeps a file that says so. Identity replies name it (a new field; replies of earlier builds read as without it), and the first seed that has it creates the group. The initial membership and the new file go through the file hooks, so that a full disk is a full disk there too.

--- a/src/include/hemlockhill/control_thread.h
+++ b/src/include/hemlockhill/control_thread.h
@@ -64,6 +64,7 @@
         std::uint64_t round = 0;
     };
     struct IdentityCall {
+        TimePoint sentAt;
     };
     // A command that has not been answered by the leading controller yet.
     struct Submission {
--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -54,7 +54,8 @@
 
     void onStorage(StorageEvent event, TimePoint now);
     void onConsensus(const ConsensusBatch &batch, TimePoint now);
-    void onIdentity(const VmId &from, const IdentityReply &reply, TimePoint now);
+    // Another controller has replied with its identity to a request that was sent at requestedAt.
+    void onIdentity(const VmId &from, const IdentityReply &reply, TimePoint requestedAt, TimePoint now);
     IdentityReply identity() const;
     // Another controller has requested this one's identity. It may just have started, perhaps with a new folder.
     void onIdentityRequested(const VmId &from, TimePoint now);
@@ -117,7 +118,11 @@
     };
 
     void startConsensus(const VoterMembership &membership, TimePoint now);
+    // Joins the group that another controller belongs to, or creates it.
     void tryCreateGroup(TimePoint now);
+    std::optional<VoterMembership> knownInitialMembership() const;
+    // Membership of the group that this controller may create now, if any.
+    std::optional<VoterMembership> newGroup(TimePoint now) const;
     // Executes the actions that consensus has due, with all that follows from them.
     void executeActions(TimePoint now);
     // Sends, persists and applies what consensus returns.
@@ -163,7 +168,7 @@
     MembershipRepair m_repair;
     // Other controllers in the settings. All of them must be blank to create the group.
     std::vector<PeerSettings> m_initialControllers;
-    bool m_mayCreateGroup = true;
+    bool m_mayCreateGroup = false;
     TimePoint m_identitiesRequestedAt;
     // When each other controller was last heard of.
     std::map<VmId, TimePoint> m_heardOfAt;
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -130,6 +130,8 @@
     std::optional<CallId> m_followCall;
     // Times at which all pending follow calls, including those of reportFigures() and of searches, were sent.
     std::map<CallId, TimePoint> m_followCallsSentAt;
+    // Times at which the pending identity calls were sent.
+    std::map<CallId, TimePoint> m_identityCallsSentAt;
     std::uint64_t m_lastCall = 0;
 };
 
--- a/src/include/hemlockhill/membership_repair.h
+++ b/src/include/hemlockhill/membership_repair.h
@@ -27,8 +27,8 @@
 public:
     explicit MembershipRepair(const Settings &settings);
 
-    // The controller on a VM has replied with its identity.
-    void onIdentity(const VmId &from, const IdentityReply &reply, TimePoint now);
+    // The controller on a VM has replied with its identity to a request that was sent at requestedAt.
+    void onIdentity(const VmId &from, const IdentityReply &reply, TimePoint requestedAt, TimePoint now);
     // This controller has become the leader. Identities received before may be outdated.
     void onLeadershipTaken(TimePoint now);
 
@@ -41,6 +41,8 @@
 
     // Latest identity reply of each other controller.
     const std::map<VmId, IdentityReply> &identities() const { return m_identities; }
+    // Latest reply of a VM's controller if it was requested at this time or later, otherwise null.
+    const IdentityReply *identityRequestedSince(const VmId &vm, TimePoint since) const;
     // Whether the VM should be asked for its identity again.
     bool isOutdated(const VmId &vm, TimePoint now) const;
 
@@ -74,6 +76,7 @@
     TimePoint m_leaderSince;
     std::map<VmId, IdentityReply> m_identities;
     std::map<VmId, TimePoint> m_heardAt;
+    std::map<VmId, TimePoint> m_requestedAt;
     // When each member last announced that it is about to stop.
     std::map<VoterId, TimePoint> m_leavingSince;
 };
--- a/src/include/hemlockhill/peer_messages.h
+++ b/src/include/hemlockhill/peer_messages.h
@@ -40,6 +40,8 @@
     VoterMembership initialMembership;
     // The leader as far as the controller knows; empty when unknown.
     VmId leader;
+    // Whether a blank controller may create the group.
+    bool mayCreateGroup = false;
 };
 
 // Tells another member that the sender, a controller, is about to stop and may never return, and asks the leader to take away its vote.
--- a/src/include/hemlockhill/storage_thread.h
+++ b/src/include/hemlockhill/storage_thread.h
@@ -26,6 +26,8 @@
     RestoredState restored;
     // Membership that the group was created with; empty if this controller has not joined a group.
     std::optional<VoterMembership> initialMembership;
+    // Whether this controller may create the group: its folder was created at the first start of the whole system.
+    bool mayCreateGroup = false;
 };
 
 // All batches up to this mark, which were written for this opening, are on disk.
@@ -41,6 +43,12 @@
 
 using StorageEvent = std::variant<StorageOpened, StorageSynced, StorageFailed>;
 
+struct StorageThreadSettings {
+    std::filesystem::path folder;
+    // Whether this is the first start of the whole system, so that the controller of a new folder may create the group.
+    bool mayCreateGroup = false;
+};
+
 // Owner of the storage thread. start(), saveInitialMembership() and write() post work to it and return immediately.
 //
 // Work belongs to the opening for which it was posted: once the folder has failed, what was posted before the owner learned of that is
@@ -51,7 +59,7 @@
     // Receives the events. Called on the storage thread.
     using EventHandler = std::function<void(StorageEvent)>;
 
-    StorageThread(std::filesystem::path folder, Metrics &metrics, EventHandler eventHandler, FileHooks hooks = posixFileHooks());
+    StorageThread(StorageThreadSettings settings, Metrics &metrics, EventHandler eventHandler, FileHooks hooks = posixFileHooks());
     ~StorageThread();
     StorageThread(const StorageThread &) = delete;
     StorageThread &operator=(const StorageThread &) = delete;
@@ -69,6 +77,7 @@
     void open();
     // Whether work that was posted for this opening may still be done. Counts it as discarded otherwise.
     bool isCurrent(StorageOpening opening);
+    void grantGroupCreationIfNew();
     void scheduleReopen();
     void syncWritten();
     void fail(const StorageError &error);
@@ -76,6 +85,9 @@
     void replaceFolder();
 
     std::filesystem::path m_folder;
+    // Whether the controller of a folder that this process creates may create the group, until one has been opened or set aside.
+    bool m_grantsGroupCreation;
+    bool m_hasCreatedFolder = false;
     FileHooks m_hooks;
     Metrics &m_metrics;
     EventHandler m_eventHandler;
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -31,6 +31,9 @@
 // A follow request of an up-to-date node is held for a fifth of the lease, so that a change is pushed to the node immediately.
 constexpr int FollowHoldLeaseDivisor = 5;
 constexpr std::chrono::seconds RetryAfterWithoutLeader(1);
+// Age, as a ratio of the election timeout, up to which a controller's word that it belongs to no group is relied on. Less than 1, since
+// clocks may run at different rates.
+constexpr double BlankIdentityRatio = 0.8;
 
 Refusal submitRefusal(Reason reason, Ran ran, std::string detail)
 {
@@ -67,7 +70,6 @@
             m_initialControllers.push_back(peer);
         }
     }
-    m_mayCreateGroup = settings.control.mayCreateGroup;
 }
 
 Controller::~Controller() = default;
@@ -83,6 +85,7 @@
     reply.voter = m_self;
     reply.blank = !m_initialMembership.has_value();
     reply.initialMembership = m_initialMembership.value_or(VoterMembership{});
+    reply.mayCreateGroup = m_mayCreateGroup;
     return reply;
 }
 
@@ -94,6 +97,7 @@
         m_open = true;
         m_opening = opened->opening;
         m_initialMembership = std::move(opened->initialMembership);
+        m_mayCreateGroup = opened->mayCreateGroup;
         logEvent(Severity::Info,
                  "data folder opened",
                  {{"voter", m_self.value}, {"blank", !m_initialMembership.has_value()}, {"opening", m_opening.value}});
@@ -110,7 +114,7 @@
         return;
     }
     // Without its folder a voter must not vote or acknowledge entries, since that could contradict votes and entries that it lost. It must
-    // not create a group either, because its previous group may still exist.
+    // not create a group either, because its previous group may still exist; the folder says so when it is open again.
     m_mayCreateGroup = false;
     m_consensus.reset();
     if (m_leases) {
@@ -142,10 +146,10 @@
     executeActions(now);
 }
 
-void Controller::onIdentity(const VmId &from, const IdentityReply &reply, TimePoint now)
+void Controller::onIdentity(const VmId &from, const IdentityReply &reply, TimePoint requestedAt, TimePoint now)
 {
     m_heardOfAt[from] = now;
-    m_repair.onIdentity(from, reply, now);
+    m_repair.onIdentity(from, reply, requestedAt, now);
     if (m_open && !m_initialMembership) {
         tryCreateGroup(now);
     }
@@ -160,40 +164,56 @@
     }
 }
 
-// A group is created only once, when all controllers in the settings have replied and none has ever been a member of a group. Afterwards
-// a blank controller joins the existing group: as one of its initial voters or, if it lost its folder, as a learner.
+// A blank controller joins an existing group: as one of its initial voters or, if it lost its folder, as a learner.
 void Controller::tryCreateGroup(TimePoint now)
 {
-    VoterMembership everyone{{m_self}, {}};
-    bool allBlank = true;
-    std::optional<VoterMembership> found;
-    const std::map<VmId, IdentityReply> &identities = m_repair.identities();
-    for (const auto &[vm, identity] : identities) {
+    std::optional<VoterMembership> membership = knownInitialMembership();
+    if (!membership) {
+        membership = newGroup(now);
+    }
+    if (!membership) {
+        return;
+    }
+    m_initialMembership = membership;
+    m_hooks.saveInitialMembership(m_opening, *membership);
+    startConsensus(*membership, now);
+    // Tells the leader, which asks back, that this controller can be added.
+    requestIdentities(now);
+}
+
+std::optional<VoterMembership> Controller::knownInitialMembership() const
+{
+    for (const auto &[vm, identity] : m_repair.identities()) {
         if (!identity.voter.empty() && !identity.blank) {
-            found = identity.initialMembership;
+            return identity.initialMembership;
         }
     }
+    return std::nullopt;
+}
+
+// The group is created once all controllers in the settings have just said that none of them belongs to one, by the first of those whose
+// folder dates from the first start of the system. A controller that had joined a group in the meantime could not have committed anything:
+// it refuses its vote for one election timeout after its start. So a group that was created before, by a controller that has lost its
+// process or its disk since, has the same voters or cannot have accepted anything without one of these.
+std::optional<VoterMembership> Controller::newGroup(TimePoint now) const
+{
+    if (!m_mayCreateGroup) {
+        return std::nullopt;
+    }
+    const TimePoint since = now - std::chrono::duration_cast<Duration>(m_settings.control.electionTimeout * BlankIdentityRatio);
+    VoterMembership everyone{{m_self}, {}};
     for (const PeerSettings &peer : m_initialControllers) {
-        const auto known = identities.find(peer.vm);
-        const bool answered = known != identities.end() && !known->second.voter.empty();
-        allBlank = allBlank && answered && known->second.blank;
-        if (answered) {
-            everyone.voters.insert(known->second.voter);
+        const IdentityReply *identity = m_repair.identityRequestedSince(peer.vm, since);
+        if (identity == nullptr || identity->voter.empty() || !identity->blank) {
+            return std::nullopt;
         }
+        if (identity->mayCreateGroup && identity->voter < m_self) {
+            return std::nullopt;
+        }
+        everyone.voters.insert(identity->voter);
     }
-    const bool isFirst = vmOf(*everyone.voters.begin()) == m_settings.vm;
-    if (!found && allBlank && isFirst && m_mayCreateGroup) {
-        found = everyone;
-        logEvent(Severity::Info, "group of controllers created", {{"voters", encodeMembership(everyone)}});
-    }
-    if (!found) {
-        return;
-    }
-    m_initialMembership = found;
-    m_hooks.saveInitialMembership(m_opening, *found);
-    startConsensus(*found, now);
-    // Tells the leader, which asks back, that this controller can be added.
-    requestIdentities(now);
+    logEvent(Severity::Info, "group of controllers created", {{"voters", encodeMembership(everyone)}});
+    return everyone;
 }
 
 void Controller::onConsensus(const ConsensusBatch &batch, TimePoint now)
--- a/src/libhemlockhill/control/controller_host.cpp
+++ b/src/libhemlockhill/control/controller_host.cpp
@@ -58,7 +58,7 @@
     , m_metrics(metrics)
     , m_loop(loop)
     , m_controller(settings, metrics, controllerHooks(std::move(hooks)))
-    , m_storage(*settings.dataFolder,
+    , m_storage(StorageThreadSettings{*settings.dataFolder, settings.control.mayCreateGroup},
                 metrics,
                 [this](StorageEvent event) {
                     boost::asio::post(
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -47,8 +47,9 @@
     }
     if (settings.dataFolder) {
         m_controller = std::make_unique<Controller>(settings, metrics, controllerHooks());
-        m_storage = std::make_unique<StorageThread>(
-            *settings.dataFolder, metrics, [this](StorageEvent event) { m_storageEvents.post(std::move(event)); });
+        m_storage = std::make_unique<StorageThread>(StorageThreadSettings{*settings.dataFolder, settings.control.mayCreateGroup},
+                                                    metrics,
+                                                    [this](StorageEvent event) { m_storageEvents.post(std::move(event)); });
     }
 }
 
@@ -64,7 +65,10 @@
         learnPeer(to, true);
         startCall(to, std::move(batch));
     };
-    hooks.requestIdentity = [this](const VmId &to) { startCall(to, IdentityRequest{}); };
+    hooks.requestIdentity = [this](const VmId &to) {
+        const TimePoint sentAt = currentTime();
+        m_identityCallsSentAt[startCall(to, IdentityRequest{})] = sentAt;
+    };
     hooks.requestLeave = [this](const VmId &to, LeaveRequest request) { startCall(to, std::move(request)); };
     hooks.persist = [this](StorageOpening opening, ConsensusActions actions) { m_storage->write(opening, std::move(actions)); };
     hooks.saveInitialMembership = [this](StorageOpening opening, VoterMembership membership) {
@@ -207,7 +211,8 @@
         if (m_controller) {
             // The seeds that still run may not include the leader.
             learnPeer(identity->leader, true);
-            m_controller->onIdentity(answer.from, *identity, currentTime());
+            const auto sent = m_identityCallsSentAt.extract(answer.call);
+            m_controller->onIdentity(answer.from, *identity, sent.empty() ? TimePoint{} : sent.mapped(), currentTime());
         }
         return;
     }
@@ -232,6 +237,7 @@
 
 void GroupMember::onFailed(const PeerCallFailed &failure)
 {
+    m_identityCallsSentAt.erase(failure.call);
     if (m_followCallsSentAt.erase(failure.call) == 0) {
         return;
     }
--- a/src/libhemlockhill/control/membership_repair.cpp
+++ b/src/libhemlockhill/control/membership_repair.cpp
@@ -46,10 +46,17 @@
 {
 }
 
-void MembershipRepair::onIdentity(const VmId &from, const IdentityReply &reply, TimePoint now)
+void MembershipRepair::onIdentity(const VmId &from, const IdentityReply &reply, TimePoint requestedAt, TimePoint now)
 {
     m_identities[from] = reply;
     m_heardAt[from] = now;
+    m_requestedAt[from] = requestedAt;
+}
+
+const IdentityReply *MembershipRepair::identityRequestedSince(const VmId &vm, TimePoint since) const
+{
+    const auto known = m_identities.find(vm);
+    return known == m_identities.end() || m_requestedAt.at(vm) < since ? nullptr : &known->second;
 }
 
 void MembershipRepair::onLeadershipTaken(TimePoint now)
--- a/src/libhemlockhill/control/open_group_test.cpp
+++ b/src/libhemlockhill/control/open_group_test.cpp
@@ -118,6 +118,36 @@
     region.checkInvariants();
 }
 
+// Guards against a system that is never founded because a controller was killed just after the very first start. Its process is back at
+// once; where it was killed before its folder was created, another controller creates the group.
+BOOST_AUTO_TEST_CASE(no_group_is_created_after_a_kill_at_the_first_start)
+{
+    constexpr std::size_t MomentCount = 40;
+    for (std::size_t moment = 0; moment < MomentCount; ++moment) {
+        for (std::size_t killed = 0; killed < SeedCount; ++killed) {
+            for (const bool isFolderLost : {false, true}) {
+                BOOST_TEST_CONTEXT("node " << killed << " killed after " << moment << " steps, folder lost: " << isFolderLost)
+                {
+                    SimulatedRegion region(3, 1 + moment);
+                    startAll(region);
+                    region.run(Step * static_cast<int>(moment));
+                    if (isFolderLost) {
+                        region.loseDisk(killed);
+                    } else {
+                        region.kill(killed);
+                    }
+                    region.start(killed);
+                    region.run(std::chrono::seconds(12));
+                    region.submit();
+                    region.run(std::chrono::seconds(1));
+                    BOOST_CHECK_EQUAL(region.acknowledged, 1);
+                    BOOST_CHECK_EQUAL(region.voters(), 3);
+                }
+            }
+        }
+    }
+}
+
 // Only one disk is lost at a time, and the next one only after the group has had time to repair itself.
 BOOST_AUTO_TEST_CASE(random_failures_lose_no_acknowledged_document)
 {
--- a/src/libhemlockhill/control/simulated_region.h
+++ b/src/libhemlockhill/control/simulated_region.h
@@ -49,6 +49,7 @@
     std::string folder;
     SimulatedDisk log;
     std::optional<VoterMembership> initialMembership;
+    bool mayCreateGroup = false;
 };
 
 struct Vm {
@@ -91,8 +92,8 @@
                 settings.peers.others.push_back({vmAt(seed), {}, {}, true});
             }
         }
-        // As set by the platform: only on seeds at the first start of the whole system.
-        settings.control.mayCreateGroup = !vm.everStarted && node < SeedCount && now == TimePoint{} + Step;
+        // As set by the platform: only on seeds at the first start of the whole system. The folder that is created then keeps it.
+        vm.disk.mayCreateGroup = vm.disk.mayCreateGroup || (!vm.everStarted && node < SeedCount && now == TimePoint{} + Step);
         vm.everStarted = true;
         vm.knownControllers.clear();
         vm.inForce = 0;
@@ -106,14 +107,14 @@
             send(node, to, [this, batch](std::size_t at) { m_vms[at].controller->onConsensus(batch, now); });
         };
         hooks.requestIdentity = [this, node](const VmId &to) {
-            send(node, to, [this, node](std::size_t at) {
+            send(node, to, [this, node, requestedAt = now](std::size_t at) {
                 const IdentityReply reply = m_vms[at].controller->identity();
                 m_vms[at].controller->onIdentityRequested(vmAt(node), now);
-                send(at, vmAt(node), [this, at, reply](std::size_t back) {
+                send(at, vmAt(node), [this, at, reply, requestedAt](std::size_t back) {
                     if (!reply.leader.empty()) {
                         learn(back, nodeOf(reply.leader));
                     }
-                    m_vms[back].controller->onIdentity(vmAt(at), reply, now);
+                    m_vms[back].controller->onIdentity(vmAt(at), reply, requestedAt, now);
                 });
             });
         };
@@ -143,6 +144,7 @@
             opened.restored.snapshot = *vm.disk.log.snapshot;
         }
         opened.initialMembership = vm.disk.initialMembership;
+        opened.mayCreateGroup = vm.disk.mayCreateGroup;
         vm.controller->onStorage(opened, now);
     }
 
--- a/src/libhemlockhill/control/storage_thread.cpp
+++ b/src/libhemlockhill/control/storage_thread.cpp
@@ -2,11 +2,8 @@
 #include "hemlockhill/storage_thread.h"
 
 #include "hemlockhill/log.h"
+#include "storage/group_files.h"
 
-#include <fcntl.h>
-#include <fstream>
-#include <iterator>
-#include <unistd.h>
 #include <utility>
 
 namespace Hemlockhill
@@ -17,60 +14,11 @@
 
 // Delay before a folder on a full or faulty disk is opened again.
 constexpr std::chrono::milliseconds ReopenDelay(700);
-constexpr const char *InitialMembershipFile = "initial-membership.json";
-
-void syncPath(const std::filesystem::path &path)
-{
-    const int file = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
-    const bool synced = file >= 0 && ::fsync(file) == 0;
-    if (file >= 0) {
-        ::close(file);
-    }
-    if (!synced) {
-        throw StorageError(StorageFault::SyncFailed, "cannot sync " + path.string());
-    }
-}
-
-std::optional<VoterMembership> readInitialMembership(const std::filesystem::path &folder)
-{
-    std::ifstream file(folder / InitialMembershipFile, std::ios::binary);
-    if (!file) {
-        return std::nullopt;
-    }
-    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-    try {
-        return decodeMembership(text);
-    } catch (const DecodeError &error) {
-        throw StorageError(StorageFault::Corrupt, error.what());
-    }
-}
-
-// Writes to a temporary file and renames it, so that a crash leaves either the complete file or none.
-void writeInitialMembership(const std::filesystem::path &folder, const VoterMembership &membership)
-{
-    const std::filesystem::path final = folder / InitialMembershipFile;
-    const std::filesystem::path temporary = final.string() + ".new";
-    {
-        std::ofstream file(temporary, std::ios::binary | std::ios::trunc);
-        file << encodeMembership(membership);
-        file.flush();
-        if (!file) {
-            throw StorageError(StorageFault::InputOutput, "cannot write " + temporary.string());
-        }
-    }
-    syncPath(temporary);
-    std::error_code error;
-    std::filesystem::rename(temporary, final, error);
-    if (error) {
-        throw StorageError(StorageFault::InputOutput, "cannot rename " + temporary.string());
-    }
-    syncPath(folder);
-}
-
 } // namespace
 
-StorageThread::StorageThread(std::filesystem::path folder, Metrics &metrics, EventHandler eventHandler, FileHooks hooks)
-    : m_folder(std::move(folder))
+StorageThread::StorageThread(StorageThreadSettings settings, Metrics &metrics, EventHandler eventHandler, FileHooks hooks)
+    : m_folder(std::move(settings.folder))
+    , m_grantsGroupCreation(settings.mayCreateGroup)
     , m_hooks(std::move(hooks))
     , m_metrics(metrics)
     , m_eventHandler(std::move(eventHandler))
@@ -103,13 +51,28 @@
             m_metrics.countEvent("torn_tail_cut");
             logEvent(Severity::Warning, "incomplete record at the end of the log removed", {{"bytes", m_storage->report().tornBytes}});
         }
-        m_opening += StorageOpening{1};
-        m_eventHandler(StorageOpened{m_opening, m_storage->identity(), m_storage->takeRestoredState(), readInitialMembership(m_folder)});
+        grantGroupCreationIfNew();
+        StorageOpened opened{m_opening + StorageOpening{1}, m_storage->identity()};
+        opened.restored = m_storage->takeRestoredState();
+        opened.initialMembership = readInitialMembership(m_hooks, m_folder);
+        opened.mayCreateGroup = isGroupCreationGranted(m_folder);
+        m_opening = opened.opening;
+        m_eventHandler(std::move(opened));
     } catch (const StorageError &error) {
         fail(error);
     }
 }
 
+// A disk that was full may have let the folder be created, but not the grant be written: it is written at a later opening.
+void StorageThread::grantGroupCreationIfNew()
+{
+    m_hasCreatedFolder = m_hasCreatedFolder || m_storage->report().created;
+    if (m_grantsGroupCreation && m_hasCreatedFolder) {
+        grantGroupCreation(m_hooks, m_folder);
+    }
+    m_grantsGroupCreation = false;
+}
+
 bool StorageThread::isCurrent(StorageOpening opening)
 {
     const bool isCurrent = m_storage && opening == m_opening;
@@ -126,7 +89,7 @@
             return;
         }
         try {
-            writeInitialMembership(m_folder, membership);
+            writeInitialMembership(m_hooks, m_folder, membership);
         } catch (const StorageError &error) {
             fail(error);
         }
@@ -198,6 +161,8 @@
         return;
     }
     m_isReplacementDue = false;
+    // The former folder may have belonged to a group.
+    m_grantsGroupCreation = false;
     open();
 }
 
--- a/src/libhemlockhill/control/storage_thread_test.cpp
+++ b/src/libhemlockhill/control/storage_thread_test.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <condition_variable>
 #include <deque>
+#include <fcntl.h>
 #include <filesystem>
 #include <mutex>
 #include <unistd.h>
@@ -69,7 +70,7 @@
     Metrics metrics;
     Events events;
     StorageThread storage(
-        folder, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
+        {folder}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
     storage.start();
     const auto opened = std::get<StorageOpened>(events.next());
     storage.write(opened.opening, entry(1));
@@ -98,8 +99,8 @@
     std::filesystem::remove_all(folder);
     Metrics metrics;
     Events events;
-    auto storage =
-        std::make_unique<StorageThread>(folder / "data", metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
+    auto storage = std::make_unique<StorageThread>(
+        StorageThreadSettings{folder / "data"}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
     storage->start();
     const auto opened = std::get<StorageOpened>(events.next());
     storage->write(opened.opening, entry(1));
@@ -130,7 +131,7 @@
     auto predecessor = std::make_unique<LogStorage>(StorageSettings{folder / "data"});
     Metrics metrics;
     Events events;
-    StorageThread storage(folder / "data", metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
+    StorageThread storage({folder / "data"}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
     storage.start();
     BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::FolderInUse);
     const VoterId identity = predecessor->identity();
@@ -158,7 +159,7 @@
     Metrics metrics;
     Events events;
     StorageThread storage(
-        data, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
+        {data}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
     storage.start();
     const auto opened = std::get<StorageOpened>(events.next());
     std::filesystem::remove(data / "identity");
@@ -171,3 +172,48 @@
     storage.stop();
     std::filesystem::remove_all(folder);
 }
+
+// Guards against a system that can never be founded because the disk of the controller that may create the group was full at its first
+// start, or its process was killed before the others answered.
+BOOST_AUTO_TEST_CASE(controller_forgets_that_it_may_create_the_group)
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("storage_thread_founding-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    const std::filesystem::path data = folder / "data";
+    std::atomic<bool> isFull{false};
+    FileHooks hooks = posixFileHooks();
+    hooks.open = [&isFull, open = hooks.open](const char *path, int flags) {
+        if (isFull && (flags & O_CREAT) != 0 && std::filesystem::path(path).filename() == "may-create-group.new") {
+            errno = ENOSPC;
+            return -1;
+        }
+        return open(path, flags);
+    };
+    Metrics metrics;
+    const auto start = [&](bool isFirstStart, Events &events) {
+        auto storage = std::make_unique<StorageThread>(
+            StorageThreadSettings{data, isFirstStart}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
+        storage->start();
+        return storage;
+    };
+    isFull = true;
+    {
+        Events events;
+        const auto storage = start(true, events);
+        BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::DiskFull);
+        isFull = false;
+        BOOST_CHECK(std::get<StorageOpened>(events.next()).mayCreateGroup);
+    }
+    {
+        Events events;
+        const auto storage = start(false, events);
+        const auto opened = std::get<StorageOpened>(events.next());
+        BOOST_CHECK(opened.mayCreateGroup);
+        // A folder that takes the place of a lost one may not.
+        std::filesystem::remove_all(data);
+        storage->write(opened.opening, entry(1));
+        BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::FolderLost);
+        BOOST_CHECK(!std::get<StorageOpened>(events.next()).mayCreateGroup);
+    }
+    std::filesystem::remove_all(folder);
+}
--- a/src/libhemlockhill/node/control_thread.cpp
+++ b/src/libhemlockhill/node/control_thread.cpp
@@ -96,7 +96,7 @@
     if (m_settings.dataFolder) {
         ControllerHostHooks hooks;
         hooks.sendConsensus = [this](const VmId &to, ConsensusBatch batch) { m_peerSink(StartCall{CallId{0}, to, std::move(batch)}); };
-        hooks.requestIdentity = [this](const VmId &to) { call(to, IdentityRequest{}, IdentityCall{}); };
+        hooks.requestIdentity = [this](const VmId &to) { call(to, IdentityRequest{}, IdentityCall{currentTime()}); };
         m_controller = std::make_unique<ControllerHost>(m_settings, m_metrics, m_thread.context(), std::move(hooks));
         m_controller->start();
     }
@@ -184,7 +184,8 @@
     } else if (const auto *query = std::get_if<QueryCall>(&*context)) {
         query->answer(std::get<QueryReply>(answered.reply).response);
     } else if (m_controller) {
-        m_controller->controller().onIdentity(answered.from, std::get<IdentityReply>(answered.reply), currentTime());
+        const TimePoint requestedAt = std::get<IdentityCall>(*context).sentAt;
+        m_controller->controller().onIdentity(answered.from, std::get<IdentityReply>(answered.reply), requestedAt, currentTime());
     }
 }
 
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -104,6 +104,8 @@
   initialMembership @2 :VoterMembership;
   # The leader as far as the controller knows; empty when unknown.
   leader @3 :Text;
+  # Whether a blank controller may create the group.
+  mayCreateGroup @4 :Bool;
 }
 
 # What becomes of a controller's vote when it stops.
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -2019,6 +2019,8 @@
   inline bool hasLeader() const;
   inline  ::capnp::Text::Reader getLeader() const;
 
+  inline bool getMayCreateGroup() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2071,6 +2073,9 @@
   inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownLeader();
 
+  inline bool getMayCreateGroup();
+  inline void setMayCreateGroup(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6309,6 +6314,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool IdentityReply::Reader::getMayCreateGroup() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool IdentityReply::Builder::getMayCreateGroup() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void IdentityReply::Builder::setMayCreateGroup(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Hemlockhill::Wire::LeaveOutcome LeaveReply::Reader::getOutcome() const {
   return _reader.getDataField< ::Hemlockhill::Wire::LeaveOutcome>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libhemlockhill/peers/peer_codec.cpp
+++ b/src/libhemlockhill/peers/peer_codec.cpp
@@ -250,11 +250,16 @@
     builder.setBlank(reply.blank);
     write(builder.initInitialMembership(), reply.initialMembership);
     builder.setLeader(reply.leader.value);
+    builder.setMayCreateGroup(reply.mayCreateGroup);
 }
 
 IdentityReply read(Wire::IdentityReply::Reader reader)
 {
-    return {VoterId{textOf(reader.getVoter())}, reader.getBlank(), read(reader.getInitialMembership()), VmId{textOf(reader.getLeader())}};
+    return {VoterId{textOf(reader.getVoter())},
+            reader.getBlank(),
+            read(reader.getInitialMembership()),
+            VmId{textOf(reader.getLeader())},
+            reader.getMayCreateGroup()};
 }
 
 void write(Wire::LeaveReply::Builder builder, const LeaveReply &reply)
