Tests that show faults of the right to create the group (red)

Red on; nothing is mended here.

second_group_is_created_by_a_seed_that_restarts_with_other_seeds: the right to create the group outlasts a restart since, but the seeds that it holds for are those of the settings of the moment.

right_to_create_the_group_is_lost_on_a_disk_that_is_full_after_the_identity and right_to_create_the_group_is_refused_to_a_blank_folder_that_exists: the grant is written after the identity and the log, and only if the same object created the folder.

The simulated region can now start processes with other seeds, and tells which nodes lead and which groups were created; its own checks are as before.

--- a/src/libhemlockhill/control/open_group_test.cpp
+++ b/src/libhemlockhill/control/open_group_test.cpp
@@ -148,6 +148,42 @@
     }
 }
 
+// Guards against two groups that both accept changes: the right to create the group outlasts a restart, but the seeds that the settings
+// name then may be others, or fewer, than at the first start.
+BOOST_AUTO_TEST_CASE(second_group_is_created_by_a_seed_that_restarts_with_other_seeds)
+{
+    constexpr std::size_t MomentCount = 40;
+    constexpr std::size_t WatchedSteps = 300;
+    for (const std::vector<std::size_t> &later : std::vector<std::vector<std::size_t>>{{2, 3, 4}, {2}}) {
+        for (const bool isSplit : {false, true}) {
+            for (std::size_t moment = 0; moment < MomentCount; ++moment) {
+                BOOST_TEST_CONTEXT("restart after " << moment << " steps with " << later.size() << " seeds, split: " << isSplit)
+                {
+                    SimulatedRegion region(5, 1 + moment);
+                    startAll(region);
+                    region.run(Step * static_cast<int>(moment));
+                    region.kill(2);
+                    region.seeds = later;
+                    region.start(2);
+                    for (std::size_t lower = 0; isSplit && lower < 2; ++lower) {
+                        for (std::size_t upper = 2; upper < region.size(); ++upper) {
+                            region.cuts.insert({lower, upper});
+                            region.cuts.insert({upper, lower});
+                        }
+                    }
+                    std::size_t mostLeaders = 0;
+                    for (std::size_t step = 0; step < WatchedSteps; ++step) {
+                        region.step();
+                        mostLeaders = std::max(mostLeaders, region.leaders().size());
+                    }
+                    BOOST_CHECK_LE(mostLeaders, 1);
+                    BOOST_CHECK_LE(region.groups().size(), 1);
+                }
+            }
+        }
+    }
+}
+
 // Only one disk is lost at a time, and the next one only after the group has had time to repair itself.
 BOOST_AUTO_TEST_CASE(random_failures_lose_no_acknowledged_document)
 {
--- a/src/libhemlockhill/control/simulated_region.h
+++ b/src/libhemlockhill/control/simulated_region.h
@@ -87,15 +87,16 @@
         settings.peers.openMembership = true;
         settings.control.toleratedFailures = losses;
         settings.peers.listen.port = 1;
-        for (std::size_t seed = 0; seed < SeedCount; ++seed) {
+        vm.knownControllers.clear();
+        for (const std::size_t seed : seeds) {
             if (seed != node) {
+                vm.knownControllers.insert(vmAt(seed));
                 settings.peers.others.push_back({vmAt(seed), {}, {}, true});
             }
         }
         // As set by the platform: only on seeds at the first start of the whole system. The folder that is created then keeps it.
         vm.disk.mayCreateGroup = vm.disk.mayCreateGroup || (!vm.everStarted && node < SeedCount && now == TimePoint{} + Step);
         vm.everStarted = true;
-        vm.knownControllers.clear();
         vm.inForce = 0;
         vm.stopsAt.reset();
         ++vm.starts;
@@ -242,19 +243,39 @@
         vm.inForce = version;
     }
 
+    // Initial memberships of the groups that have been created.
+    std::set<std::string> groups() const
+    {
+        std::set<std::string> found;
+        for (const Vm &vm : m_vms) {
+            if (vm.disk.initialMembership) {
+                found.insert(encodeMembership(*vm.disk.initialMembership));
+            }
+        }
+        return found;
+    }
+
+    // Nodes that accept changes now.
+    std::set<std::size_t> leaders() const
+    {
+        std::set<std::size_t> found;
+        for (std::size_t node = 0; node < m_vms.size(); ++node) {
+            if (m_vms[node].controller && m_vms[node].controller->leads(now)) {
+                found.insert(node);
+            }
+        }
+        return found;
+    }
+
     // At most one group has been created, and a leader's state includes every acknowledged document.
     void checkInvariants()
     {
-        std::set<std::string> groups;
         for (std::size_t node = 0; node < m_vms.size(); ++node) {
-            if (m_vms[node].disk.initialMembership) {
-                groups.insert(encodeMembership(*m_vms[node].disk.initialMembership));
-            }
             if (m_vms[node].controller && m_vms[node].controller->leads(now)) {
                 BOOST_REQUIRE_GE(m_vms[node].controller->state().deployment().current().version.value, acknowledged);
             }
         }
-        BOOST_REQUIRE_LE(groups.size(), 1);
+        BOOST_REQUIRE_LE(groups().size(), 1);
     }
 
     std::size_t voters() const
@@ -276,6 +297,8 @@
     std::size_t maxSyncMs = 30;
     // Number of controllers that may be lost at the same time.
     std::uint32_t losses = 1;
+    // Seeds named in the settings of the processes that start from now on.
+    std::vector<std::size_t> seeds{0, 1, 2};
 
 private:
     void endIfStopped(std::size_t node)
@@ -312,8 +335,7 @@
     void learn(std::size_t node, std::size_t other)
     {
         Vm &vm = m_vms[node];
-        const bool isSeed = other < SeedCount;
-        if (vm.controller && node != other && !isSeed && vm.knownControllers.insert(vmAt(other)).second) {
+        if (vm.controller && node != other && vm.knownControllers.insert(vmAt(other)).second) {
             vm.controller->addPeer({vmAt(other), {}, {}, true});
         }
     }
--- a/src/libhemlockhill/control/storage_thread_test.cpp
+++ b/src/libhemlockhill/control/storage_thread_test.cpp
@@ -217,3 +217,45 @@
     }
     std::filesystem::remove_all(folder);
 }
+
+// Guards against a system that can never be founded: the disk of the controller was full after its identity was written at the first start.
+BOOST_AUTO_TEST_CASE(right_to_create_the_group_is_lost_on_a_disk_that_is_full_after_the_identity)
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("storage_thread_full_grant-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    std::atomic<bool> isFull{true};
+    FileHooks hooks = posixFileHooks();
+    hooks.open = [&isFull, open = hooks.open](const char *path, int flags) {
+        if (isFull && (flags & O_CREAT) != 0 && std::filesystem::path(path).filename() == "synced") {
+            isFull = false;
+            errno = ENOSPC;
+            return -1;
+        }
+        return open(path, flags);
+    };
+    Metrics metrics;
+    Events events;
+    StorageThread storage(
+        {folder / "data", true}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
+    storage.start();
+    BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::DiskFull);
+    BOOST_CHECK(std::get<StorageOpened>(events.next()).mayCreateGroup);
+    storage.stop();
+    std::filesystem::remove_all(folder);
+}
+
+// Guards against a group that can never be created: the process was killed between the identity and the right to create the group, or its
+// blank folder was created by an earlier build, and the settings still allow it.
+BOOST_AUTO_TEST_CASE(right_to_create_the_group_is_refused_to_a_blank_folder_that_exists)
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("storage_thread_late_grant-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    LogStorage(StorageSettings{folder / "data"});
+    Metrics metrics;
+    Events events;
+    StorageThread storage({folder / "data", true}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
+    storage.start();
+    BOOST_CHECK(std::get<StorageOpened>(events.next()).mayCreateGroup);
+    storage.stop();
+    std::filesystem::remove_all(folder);
+}
