Keep the founders in the folder, not only the right to create the group

Cause: the right to create the group outlasted a restart, but the set of controllers that had to be blank was read from the settings of the moment, and DEPLOY says that seeds may differ later.

Change: the folder keeps the founders, the seeds of the first start (founders.json), and only these count. They are also asked when the settings no longer name them. The file is written at the first opening of a blank folder in a process of the first start, so that a disk that fills up, or a kill, between the identity and the file does not lose it.

--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -40,6 +40,9 @@
     std::function<void()> restored;
 };
 
+// VMs of the controllers that create the group at the first start of the system, or empty if this controller takes no part in that.
+std::optional<std::set<VmId>> foundersOf(const Settings &settings);
+
 using SubmitAnswer = std::function<void(SubmitReply reply)>;
 using FollowAnswer = std::function<void(FollowReply reply)>;
 
@@ -166,9 +169,10 @@
     std::optional<Consensus> m_consensus;
 
     MembershipRepair m_repair;
-    // Other controllers in the settings. All of them must be blank to create the group.
-    std::vector<PeerSettings> m_initialControllers;
-    bool m_mayCreateGroup = false;
+    // Other controllers in the settings.
+    std::vector<PeerSettings> m_seeds;
+    // The controllers that create the group, all of which must be blank for that. Empty unless this is one of them.
+    std::optional<std::set<VmId>> m_founders;
     TimePoint m_identitiesRequestedAt;
     // When each other controller was last heard of.
     std::map<VmId, TimePoint> m_heardOfAt;
--- a/src/include/hemlockhill/storage_thread.h
+++ b/src/include/hemlockhill/storage_thread.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <variant>
 
 namespace Hemlockhill
@@ -26,8 +27,9 @@
     RestoredState restored;
     // Membership that the group was created with; empty if this controller has not joined a group.
     std::optional<VoterMembership> initialMembership;
-    // Whether this controller may create the group: its folder was created at the first start of the whole system.
-    bool mayCreateGroup = false;
+    // VMs of the controllers that create the group together, if this controller may create it: its folder dates from the first start of
+    // the whole system.
+    std::optional<std::set<VmId>> founders;
 };
 
 // All batches up to this mark, which were written for this opening, are on disk.
@@ -45,8 +47,8 @@
 
 struct StorageThreadSettings {
     std::filesystem::path folder;
-    // Whether this is the first start of the whole system, so that the controller of a new folder may create the group.
-    bool mayCreateGroup = false;
+    // At the first start of the whole system, the VMs of the controllers that create the group, this one among them.
+    std::optional<std::set<VmId>> founders;
 };
 
 // Owner of the storage thread. start(), saveInitialMembership() and write() post work to it and return immediately.
@@ -77,7 +79,7 @@
     void open();
     // Whether work that was posted for this opening may still be done. Counts it as discarded otherwise.
     bool isCurrent(StorageOpening opening);
-    void grantGroupCreationIfNew();
+    void writeFoundersIfBlank(const StorageOpened &opened);
     void scheduleReopen();
     void syncWritten();
     void fail(const StorageError &error);
@@ -85,9 +87,8 @@
     void replaceFolder();
 
     std::filesystem::path m_folder;
-    // Whether the controller of a folder that this process creates may create the group, until one has been opened or set aside.
-    bool m_grantsGroupCreation;
-    bool m_hasCreatedFolder = false;
+    // Founders to be written to a blank folder, until one has been opened or set aside.
+    std::optional<std::set<VmId>> m_founders;
     FileHooks m_hooks;
     Metrics &m_metrics;
     EventHandler m_eventHandler;
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -56,6 +56,20 @@
 
 } // namespace
 
+std::optional<std::set<VmId>> foundersOf(const Settings &settings)
+{
+    if (!settings.control.mayCreateGroup) {
+        return std::nullopt;
+    }
+    std::set<VmId> founders{settings.vm};
+    for (const PeerSettings &peer : settings.peers.others) {
+        if (peer.controller) {
+            founders.insert(peer.vm);
+        }
+    }
+    return founders;
+}
+
 Controller::Controller(const Settings &settings, Metrics &metrics, ControllerHooks hooks)
     : m_settings(settings)
     , m_metrics(metrics)
@@ -67,7 +81,7 @@
     for (const PeerSettings &peer : settings.peers.others) {
         m_nodes.insert(peer.vm);
         if (peer.controller) {
-            m_initialControllers.push_back(peer);
+            m_seeds.push_back(peer);
         }
     }
 }
@@ -85,7 +99,7 @@
     reply.voter = m_self;
     reply.blank = !m_initialMembership.has_value();
     reply.initialMembership = m_initialMembership.value_or(VoterMembership{});
-    reply.mayCreateGroup = m_mayCreateGroup;
+    reply.mayCreateGroup = m_founders.has_value();
     return reply;
 }
 
@@ -97,7 +111,7 @@
         m_open = true;
         m_opening = opened->opening;
         m_initialMembership = std::move(opened->initialMembership);
-        m_mayCreateGroup = opened->mayCreateGroup;
+        m_founders = std::move(opened->founders);
         logEvent(Severity::Info,
                  "data folder opened",
                  {{"voter", m_self.value}, {"blank", !m_initialMembership.has_value()}, {"opening", m_opening.value}});
@@ -115,7 +129,7 @@
     }
     // Without its folder a voter must not vote or acknowledge entries, since that could contradict votes and entries that it lost. It must
     // not create a group either, because its previous group may still exist; the folder says so when it is open again.
-    m_mayCreateGroup = false;
+    m_founders.reset();
     m_consensus.reset();
     if (m_leases) {
         m_leases.reset();
@@ -191,19 +205,22 @@
     return std::nullopt;
 }
 
-// The group is created once all controllers in the settings have just said that none of them belongs to one, by the first of those whose
-// folder dates from the first start of the system. A controller that had joined a group in the meantime could not have committed anything:
+// The group is created once all founders have just said that none of them belongs to one, by the first of those whose folder dates from the
+// first start of the system. A controller that had joined a group in the meantime could not have committed anything:
 // it refuses its vote for one election timeout after its start. So a group that was created before, by a controller that has lost its
 // process or its disk since, has the same voters or cannot have accepted anything without one of these.
 std::optional<VoterMembership> Controller::newGroup(TimePoint now) const
 {
-    if (!m_mayCreateGroup) {
+    if (!m_founders) {
         return std::nullopt;
     }
     const TimePoint since = now - std::chrono::duration_cast<Duration>(m_settings.control.electionTimeout * BlankIdentityRatio);
     VoterMembership everyone{{m_self}, {}};
-    for (const PeerSettings &peer : m_initialControllers) {
-        const IdentityReply *identity = m_repair.identityRequestedSince(peer.vm, since);
+    for (const VmId &founder : *m_founders) {
+        if (founder == m_settings.vm) {
+            continue;
+        }
+        const IdentityReply *identity = m_repair.identityRequestedSince(founder, since);
         if (identity == nullptr || identity->voter.empty() || !identity->blank) {
             return std::nullopt;
         }
@@ -555,13 +572,21 @@
             m_hooks.requestIdentity(peer.vm);
         }
     }
+    // The settings may name other seeds than at the first start.
+    if (m_founders && !m_initialMembership) {
+        for (const VmId &founder : *m_founders) {
+            if (founder != m_settings.vm && !m_heardOfAt.contains(founder)) {
+                m_hooks.requestIdentity(founder);
+            }
+        }
+    }
 }
 
 // Controllers that were replaced must not be asked for ever. One that returns asks this controller, and is asked again.
 bool Controller::isForgotten(const VmId &vm, TimePoint now) const
 {
     const auto isSame = [&vm](const PeerSettings &peer) { return peer.vm == vm; };
-    const bool isSeed = std::any_of(m_initialControllers.begin(), m_initialControllers.end(), isSame);
+    const bool isSeed = std::any_of(m_seeds.begin(), m_seeds.end(), isSame);
     const std::vector<VmId> members = controllers();
     const bool isMember = std::find(members.begin(), members.end(), vm) != members.end();
     return !isSeed && !isMember && now - m_heardOfAt.at(vm) >= ControllerRetention;
--- a/src/libhemlockhill/control/controller_host.cpp
+++ b/src/libhemlockhill/control/controller_host.cpp
@@ -58,7 +58,7 @@
     , m_metrics(metrics)
     , m_loop(loop)
     , m_controller(settings, metrics, controllerHooks(std::move(hooks)))
-    , m_storage(StorageThreadSettings{*settings.dataFolder, settings.control.mayCreateGroup},
+    , m_storage(StorageThreadSettings{*settings.dataFolder, foundersOf(settings)},
                 metrics,
                 [this](StorageEvent event) {
                     boost::asio::post(
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -47,7 +47,7 @@
     }
     if (settings.dataFolder) {
         m_controller = std::make_unique<Controller>(settings, metrics, controllerHooks());
-        m_storage = std::make_unique<StorageThread>(StorageThreadSettings{*settings.dataFolder, settings.control.mayCreateGroup},
+        m_storage = std::make_unique<StorageThread>(StorageThreadSettings{*settings.dataFolder, foundersOf(settings)},
                                                     metrics,
                                                     [this](StorageEvent event) { m_storageEvents.post(std::move(event)); });
     }
@@ -66,6 +66,7 @@
         startCall(to, std::move(batch));
     };
     hooks.requestIdentity = [this](const VmId &to) {
+        learnPeer(to, true);
         const TimePoint sentAt = currentTime();
         m_identityCallsSentAt[startCall(to, IdentityRequest{})] = sentAt;
     };
--- a/src/libhemlockhill/control/simulated_region.h
+++ b/src/libhemlockhill/control/simulated_region.h
@@ -49,7 +49,7 @@
     std::string folder;
     SimulatedDisk log;
     std::optional<VoterMembership> initialMembership;
-    bool mayCreateGroup = false;
+    std::optional<std::set<VmId>> founders;
 };
 
 struct Vm {
@@ -95,7 +95,9 @@
             }
         }
         // As set by the platform: only on seeds at the first start of the whole system. The folder that is created then keeps it.
-        vm.disk.mayCreateGroup = vm.disk.mayCreateGroup || (!vm.everStarted && node < SeedCount && now == TimePoint{} + Step);
+        if (!vm.everStarted && node < SeedCount && now == TimePoint{} + Step) {
+            vm.disk.founders = foundersOf(settings);
+        }
         vm.everStarted = true;
         vm.inForce = 0;
         vm.stopsAt.reset();
@@ -145,7 +147,7 @@
             opened.restored.snapshot = *vm.disk.log.snapshot;
         }
         opened.initialMembership = vm.disk.initialMembership;
-        opened.mayCreateGroup = vm.disk.mayCreateGroup;
+        opened.founders = vm.disk.founders;
         vm.controller->onStorage(opened, now);
     }
 
--- a/src/libhemlockhill/control/storage_thread.cpp
+++ b/src/libhemlockhill/control/storage_thread.cpp
@@ -18,7 +18,7 @@
 
 StorageThread::StorageThread(StorageThreadSettings settings, Metrics &metrics, EventHandler eventHandler, FileHooks hooks)
     : m_folder(std::move(settings.folder))
-    , m_grantsGroupCreation(settings.mayCreateGroup)
+    , m_founders(std::move(settings.founders))
     , m_hooks(std::move(hooks))
     , m_metrics(metrics)
     , m_eventHandler(std::move(eventHandler))
@@ -51,11 +51,11 @@
             m_metrics.countEvent("torn_tail_cut");
             logEvent(Severity::Warning, "incomplete record at the end of the log removed", {{"bytes", m_storage->report().tornBytes}});
         }
-        grantGroupCreationIfNew();
         StorageOpened opened{m_opening + StorageOpening{1}, m_storage->identity()};
         opened.restored = m_storage->takeRestoredState();
         opened.initialMembership = readInitialMembership(m_hooks, m_folder);
-        opened.mayCreateGroup = isGroupCreationGranted(m_folder);
+        writeFoundersIfBlank(opened);
+        opened.founders = readFounders(m_hooks, m_folder);
         m_opening = opened.opening;
         m_eventHandler(std::move(opened));
     } catch (const StorageError &error) {
@@ -63,14 +63,16 @@
     }
 }
 
-// A disk that was full may have let the folder be created, but not the grant be written: it is written at a later opening.
-void StorageThread::grantGroupCreationIfNew()
+// At the first start of the system the folder is blank, also if a full disk or a kill has come between its creation and this.
+void StorageThread::writeFoundersIfBlank(const StorageOpened &opened)
 {
-    m_hasCreatedFolder = m_hasCreatedFolder || m_storage->report().created;
-    if (m_grantsGroupCreation && m_hasCreatedFolder) {
-        grantGroupCreation(m_hooks, m_folder);
+    const RestoredState &restored = opened.restored;
+    const bool isBlank =
+        !opened.initialMembership && restored.hardState.term == Term{} && restored.entries.empty() && !restored.snapshot.has_value();
+    if (m_founders && isBlank) {
+        writeFounders(m_hooks, m_folder, *m_founders);
     }
-    m_grantsGroupCreation = false;
+    m_founders.reset();
 }
 
 bool StorageThread::isCurrent(StorageOpening opening)
@@ -162,7 +164,7 @@
     }
     m_isReplacementDue = false;
     // The former folder may have belonged to a group.
-    m_grantsGroupCreation = false;
+    m_founders.reset();
     open();
 }
 
--- a/src/libhemlockhill/control/storage_thread_test.cpp
+++ b/src/libhemlockhill/control/storage_thread_test.cpp
@@ -44,6 +44,8 @@
     std::deque<StorageEvent> m_events;
 };
 
+const std::set<VmId> Founders{VmId{"10.0.0.1"}, VmId{"10.0.0.2"}};
+
 ConsensusActions entry(std::uint64_t index)
 {
     ConsensusActions actions;
@@ -183,7 +185,7 @@
     std::atomic<bool> isFull{false};
     FileHooks hooks = posixFileHooks();
     hooks.open = [&isFull, open = hooks.open](const char *path, int flags) {
-        if (isFull && (flags & O_CREAT) != 0 && std::filesystem::path(path).filename() == "may-create-group.new") {
+        if (isFull && (flags & O_CREAT) != 0 && std::filesystem::path(path).filename() == "founders.json.new") {
             errno = ENOSPC;
             return -1;
         }
@@ -192,7 +194,10 @@
     Metrics metrics;
     const auto start = [&](bool isFirstStart, Events &events) {
         auto storage = std::make_unique<StorageThread>(
-            StorageThreadSettings{data, isFirstStart}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
+            StorageThreadSettings{data, isFirstStart ? std::optional(Founders) : std::nullopt},
+            metrics,
+            [&events](StorageEvent event) { events.push(std::move(event)); },
+            hooks);
         storage->start();
         return storage;
     };
@@ -202,18 +207,18 @@
         const auto storage = start(true, events);
         BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::DiskFull);
         isFull = false;
-        BOOST_CHECK(std::get<StorageOpened>(events.next()).mayCreateGroup);
+        BOOST_CHECK(std::get<StorageOpened>(events.next()).founders == Founders);
     }
     {
         Events events;
         const auto storage = start(false, events);
         const auto opened = std::get<StorageOpened>(events.next());
-        BOOST_CHECK(opened.mayCreateGroup);
+        BOOST_CHECK(opened.founders == Founders);
         // A folder that takes the place of a lost one may not.
         std::filesystem::remove_all(data);
         storage->write(opened.opening, entry(1));
         BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::FolderLost);
-        BOOST_CHECK(!std::get<StorageOpened>(events.next()).mayCreateGroup);
+        BOOST_CHECK(!std::get<StorageOpened>(events.next()).founders);
     }
     std::filesystem::remove_all(folder);
 }
@@ -236,10 +241,10 @@
     Metrics metrics;
     Events events;
     StorageThread storage(
-        {folder / "data", true}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
+        {folder / "data", Founders}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); }, hooks);
     storage.start();
     BOOST_CHECK(std::get<StorageFailed>(events.next()).fault == StorageFault::DiskFull);
-    BOOST_CHECK(std::get<StorageOpened>(events.next()).mayCreateGroup);
+    BOOST_CHECK(std::get<StorageOpened>(events.next()).founders == Founders);
     storage.stop();
     std::filesystem::remove_all(folder);
 }
@@ -253,9 +258,9 @@
     LogStorage(StorageSettings{folder / "data"});
     Metrics metrics;
     Events events;
-    StorageThread storage({folder / "data", true}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
+    StorageThread storage({folder / "data", Founders}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
     storage.start();
-    BOOST_CHECK(std::get<StorageOpened>(events.next()).mayCreateGroup);
+    BOOST_CHECK(std::get<StorageOpened>(events.next()).founders == Founders);
     storage.stop();
     std::filesystem::remove_all(folder);
 }
--- a/src/libhemlockhill/storage/group_files.cpp
+++ b/src/libhemlockhill/storage/group_files.cpp
@@ -3,6 +3,8 @@
 
 #include "storage/storage_file.h"
 
+#include <boost/json.hpp>
+
 namespace Hemlockhill
 {
 
@@ -10,7 +12,7 @@
 {
 
 constexpr const char *InitialMembershipFile = "initial-membership.json";
-constexpr const char *GroupCreationFile = "may-create-group";
+constexpr const char *FoundersFile = "founders.json";
 
 } // namespace
 
@@ -32,14 +34,33 @@
     replaceFile(hooks, folder / InitialMembershipFile, encodeMembership(membership));
 }
 
-bool isGroupCreationGranted(const std::filesystem::path &folder)
+std::optional<std::set<VmId>> readFounders(const FileHooks &hooks, const std::filesystem::path &folder)
 {
-    return std::filesystem::exists(folder / GroupCreationFile);
+    const std::filesystem::path path = folder / FoundersFile;
+    if (!std::filesystem::exists(path)) {
+        return std::nullopt;
+    }
+    try {
+        std::set<VmId> founders;
+        const boost::json::value names = boost::json::parse(readFile(hooks, path));
+        for (const boost::json::value &name : names.as_array()) {
+            founders.insert(VmId{std::string(name.as_string())});
+        }
+        return founders;
+    } catch (const boost::system::system_error &error) {
+        throw StorageError(StorageFault::Corrupt, path.string() + ": " + error.what());
+    } catch (const std::invalid_argument &error) {
+        throw StorageError(StorageFault::Corrupt, path.string() + ": " + error.what());
+    }
 }
 
-void grantGroupCreation(const FileHooks &hooks, const std::filesystem::path &folder)
+void writeFounders(const FileHooks &hooks, const std::filesystem::path &folder, const std::set<VmId> &founders)
 {
-    replaceFile(hooks, folder / GroupCreationFile, {});
+    boost::json::array names;
+    for (const VmId &founder : founders) {
+        names.emplace_back(founder.value);
+    }
+    replaceFile(hooks, folder / FoundersFile, boost::json::serialize(names));
 }
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/storage/group_files.h
+++ b/src/libhemlockhill/storage/group_files.h
@@ -5,6 +5,7 @@
 
 #include <filesystem>
 #include <optional>
+#include <set>
 
 namespace Hemlockhill
 {
@@ -15,10 +16,12 @@
 // Persists the membership that the group was created with. Throws StorageError.
 void writeInitialMembership(const FileHooks &hooks, const std::filesystem::path &folder, const VoterMembership &membership);
 
-// Whether this folder was created at the first start of the whole system by a controller that may create the group.
-bool isGroupCreationGranted(const std::filesystem::path &folder);
+// Returns the VMs of the founding controllers if the controller of this folder is one of them and may create the group; otherwise empty.
+// Throws StorageError.
+std::optional<std::set<VmId>> readFounders(const FileHooks &hooks, const std::filesystem::path &folder);
 
-// Persists that the controller of this new folder may create the group. The folder keeps this over restarts, and loses it with its disk.
-void grantGroupCreation(const FileHooks &hooks, const std::filesystem::path &folder);
+// Persists that the controller of this blank folder may create the group together with these. The folder keeps this over restarts, whatever
+// seeds the settings name then, and loses it with its disk. Throws StorageError.
+void writeFounders(const FileHooks &hooks, const std::filesystem::path &folder, const std::set<VmId> &founders);
 
 } // namespace Hemlockhill
