Consensus: random schedules with disks that are full one after another

Other operators report that after disks were full in turn no change was accepted any more. The simulated group had lost disks but no full ones. A disk can now refuse writes for a while: the voter fails at the first refused write with a random part of its unsynced batches on disk, and opens the disk again every 700 ms as StorageThread does; on a full disk half of the openings succeed, so that a later write fails.

--- a/src/libhemlockhill/consensus/simulated_group.h
+++ b/src/libhemlockhill/consensus/simulated_group.h
@@ -1,5 +1,5 @@
 // Deterministic simulation of a group of voters for tests: virtual time in microseconds, a network that drops, delays, duplicates and
-// blocks messages, and disks that lose unsynced data. Invariants are checked after every step.
+// blocks messages, disks that lose unsynced data or are full for a while. Invariants are checked after every step.
 #pragma once
 
 #include "hemlockhill/consensus.h"
@@ -62,6 +62,8 @@
     std::size_t syncing = 0;
     unsigned incarnation = 0;
     bool paused = false;
+    // The disk refuses every write.
+    bool diskFull = false;
     // Deliberately removed from the group, without losing its disk.
     bool excluded = false;
     double clockRate = 1;
@@ -88,6 +90,9 @@
 class SimulatedGroup
 {
 public:
+    // Delay in microseconds before a voter whose disk refused a write opens it again, as in StorageThread.
+    static constexpr std::int64_t ReopenDelay = 700'000;
+
     SimulatedGroup(std::size_t size, std::uint64_t seed, unsigned clockRateBoundPercent = 10)
         : m_random(seed)
         , m_voters(size)
@@ -181,6 +186,22 @@
         at.receivedWhilePaused.clear();
     }
 
+    // From now on the disk refuses writes. The voter fails at the first one and opens the disk again after ReopenDelay.
+    void fillDisk(std::size_t node) { m_voters[node].diskFull = true; }
+    // The disk has room again. A failed voter continues when it opens the disk next.
+    void freeDisk(std::size_t node) { m_voters[node].diskFull = false; }
+
+    // Starts the process, which opens its disk. Opening writes; on a disk that is nearly full it may succeed, so that a later write fails.
+    void open(std::size_t node)
+    {
+        SimulatedVoter &at = m_voters[node];
+        if (at.diskFull && chance(50)) {
+            schedule(Event{m_time + ReopenDelay, 0, node, at.incarnation, EventKind::Reopening, nullptr});
+        } else {
+            start(node);
+        }
+    }
+
     // Ends the process, deletes its data and restarts it with a new identity.
     void loseDisk(std::size_t node)
     {
@@ -294,6 +315,7 @@
         network = SimulatedNetwork{};
         for (std::size_t node = 0; node < m_voters.size(); ++node) {
             m_voters[node].excluded = false;
+            freeDisk(node);
             if (!m_voters[node].core) {
                 start(node);
             }
@@ -339,8 +361,12 @@
         SimulatedVoter &at = m_voters[event.node];
         if (event.envelope) {
             deliver(event.node, *event.envelope);
+        } else if (event.kind == EventKind::Reopening) {
+            if (!at.core && at.incarnation == event.incarnation) {
+                open(event.node);
+            }
         } else if (at.core && at.incarnation == event.incarnation && !at.paused) {
-            if (event.isSync) {
+            if (event.kind == EventKind::Sync) {
                 finishSync(event.node);
             } else if (event.at == at.wakeAt) {
                 at.wakeAt = -1;
@@ -358,12 +384,14 @@
     }
 
 private:
+    enum class EventKind { Wake, Sync, Reopening };
+
     struct Event {
         std::int64_t at = 0;
         std::uint64_t order = 0;
         std::size_t node = 0;
         unsigned incarnation = 0;
-        bool isSync = false;
+        EventKind kind = EventKind::Wake;
         std::shared_ptr<const Envelope> envelope;
 
         bool operator<(const Event &other) const { return std::tie(other.at, other.order) < std::tie(at, order); }
@@ -421,7 +449,7 @@
         const std::int64_t wakeAt = m_time + std::max<std::int64_t>(1, static_cast<std::int64_t>(wait) + 1);
         if (at.wakeAt < 0 || wakeAt < at.wakeAt) {
             at.wakeAt = wakeAt;
-            schedule(Event{wakeAt, 0, node, at.incarnation, false, nullptr});
+            schedule(Event{wakeAt, 0, node, at.incarnation, EventKind::Wake, nullptr});
         }
     }
 
@@ -430,13 +458,19 @@
         SimulatedVoter &at = m_voters[node];
         if (at.syncing == 0 && !at.unsynced.empty()) {
             at.syncing = at.unsynced.size();
-            schedule(Event{m_time + random(network.minSync, network.maxSync), 0, node, at.incarnation, true, nullptr});
+            schedule(Event{m_time + random(network.minSync, network.maxSync), 0, node, at.incarnation, EventKind::Sync, nullptr});
         }
     }
 
     void finishSync(std::size_t node)
     {
         SimulatedVoter &at = m_voters[node];
+        if (at.diskFull && at.syncing > 0) {
+            // A part of the batches may have reached the disk before it was full.
+            crash(node, true);
+            schedule(Event{m_time + ReopenDelay, 0, node, at.incarnation, EventKind::Reopening, nullptr});
+            return;
+        }
         std::optional<PersistedMark> mark;
         for (; at.syncing > 0; --at.syncing) {
             at.disk.apply(at.unsynced.front());
@@ -458,7 +492,7 @@
                 continue;
             }
             for (int copies = chance(network.repeatPercent) ? 2 : 1; copies > 0; --copies) {
-                schedule(Event{m_time + random(100, network.maxDelay), 0, to, 0, false, shared});
+                schedule(Event{m_time + random(100, network.maxDelay), 0, to, 0, EventKind::Wake, shared});
             }
         }
     }
