Tests that show two more faults of a folder that failed (red)

name_of_the_folder_is_never_synced_after_a_failed_first_opening: the parent folder is synced only by the attempt that made the folder. Where that sync fails, or the process is killed before it, no later opening repeats it.

member_with_a_full_disk_says_that_it_belongs_to_no_group: the initial membership is forgotten with the folder, and the identity reply then calls a member blank, under its identity, which is what newGroup() counts.

--- a/src/libhemlockhill/control/open_group_test.cpp
+++ b/src/libhemlockhill/control/open_group_test.cpp
@@ -184,6 +184,19 @@
     }
 }
 
+// Guards against a group that is created beside an existing one because a member whose folder has failed says that it belongs to none.
+BOOST_AUTO_TEST_CASE(member_with_a_full_disk_says_that_it_belongs_to_no_group)
+{
+    SimulatedRegion region(3, 4);
+    startAll(region);
+    region.run(std::chrono::seconds(5));
+    Controller &member = region.controllerOf(0);
+    BOOST_REQUIRE(!member.identity().blank);
+    member.onStorage(StorageFailed{StorageFault::DiskFull}, region.now);
+    const IdentityReply reply = member.identity();
+    BOOST_CHECK(reply.voter.empty() || !reply.blank);
+}
+
 // Only one disk is lost at a time, and the next one only after the group has had time to repair itself.
 BOOST_AUTO_TEST_CASE(random_failures_lose_no_acknowledged_document)
 {
--- a/src/libhemlockhill/storage/log_storage_test.cpp
+++ b/src/libhemlockhill/storage/log_storage_test.cpp
@@ -535,3 +535,33 @@
     }
     BOOST_TEST((LogStorage(folder.settings()).takeRestoredState().hardState == voted));
 }
+
+// Guards against a folder that vanishes with what was acknowledged at a loss of power: its name was not synced since the first attempt to
+// open it failed there, and later openings find it made.
+BOOST_AUTO_TEST_CASE(name_of_the_folder_is_never_synced_after_a_failed_first_opening)
+{
+    const TemporaryFolder folder;
+    std::optional<int> parent;
+    std::size_t syncs = 0;
+    bool isFailing = true;
+    FileHooks hooks = posixFileHooks();
+    hooks.open = [&parent, &folder, real = hooks.open](const char *path, int flags) {
+        const int file = real(path, flags);
+        parent = fs::path(path) == folder.path ? std::optional(file) : std::nullopt;
+        return file;
+    };
+    hooks.syncFolder = [&, real = hooks.syncFolder](int file) {
+        if (parent != file) {
+            return real(file);
+        }
+        if (std::exchange(isFailing, false)) {
+            errno = ENOSPC;
+            return -1;
+        }
+        ++syncs;
+        return real(file);
+    };
+    requireFault(StorageFault::SyncFailed, StorageReaction::Reopen, [&] { LogStorage(folder.settings(), hooks); });
+    LogStorage(folder.settings(), hooks);
+    BOOST_CHECK_GE(syncs, 1);
+}
