A controller without an open folder does not say that it belongs to no group

A member whose folder had failed, as on a full disk, called itself blank under its own identity until the folder was open again. A founder counts just that word.

Cause: the initial membership is forgotten with the folder, and the identity reply did not look at whether a folder is open.

Change: no identity is given while none is open, as for a controller that stops. Nobody waits for it: a controller without its folder can neither join nor found.

Test, red before: member_with_a_full_disk_says_that_it_belongs_to_no_group.

--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -92,8 +92,8 @@
 {
     IdentityReply reply;
     reply.leader = leader();
-    if (m_leaving) {
-        // A member that is about to stop must not be added again.
+    // A member that is about to stop must not be added again, and only an open folder tells whether its controller belongs to a group.
+    if (m_leaving || !m_open) {
         return reply;
     }
     reply.voter = m_self;
