Sync the name of a data folder also if an earlier opening made it

What callers saw: nothing was traced to it; found by the reviewer. After a loss of power a voter's folder could be gone with all that it had acknowledged.

Cause: the parent folder was synced only by the attempt that made the data folder. Where that sync failed, as on a full disk, or the process was killed before it, no later opening repeated it. The class: what is missing after an interrupted step is taken for done by the next one.

Change: the parent is synced as long as the folder has no identity, which is written after it.

Test, red before: name_of_the_folder_is_never_synced_after_a_failed_first_opening.

--- a/src/libhemlockhill/storage/log_storage.cpp
+++ b/src/libhemlockhill/storage/log_storage.cpp
@@ -136,7 +136,8 @@
         throw StorageError(StorageFault::InputOutput, folder.string() + ": " + error.message());
     }
     m_settings.folder = folder;
-    if (made) {
+    // An attempt that made the folder may have ended before its name was durable.
+    if (made || !fs::exists(pathOf("identity"))) {
         syncFolder(m_hooks, folder.parent_path());
     }
 }
