Report a data folder that can't be looked up as a fault instead of ending the process

A look-up that fails, as with EIO, threw past every handler of the storage thread and ended the process.

Change: look-ups of the folder and of its group files go through pathExists(), whose failure is a typed fault that is tried again.

Test, red with the former look-up: process_ends_because_its_folder_cannot_be_looked_up.

--- a/src/libhemlockhill/control/storage_thread.cpp
+++ b/src/libhemlockhill/control/storage_thread.cpp
@@ -3,6 +3,7 @@
 
 #include "hemlockhill/log.h"
 #include "storage/group_files.h"
+#include "storage/storage_file.h"
 
 #include <utility>
 
@@ -153,7 +154,7 @@
 void StorageThread::replaceFolder()
 {
     try {
-        if (std::filesystem::exists(m_folder)) {
+        if (pathExists(m_folder)) {
             setFolderAside(m_folder, m_hooks);
         }
     } catch (const Error &problem) {
--- a/src/libhemlockhill/control/storage_thread_test.cpp
+++ b/src/libhemlockhill/control/storage_thread_test.cpp
@@ -264,3 +264,25 @@
     storage.stop();
     std::filesystem::remove_all(folder);
 }
+
+// Guards against a process that ends because the state of its data folder can't be looked up.
+BOOST_AUTO_TEST_CASE(process_ends_because_its_folder_cannot_be_looked_up)
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("storage_thread_loop-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    const std::filesystem::path data = folder / "data";
+    Metrics metrics;
+    Events events;
+    StorageThread storage({data}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
+    storage.start();
+    const auto opened = std::get<StorageOpened>(events.next());
+    std::filesystem::remove_all(data);
+    std::filesystem::create_symlink(data, data);
+    storage.write(opened.opening, entry(1));
+    BOOST_CHECK(std::holds_alternative<StorageFailed>(events.next()));
+    std::filesystem::remove(data);
+    BOOST_CHECK_NE(std::get<StorageOpened>(events.next()).identity, opened.identity);
+    storage.stop();
+    std::filesystem::remove_all(folder);
+}
--- a/src/libhemlockhill/storage/group_files.cpp
+++ b/src/libhemlockhill/storage/group_files.cpp
@@ -19,7 +19,7 @@
 std::optional<VoterMembership> readInitialMembership(const FileHooks &hooks, const std::filesystem::path &folder)
 {
     const std::filesystem::path path = folder / InitialMembershipFile;
-    if (!std::filesystem::exists(path)) {
+    if (!pathExists(path)) {
         return std::nullopt;
     }
     try {
@@ -37,7 +37,7 @@
 std::optional<std::set<VmId>> readFounders(const FileHooks &hooks, const std::filesystem::path &folder)
 {
     const std::filesystem::path path = folder / FoundersFile;
-    if (!std::filesystem::exists(path)) {
+    if (!pathExists(path)) {
         return std::nullopt;
     }
     try {
--- a/src/libhemlockhill/storage/log_storage.cpp
+++ b/src/libhemlockhill/storage/log_storage.cpp
@@ -456,8 +456,7 @@
     for (int number = 1;; ++number) {
         fs::path aside = folder;
         aside += ".aside-" + std::to_string(number);
-        std::error_code unknown;
-        if (!fs::exists(aside, unknown)) {
+        if (!pathExists(aside)) {
             renameFile(hooks, folder, aside);
             return aside;
         }
--- a/src/libhemlockhill/storage/storage_file.cpp
+++ b/src/libhemlockhill/storage/storage_file.cpp
@@ -127,6 +127,16 @@
     return true;
 }
 
+bool pathExists(const std::filesystem::path &path)
+{
+    std::error_code error;
+    const bool exists = std::filesystem::exists(path, error);
+    if (error) {
+        throw StorageError(StorageFault::InputOutput, "cannot look up " + path.string() + ": " + error.message());
+    }
+    return exists;
+}
+
 std::string readFile(const FileHooks &hooks, const std::filesystem::path &path)
 {
     return StorageFile(hooks, path, O_RDONLY).readAll();
--- a/src/libhemlockhill/storage/storage_file.h
+++ b/src/libhemlockhill/storage/storage_file.h
@@ -39,6 +39,8 @@
     int m_descriptor;
 };
 
+// Whether the file or folder exists.
+bool pathExists(const std::filesystem::path &path);
 std::string readFile(const FileHooks &hooks, const std::filesystem::path &path);
 void syncFolder(const FileHooks &hooks, const std::filesystem::path &folder);
 void renameFile(const FileHooks &hooks, const std::filesystem::path &from, const std::filesystem::path &to);
