--- a/src/libhemlockhill/control/storage_thread_test.cpp
+++ b/src/libhemlockhill/control/storage_thread_test.cpp
@@ -10,6 +10,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <mutex>
+#include <thread>
 #include <unistd.h>
 
 using namespace Hemlockhill;
@@ -281,6 +282,9 @@
     std::filesystem::create_symlink(data, data);
     storage.write(opened.opening, entry(1));
     BOOST_CHECK(std::holds_alternative<StorageFailed>(events.next()));
+    while (metrics.exposition().find("storage_folder_not_replaced") == std::string::npos) {
+        std::this_thread::yield();
+    }
     std::filesystem::remove(data);
     BOOST_CHECK_NE(std::get<StorageOpened>(events.next()).identity, opened.identity);
     storage.stop();
