Bound how long a follower waits for the outcome of a call to the leader

Cause: a follower went on only with an answer or a failure of its call. Both pass through bounded queues (PeerThread's ring, the control loop's mailbox) that drop what finds no room, and nobody looked at the refusal. m_followCall then stayed set, or LeaderSearch kept the node as one that has not answered, and never asked it again.

Fix: all pending follow calls are in one table with their target and time; one that has had no outcome for 2.5 s (connecting and the call take a second each) is handled as failed, so that the search goes on whatever was lost and where. An answer that comes later than that is ignored: its node is asked again. Before, such an answer had no time of sending. Counters `follow_outcome_lost` and `peer_event_dropped`, a log line `follow call without outcome`, and `unconfirmed_ms` in `connection to leader lost` tell this case from a lost connection.

--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -81,11 +81,20 @@
     bool leave();
 
 private:
+    struct PendingFollowCall {
+        VmId to;
+        TimePoint sentAt;
+    };
+
     ControllerHooks controllerHooks();
+    // Called on the peer thread. Returns false when the queue of events is full.
+    bool keepPeerEvent(PeerEvent event);
     void onPeerEvent(PeerEvent &&event);
     void onCall(const IncomingCall &call);
     void onAnswer(const PeerCallAnswered &answer);
     void onFailed(const PeerCallFailed &failure);
+    // Handles follow calls as failed whose outcome must have been lost, so that no lost event leaves this node without a leader.
+    void failOverdueFollowCalls();
     void onFollowReply(const VmId &from, const FollowReply &reply, TimePoint sentAt);
     void applyDocument(const FollowReply &reply);
     void applyDirectoryChanges(const FollowReply &reply, TimePoint sentAt);
@@ -128,8 +137,10 @@
     StateDigest m_followersDigest;
     // Pending long-poll follow call to the leader.
     std::optional<CallId> m_followCall;
-    // Times at which all pending follow calls, including those of reportFigures() and of searches, were sent.
-    std::map<CallId, TimePoint> m_followCallsSentAt;
+    // All pending follow calls, including those of reportFigures() and of searches.
+    std::map<CallId, PendingFollowCall> m_followCalls;
+    // Arrival of the last reply of the leader that is followed, or was until now.
+    TimePoint m_leaderRepliedAt;
     // Times at which the pending identity calls were sent.
     std::map<CallId, TimePoint> m_identityCallsSentAt;
     std::uint64_t m_lastCall = 0;
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -16,6 +16,8 @@
 // Number of nodes that a follower asks at once when it has lost the leader, and interval at which it asks another one.
 constexpr std::size_t FirstCandidates = 3;
 constexpr Duration SearchInterval = std::chrono::milliseconds(150);
+// A follow call whose outcome has not arrived after this time has lost it. Connecting and the call itself take up to a second each.
+constexpr Duration FollowOutcomeLimit = std::chrono::milliseconds(2500);
 
 std::vector<VmId> seedsOf(const Settings &settings)
 {
@@ -39,7 +41,7 @@
     , m_hooks(std::move(hooks))
     , m_storageEvents(loop, MailboxCapacity, [this](StorageEvent &&event) { m_controller->onStorage(std::move(event), currentTime()); })
     , m_peerEvents(loop, MailboxCapacity, [this](PeerEvent &&event) { onPeerEvent(std::move(event)); })
-    , m_peers(settings, metrics, [this](PeerEvent event) { return m_peerEvents.post(std::move(event)); })
+    , m_peers(settings, metrics, [this](PeerEvent event) { return keepPeerEvent(std::move(event)); })
     , m_search(settings.vm, seedsOf(settings))
 {
     for (const PeerSettings &peer : settings.peers.others) {
@@ -92,6 +94,7 @@
         m_timers.every(m_settings.control.heartbeat / 2, m_loop, [this] { m_controller->tick(currentTime()); });
     } else {
         searchLeader();
+        m_timers.every(SearchInterval, m_loop, [this] { failOverdueFollowCalls(); });
     }
 }
 
@@ -150,6 +153,15 @@
     return !m_controller || m_controller->leave(currentTime());
 }
 
+bool GroupMember::keepPeerEvent(PeerEvent event)
+{
+    const bool isKept = m_peerEvents.post(std::move(event));
+    if (!isKept) {
+        m_metrics.countEvent("peer_event_dropped");
+    }
+    return isKept;
+}
+
 void GroupMember::onPeerEvent(PeerEvent &&event)
 {
     std::visit(Overloaded{
@@ -223,12 +235,16 @@
         return;
     }
     if (const auto *follow = std::get_if<FollowReply>(&answer.reply)) {
-        const auto sent = m_followCallsSentAt.extract(answer.call);
+        const auto pending = m_followCalls.extract(answer.call);
+        if (pending.empty()) {
+            // Has been handled as failed.
+            return;
+        }
         m_search.onDone(answer.from);
         if (m_followCall == answer.call) {
             m_followCall.reset();
         }
-        onFollowReply(answer.from, *follow, sent.empty() ? TimePoint{} : sent.mapped());
+        onFollowReply(answer.from, *follow, pending.mapped().sentAt);
         if (!m_leader.empty() && !m_followCall) {
             m_followCall = startFollowCall(m_leader, requestToLeader());
         }
@@ -238,16 +254,35 @@
 void GroupMember::onFailed(const PeerCallFailed &failure)
 {
     m_identityCallsSentAt.erase(failure.call);
-    if (m_followCallsSentAt.erase(failure.call) == 0) {
+    if (m_followCalls.erase(failure.call) == 0) {
         return;
     }
     m_search.onDone(failure.to);
     if (m_followCall == failure.call) {
-        logEvent(Severity::Warning, "connection to leader lost", {{"leader", m_leader.value}, {"deployment", m_deploymentVersion.value}});
+        const auto unconfirmed = std::chrono::duration_cast<std::chrono::milliseconds>(currentTime() - m_leaderRepliedAt);
+        logEvent(Severity::Warning,
+                 "connection to leader lost",
+                 {{"leader", m_leader.value}, {"deployment", m_deploymentVersion.value}, {"unconfirmed_ms", unconfirmed.count()}});
         searchLeader();
     }
 }
 
+void GroupMember::failOverdueFollowCalls()
+{
+    const TimePoint now = currentTime();
+    std::vector<PeerCallFailed> overdue;
+    for (const auto &[call, pending] : m_followCalls) {
+        if (now - pending.sentAt >= FollowOutcomeLimit) {
+            overdue.push_back(PeerCallFailed{call, pending.to});
+        }
+    }
+    for (const PeerCallFailed &failure : overdue) {
+        m_metrics.countEvent("follow_outcome_lost");
+        logEvent(Severity::Warning, "follow call without outcome", {{"vm", failure.to.value}, {"deployment", m_deploymentVersion.value}});
+        onFailed(failure);
+    }
+}
+
 void GroupMember::onFollowReply(const VmId &from, const FollowReply &reply, TimePoint sentAt)
 {
     if (!reply.leading) {
@@ -269,6 +304,7 @@
         // The late reply of another candidate of the search.
         return;
     }
+    m_leaderRepliedAt = currentTime();
     m_search.setMembers(reply.controllers);
     if (!reply.followers.empty()) {
         m_followersDigest = reply.followersDigest;
@@ -312,7 +348,7 @@
 CallId GroupMember::startFollowCall(const VmId &to, FollowRequest request)
 {
     const CallId id = startCall(to, std::move(request));
-    m_followCallsSentAt[id] = currentTime();
+    m_followCalls[id] = PendingFollowCall{to, currentTime()};
     return id;
 }
 
