Storage: grant the right to create the group before the new folder gets its identity

A system whose first seed had a full disk, or was killed, in the middle of its very first opening was left without the right to create the group: the folder had its identity, so the next opening took it for an old one, while the grant was written only after the whole opening. If it hits the only seed that has the right, nobody founds. Cause: the report that the folder was created is lost when the opening fails after the identity was written, or when the process ends there. The grant is now written before the identity, by a hook of the storage: a folder with an identity has it.

--- a/src/include/hemlockhill/log_storage.h
+++ b/src/include/hemlockhill/log_storage.h
@@ -78,6 +78,9 @@
     std::filesystem::path folder;
     // Segment size in bytes above which a new segment is started. Full segments are removed once a snapshot covers their entries.
     std::size_t segmentBytes = 4U << 20U;
+    // Writes further files of a new folder; may be empty. Called before the folder gets its identity, so that a folder with an identity has
+    // them, and again if the folder could not be opened then.
+    std::function<void()> prepareNewFolder = {};
 };
 
 // Result of opening a data folder.
--- a/src/include/hemlockhill/storage_thread.h
+++ b/src/include/hemlockhill/storage_thread.h
@@ -77,7 +77,6 @@
     void open();
     // Whether work that was posted for this opening may still be done. Counts it as discarded otherwise.
     bool isCurrent(StorageOpening opening);
-    void grantGroupCreationIfNew();
     void scheduleReopen();
     void syncWritten();
     void fail(const StorageError &error);
@@ -87,7 +86,6 @@
     std::filesystem::path m_folder;
     // Whether the controller of a folder that this process creates may create the group, until one has been opened or set aside.
     bool m_grantsGroupCreation;
-    bool m_hasCreatedFolder = false;
     FileHooks m_hooks;
     Metrics &m_metrics;
     EventHandler m_eventHandler;
--- a/src/libhemlockhill/control/storage_thread.cpp
+++ b/src/libhemlockhill/control/storage_thread.cpp
@@ -46,12 +46,16 @@
 void StorageThread::open()
 {
     try {
-        m_storage = std::make_unique<LogStorage>(StorageSettings{m_folder, StorageSettings{}.segmentBytes}, m_hooks);
+        StorageSettings settings{m_folder};
+        if (m_grantsGroupCreation) {
+            settings.prepareNewFolder = [this] { grantGroupCreation(m_hooks, m_folder); };
+        }
+        m_storage = std::make_unique<LogStorage>(std::move(settings), m_hooks);
+        m_grantsGroupCreation = false;
         if (m_storage->report().tornBytes > 0) {
             m_metrics.countEvent("torn_tail_cut");
             logEvent(Severity::Warning, "incomplete record at the end of the log removed", {{"bytes", m_storage->report().tornBytes}});
         }
-        grantGroupCreationIfNew();
         StorageOpened opened{m_opening + StorageOpening{1}, m_storage->identity()};
         opened.restored = m_storage->takeRestoredState();
         opened.initialMembership = readInitialMembership(m_hooks, m_folder);
@@ -63,16 +67,6 @@
     }
 }
 
-// A disk that was full may have let the folder be created, but not the grant be written: it is written at a later opening.
-void StorageThread::grantGroupCreationIfNew()
-{
-    m_hasCreatedFolder = m_hasCreatedFolder || m_storage->report().created;
-    if (m_grantsGroupCreation && m_hasCreatedFolder) {
-        grantGroupCreation(m_hooks, m_folder);
-    }
-    m_grantsGroupCreation = false;
-}
-
 bool StorageThread::isCurrent(StorageOpening opening)
 {
     const bool isCurrent = m_storage && opening == m_opening;
--- a/src/libhemlockhill/control/storage_thread_test.cpp
+++ b/src/libhemlockhill/control/storage_thread_test.cpp
@@ -217,3 +217,78 @@
     }
     std::filesystem::remove_all(folder);
 }
+
+// Guards against a system that can never be founded because the disk was full, or the process was killed, at any file operation of the
+// first opening: the folder had its identity, but not the right to create the group.
+BOOST_AUTO_TEST_CASE(right_to_create_the_group_is_lost_at_the_first_opening)
+{
+    struct FirstStart {
+        std::filesystem::path folder;
+        std::atomic<int> remainingOperations;
+        int failures;
+        Events events;
+        std::unique_ptr<StorageThread> storage;
+
+        bool fails()
+        {
+            const int remaining = --remainingOperations;
+            errno = ENOSPC;
+            return remaining < 0 && -remaining <= failures;
+        }
+        FileHooks hooks()
+        {
+            FileHooks hooks = posixFileHooks();
+            hooks.write = [this, real = hooks.write](int file, const char *bytes, std::size_t size) {
+                return fails() ? -1 : real(file, bytes, size);
+            };
+            hooks.sync = [this](int) { return fails() ? -1 : 0; };
+            hooks.syncFolder = hooks.sync;
+            hooks.rename = [this, real = hooks.rename](const char *from, const char *to) { return fails() ? -1 : real(from, to); };
+            return hooks;
+        }
+    };
+    constexpr int Operations = 25;
+    constexpr int UntilKilled = 1'000'000;
+    const auto folder = std::filesystem::temp_directory_path() / ("storage_thread_first-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    Metrics metrics;
+    std::deque<FirstStart> starts;
+    for (const int failures : {1, UntilKilled}) {
+        for (int operation = 0; operation < Operations; ++operation) {
+            const auto data = folder / (std::to_string(operation) + "-" + std::to_string(failures));
+            FirstStart &start = starts.emplace_back(data, operation, failures);
+            start.storage = std::make_unique<StorageThread>(
+                StorageThreadSettings{data, true},
+                metrics,
+                [&start](StorageEvent event) { start.events.push(std::move(event)); },
+                start.hooks());
+            start.storage->start();
+        }
+    }
+    bool hasOpenedAtOnce = false;
+    for (FirstStart &start : starts) {
+        BOOST_TEST_CONTEXT(start.folder.filename().string())
+        {
+            StorageEvent event = start.events.next();
+            hasOpenedAtOnce = hasOpenedAtOnce || std::holds_alternative<StorageOpened>(event);
+            if (std::holds_alternative<StorageFailed>(event) && start.failures == UntilKilled) {
+                start.storage.reset();
+                if (!std::filesystem::exists(start.folder / "identity")) {
+                    continue;
+                }
+                start.storage = std::make_unique<StorageThread>(StorageThreadSettings{start.folder, false},
+                                                                metrics,
+                                                                [&start](StorageEvent opened) { start.events.push(std::move(opened)); });
+                start.storage->start();
+            }
+            while (!std::holds_alternative<StorageOpened>(event)) {
+                event = start.events.next();
+            }
+            BOOST_CHECK(std::get<StorageOpened>(event).mayCreateGroup);
+        }
+    }
+    // All operations of the first opening were covered.
+    BOOST_CHECK(hasOpenedAtOnce);
+    starts.clear();
+    std::filesystem::remove_all(folder);
+}
--- a/src/libhemlockhill/storage/log_storage.cpp
+++ b/src/libhemlockhill/storage/log_storage.cpp
@@ -176,6 +176,9 @@
             throw StorageError(StorageFault::FolderLost, "log or snapshot found without an identity file in " + m_settings.folder.string());
         }
         StorageFile(m_hooks, pathOf(segmentName(1)), O_WRONLY | O_CREAT).sync();
+        if (m_settings.prepareNewFolder) {
+            m_settings.prepareNewFolder();
+        }
         replaceFile(m_hooks, path, encodeRecord(IdentityRecord{newIdentity()}));
         m_report.created = true;
     } else if (numbers.empty()) {
