Storage: a test that fails every file operation of a voter for lack of room

Writes, syncs, creations, renames and removals fail from each position on, 1, 3 or 30 in a row, the first write whole or cut in half; the voter opens the folder again until it can, goes on with the same operations, and is started again after each step.

--- a/src/libhemlockhill/storage/log_storage_test.cpp
+++ b/src/libhemlockhill/storage/log_storage_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <cerrno>
+#include <fcntl.h>
 #include <fstream>
 #include <optional>
 #include <random>
@@ -128,6 +129,135 @@
     }
 };
 
+// A disk without room: from the given modifying file operation on, a number of them fail. Syncs are only counted.
+struct FullDiskAt {
+    int remainingOperations;
+    int failures;
+    // The first failing write is carried out by half.
+    bool isTorn;
+
+    bool isFull() { return --remainingOperations < 0 && -remainingOperations <= failures; }
+    bool wasFull() const { return remainingOperations < 0; }
+
+    int resultOf(int result)
+    {
+        const bool full = isFull();
+        errno = full ? ENOSPC : errno;
+        return full ? -1 : result;
+    }
+
+    FileHooks hooks()
+    {
+        FileHooks hooks = posixFileHooks();
+        hooks.open = [this, real = hooks.open](const char *path, int flags) {
+            const bool failed = (flags & O_CREAT) != 0 && !fs::exists(path) && resultOf(0) != 0;
+            return failed ? -1 : real(path, flags);
+        };
+        hooks.write = [this, real = hooks.write](int file, const char *bytes, std::size_t size) -> std::int64_t {
+            const bool torn = isTorn && remainingOperations == 0 && size > 1;
+            if (resultOf(0) == 0) {
+                return real(file, bytes, size);
+            }
+            // The rest of a torn write fails as the next operation.
+            failures += torn ? 1 : 0;
+            return torn ? real(file, bytes, size / 2) : -1;
+        };
+        hooks.sync = [this](int) { return resultOf(0); };
+        hooks.syncFolder = [this](int) { return resultOf(0); };
+        hooks.rename = [this, real = hooks.rename](const char *from, const char *to) { return resultOf(0) != 0 ? -1 : real(from, to); };
+        hooks.remove = [this, real = hooks.remove](const char *path) { return resultOf(0) != 0 ? -1 : real(path); };
+        return hooks;
+    }
+};
+
+// A voter that writes hard states, entries and snapshots, and opens its folder again after each failure.
+class FullDiskVoter
+{
+public:
+    FullDiskVoter(const TemporaryFolder &folder, FullDiskAt &disk)
+        : m_folder(folder)
+        , m_disk(disk)
+    {
+    }
+
+    void run()
+    {
+        open();
+        for (std::uint64_t step = 1; step <= Steps; ++step) {
+            while (!write(step)) {
+                open();
+            }
+            // The process is started again.
+            open();
+        }
+    }
+
+private:
+    static constexpr std::uint64_t Steps = 12;
+    static constexpr int MaxOpenings = 40;
+
+    void open()
+    {
+        for (int attempt = 0; attempt < MaxOpenings; ++attempt) {
+            m_storage.reset();
+            const auto fault = faultOf([this] { m_storage.emplace(m_folder.settings(300), m_disk.hooks()); });
+            if (!fault) {
+                checkRestored(m_storage->takeRestoredState());
+                return;
+            }
+            BOOST_REQUIRE_MESSAGE(reactionTo(*fault) == StorageReaction::Reopen, toText(*fault));
+        }
+        BOOST_REQUIRE_MESSAGE(false, "the folder does not open although the disk has room");
+    }
+
+    void checkRestored(const RestoredState &state)
+    {
+        BOOST_REQUIRE(m_identity.value_or(m_storage->identity()) == m_storage->identity());
+        m_identity = m_storage->identity();
+        m_lastIndex = lastIndexOf(state);
+        BOOST_REQUIRE_GE(state.hardState.term.value, m_syncedTerm);
+        BOOST_REQUIRE_GE(m_lastIndex, m_syncedIndex);
+        BOOST_REQUIRE_GE(state.snapshot ? state.snapshot->index.value : 0, m_syncedSnapshot);
+        for (const LogEntry &entry : state.entries) {
+            BOOST_REQUIRE_EQUAL(entry.payload, "command " + std::to_string(entry.index.value));
+        }
+    }
+
+    // Returns false if the disk refused the step, so that it must be repeated.
+    bool write(std::uint64_t step)
+    {
+        const bool received = step % 5 == 0;
+        ConsensusActions actions = received ? snapshotAt(m_lastIndex + 10) : entries(m_lastIndex + 1, m_lastIndex + 3);
+        if (!received && step % 2 == 0) {
+            actions.snapshot = snapshotAt(m_syncedIndex).snapshot;
+        }
+        // Most segments hold no hard state of their own.
+        const bool votes = step % 6 == 1;
+        if (votes) {
+            actions.hardState = HardState{Term{step}, VoterId{"a"}};
+        }
+        const auto fault = faultOf([&] { writeSynced(*m_storage, actions); });
+        if (fault) {
+            BOOST_REQUIRE_MESSAGE(reactionTo(*fault) == StorageReaction::Reopen, toText(*fault));
+            return false;
+        }
+        m_lastIndex += received ? 10 : 3;
+        m_syncedIndex = m_lastIndex;
+        m_syncedTerm = votes ? step : m_syncedTerm;
+        m_syncedSnapshot = actions.snapshot ? actions.snapshot->index.value : m_syncedSnapshot;
+        return true;
+    }
+
+    const TemporaryFolder &m_folder;
+    FullDiskAt &m_disk;
+    std::optional<LogStorage> m_storage;
+    std::optional<VoterId> m_identity;
+    std::uint64_t m_lastIndex = 0;
+    std::uint64_t m_syncedIndex = 0;
+    std::uint64_t m_syncedTerm = 0;
+    std::uint64_t m_syncedSnapshot = 0;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(synced_data_is_recovered)
@@ -535,3 +665,23 @@
     }
     BOOST_TEST((LogStorage(folder.settings()).takeRestoredState().hardState == voted));
 }
+
+// Guards against synced data that is lost, a hard state that goes back, or a folder that stays unusable, after a full disk refused any one
+// operation or several in a row.
+BOOST_AUTO_TEST_CASE(full_disk_at_any_operation_loses_synced_data)
+{
+    for (const bool isTorn : {false, true}) {
+        for (const int failures : {1, 3, 30}) {
+            bool wasFull = true;
+            for (int operation = 0; wasFull; ++operation) {
+                BOOST_TEST_CONTEXT("full at operation " << operation << " for " << failures << ", torn " << isTorn)
+                {
+                    const TemporaryFolder folder;
+                    FullDiskAt disk{operation, failures, isTorn};
+                    FullDiskVoter(folder, disk).run();
+                    wasFull = disk.wasFull();
+                }
+            }
+        }
+    }
+}
