Storage: remove half-written files before a folder is opened

With no room but what those files take, a voter never opened again. They are never read, and only some are replaced by a later write. They are removed under the folder's lock before anything is written.

--- a/src/libhemlockhill/storage/log_storage.cpp
+++ b/src/libhemlockhill/storage/log_storage.cpp
@@ -23,6 +23,7 @@
 namespace fs = std::filesystem;
 
 constexpr std::string_view SegmentPrefix = "log-";
+constexpr std::string_view TemporaryExtension = ".new";
 constexpr int SegmentDigits = 12;
 constexpr int IdentityWords = 4;
 constexpr int HexDigitsOfWord = 8;
@@ -80,6 +81,7 @@
     fs::path segmentPath(const Segment &segment) const { return pathOf(segmentName(segment.number)); }
     void createFolder();
     void lock();
+    void removeTemporaryFiles();
     std::vector<std::uint64_t> segmentNumbers() const;
     void openIdentity();
     void openLog();
@@ -123,6 +125,7 @@
 {
     createFolder();
     lock();
+    removeTemporaryFiles();
     openIdentity();
     openLog();
 }
@@ -149,6 +152,20 @@
     }
 }
 
+// Removes files that were not written to their end, whose room the opening may need.
+void LogStorage::Folder::removeTemporaryFiles()
+{
+    std::vector<fs::path> temporary;
+    for (const fs::directory_entry &entry : fs::directory_iterator(m_settings.folder)) {
+        if (entry.path().extension() == TemporaryExtension) {
+            temporary.push_back(entry.path());
+        }
+    }
+    for (const fs::path &path : temporary) {
+        removeFile(m_hooks, path);
+    }
+}
+
 std::vector<std::uint64_t> LogStorage::Folder::segmentNumbers() const
 {
     std::vector<std::uint64_t> numbers;
@@ -249,7 +266,7 @@
 {
     const fs::path path = segmentPath(m_segments.back());
     fs::path temporary = path;
-    temporary += ".new";
+    temporary += TemporaryExtension;
     m_active = std::make_unique<StorageFile>(m_hooks, temporary, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND);
     m_active->write(bytes);
     m_active->sync();
--- a/src/libhemlockhill/storage/log_storage_test.cpp
+++ b/src/libhemlockhill/storage/log_storage_test.cpp
@@ -258,6 +258,18 @@
     std::uint64_t m_syncedSnapshot = 0;
 };
 
+// Names of the files of a folder that were not written to their end.
+std::vector<std::string> temporaryFiles(const TemporaryFolder &folder)
+{
+    std::vector<std::string> names;
+    for (const fs::directory_entry &entry : fs::directory_iterator(folder.path / "data")) {
+        if (entry.path().extension() == ".new") {
+            names.push_back(entry.path().filename().string());
+        }
+    }
+    return names;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(synced_data_is_recovered)
@@ -685,3 +697,21 @@
         }
     }
 }
+
+// Guards against a disk that stays full of files that a full disk left half-written: no later write may ever replace them.
+BOOST_AUTO_TEST_CASE(half_written_files_are_left_on_a_full_disk)
+{
+    const TemporaryFolder folder;
+    writeThreeEntries(folder);
+    for (const std::string name : {"snapshot.new", "log-000000000007.new", "initial-membership.json.new"}) {
+        std::ofstream(folder.file(name)) << "half";
+    }
+    // There is no room for anything until they are removed.
+    FileHooks hooks = posixFileHooks();
+    hooks.write = [&folder, real = hooks.write](int file, const char *bytes, std::size_t size) -> std::int64_t {
+        errno = ENOSPC;
+        return fs::exists(folder.file("snapshot.new")) ? -1 : real(file, bytes, size);
+    };
+    const LogStorage storage(folder.settings(), hooks);
+    BOOST_TEST(temporaryFiles(folder).empty());
+}
