--- a/src/libhemlockhill/control/storage_thread.cpp
+++ b/src/libhemlockhill/control/storage_thread.cpp
@@ -47,7 +47,11 @@
 void StorageThread::open()
 {
     try {
-        m_storage = std::make_unique<LogStorage>(StorageSettings{m_folder, StorageSettings{}.segmentBytes}, m_hooks);
+        StorageSettings settings{m_folder};
+        if (m_founders) {
+            settings.prepareNewFolder = [this] { writeFounders(m_hooks, m_folder, *m_founders); };
+        }
+        m_storage = std::make_unique<LogStorage>(std::move(settings), m_hooks);
         if (m_storage->report().tornBytes > 0) {
             m_metrics.countEvent("torn_tail_cut");
             logEvent(Severity::Warning, "incomplete record at the end of the log removed", {{"bytes", m_storage->report().tornBytes}});
@@ -64,7 +68,7 @@
     }
 }
 
-// At the first start of the system the folder is blank, also if a full disk or a kill has come between its creation and this.
+// A blank folder that an earlier start has left also gets the founders of the first start of the system.
 void StorageThread::writeFoundersIfBlank(const StorageOpened &opened)
 {
     const RestoredState &restored = opened.restored;
--- a/src/libhemlockhill/storage/log_storage.cpp
+++ b/src/libhemlockhill/storage/log_storage.cpp
@@ -23,6 +23,7 @@
 namespace fs = std::filesystem;
 
 constexpr std::string_view SegmentPrefix = "log-";
+constexpr std::string_view TemporaryExtension = ".new";
 constexpr int SegmentDigits = 12;
 constexpr int IdentityWords = 4;
 constexpr int HexDigitsOfWord = 8;
@@ -80,6 +81,7 @@
     fs::path segmentPath(const Segment &segment) const { return pathOf(segmentName(segment.number)); }
     void createFolder();
     void lock();
+    void removeTemporaryFiles();
     std::vector<std::uint64_t> segmentNumbers() const;
     void openIdentity();
     void openLog();
@@ -123,6 +125,7 @@
 {
     createFolder();
     lock();
+    removeTemporaryFiles();
     openIdentity();
     openLog();
 }
@@ -150,6 +153,20 @@
     }
 }
 
+// Removes files that were not written to their end, whose room the opening may need.
+void LogStorage::Folder::removeTemporaryFiles()
+{
+    std::vector<fs::path> temporary;
+    for (const fs::directory_entry &entry : fs::directory_iterator(m_settings.folder)) {
+        if (entry.path().extension() == TemporaryExtension) {
+            temporary.push_back(entry.path());
+        }
+    }
+    for (const fs::path &path : temporary) {
+        removeFile(m_hooks, path);
+    }
+}
+
 std::vector<std::uint64_t> LogStorage::Folder::segmentNumbers() const
 {
     std::vector<std::uint64_t> numbers;
@@ -177,6 +194,9 @@
             throw StorageError(StorageFault::FolderLost, "log or snapshot found without an identity file in " + m_settings.folder.string());
         }
         StorageFile(m_hooks, pathOf(segmentName(1)), O_WRONLY | O_CREAT).sync();
+        if (m_settings.prepareNewFolder) {
+            m_settings.prepareNewFolder();
+        }
         replaceFile(m_hooks, path, encodeRecord(IdentityRecord{newIdentity()}));
         m_report.created = true;
     } else if (numbers.empty()) {
@@ -247,7 +267,7 @@
 {
     const fs::path path = segmentPath(m_segments.back());
     fs::path temporary = path;
-    temporary += ".new";
+    temporary += TemporaryExtension;
     m_active = std::make_unique<StorageFile>(m_hooks, temporary, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND);
     m_active->write(bytes);
     m_active->sync();
