--- a/src/libhemlockhill/control/storage_thread_test.cpp
+++ b/src/libhemlockhill/control/storage_thread_test.cpp
@@ -224,8 +224,8 @@
 {
     struct FirstStart {
         std::filesystem::path folder;
-        std::atomic<int> remainingOperations;
-        int failures;
+        std::atomic<int> remainingOperations{0};
+        int failures = 0;
         Events events;
         std::unique_ptr<StorageThread> storage;
 
@@ -256,7 +256,10 @@
     for (const int failures : {1, UntilKilled}) {
         for (int operation = 0; operation < Operations; ++operation) {
             const auto data = folder / (std::to_string(operation) + "-" + std::to_string(failures));
-            FirstStart &start = starts.emplace_back(data, operation, failures);
+            FirstStart &start = starts.emplace_back();
+            start.folder = data;
+            start.remainingOperations = operation;
+            start.failures = failures;
             start.storage = std::make_unique<StorageThread>(
                 StorageThreadSettings{data, true},
                 metrics,
