Load an adapter when a caller asks for it, not by its place in a list

What callers saw: slots held by adapters for which nobody had asked, chosen by the order of the models and by the number in the adapter's name; and, once slots were full, an adapter that had been used lately gave way to one that had been used earlier if its name came first.

Cause: preloadAdapters took the order of a list for demand. Below a negligible rate all held adapters ranked alike, so that the order of their names decided which one is displaced.

Change: nothing is loaded before it is requested. A loaded adapter stays until its slot is needed; of those without requests, the one that has not been requested for the longest time goes. Two limits of FleetLimits are gone with it. After a change of leader, the reports still show what is loaded, but not when it was last requested.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -138,9 +138,6 @@
     // Concurrent loads from which on no load is started ahead of demand: this number or this ratio of the runners, whichever is more.
     std::uint32_t concurrentPreloads = 2;
     double concurrentPreloadRatio = 1.0 / 6;
-    // Adapters loaded ahead of demand in one decision, and adapter slots of each runner that these loads leave free.
-    std::uint32_t adapterPreloadsPerDecision = 8;
-    std::uint32_t spareAdapterSlots = 1;
     // A loaded adapter or model keeps its place for at least this long, so that the requests that wait for it are served.
     Duration adapterResidence = std::chrono::milliseconds(1500);
     Duration modelResidence = std::chrono::seconds(6);
@@ -323,9 +320,6 @@
     double runnerWork(const Runner &runner) const;
     void applyStaleReport(Runner &runner, const RunnerReport &report) const;
     void updateUsage(Runner &runner) const;
-    // Whether an adapter can be loaded on the runner ahead of demand.
-    bool takesPreload(
-        const Runner &runner, const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now) const;
     // Whether one more adapter of the model fits, by adapter slots and by memory.
     bool adapterFits(const Runner &runner, const EngineProfile &profile, const EngineModel &model) const;
     bool takesOrders(const Runner &runner, TimePoint now) const;
@@ -354,8 +348,6 @@
                       TimePoint now,
                       std::vector<RunnerOrder> &orders);
     void placeAdapters(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
-    // Loads adapters that no runner holds into free slots, so that their first request does not have to wait.
-    void preloadAdapters(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     void placeModels(const ServiceId &service, const EngineProfile &profile, TimePoint now, std::vector<RunnerOrder> &orders);
     bool placeModel(
         const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now, std::vector<RunnerOrder> &orders);
@@ -394,6 +386,8 @@
     bool isRequested(const ModelId &model, TimePoint now) const;
     // How long no request for the model has arrived, as far as this leader has had figures.
     Duration idleFor(const ModelId &model, TimePoint now) const;
+    // When the last request for the target was reported; the beginning of time if this leader has seen none.
+    TimePoint lastRequestedAt(const RoutingTarget &target) const;
     bool isResident(const Runner &runner, const RoutingTarget &target, Duration residence, TimePoint now) const;
     void updateRoomBeingMade(const ServiceId &service, const EngineProfile &profile);
     // Reserves room that unloads in progress make, if the model fits nowhere else. Returns whether there is enough.
--- a/src/libhemlockhill/placement/fleet_adapters.cpp
+++ b/src/libhemlockhill/placement/fleet_adapters.cpp
@@ -104,6 +104,12 @@
     }
 }
 
+TimePoint FleetPlacement::lastRequestedAt(const RoutingTarget &target) const
+{
+    const auto demand = m_demand.find(target);
+    return demand == m_demand.end() ? TimePoint{} : demand->second.at;
+}
+
 bool FleetPlacement::isResident(const Runner &runner, const RoutingTarget &target, Duration residence, TimePoint now) const
 {
     const auto loaded = runner.loadedAt.find(target);
@@ -251,50 +257,8 @@
     }
 }
 
-bool FleetPlacement::takesPreload(
-    const Runner &runner, const ServiceId &service, const EngineProfile &profile, const EngineModel &model, TimePoint now) const
-{
-    const bool hasPlace =
-        runner.usedAdapterSlots + m_limits.spareAdapterSlots < profile.adapterSlots && adapterFits(runner, profile, model);
-    return hasPlace && runner.live.service == service && takesAdapterOrders(runner, now);
-}
-
-void FleetPlacement::preloadAdapters(const ServiceId &service,
-                                     const EngineProfile &profile,
-                                     TimePoint now,
-                                     std::vector<RunnerOrder> &orders)
-{
-    std::uint32_t preloads = 0;
-    for (const auto &entry : profile.models) {
-        const EngineModel &model = entry.second;
-        const std::vector<Runner *> &holders = stateOf(model.id).holders;
-        for (std::uint32_t number = 1; number <= model.adapters; ++number) {
-            Runner *best = nullptr;
-            for (Runner *runner : holders) {
-                const bool isEmptier = best == nullptr || runner->usedAdapterSlots < best->usedAdapterSlots;
-                if (isEmptier && takesPreload(*runner, service, profile, model, now)) {
-                    best = runner;
-                }
-            }
-            if (best == nullptr) {
-                break;
-            }
-            const RoutingTarget target{model.id, AdapterId{"a" + std::to_string(number)}};
-            const bool isThere = std::any_of(holders.begin(), holders.end(), [&target](const Runner *runner) {
-                return runner->held.contains(target) || runner->loadingAdapters.contains(target) || runner->unloading.contains(target)
-                       || runner->withdrawn.contains(target);
-            });
-            if (isThere) {
-                continue;
-            }
-            orders.push_back(order(*best, RunnerOperation::Load, target));
-            if (++preloads == m_limits.adapterPreloadsPerDecision) {
-                return;
-            }
-        }
-    }
-}
-
+// A loaded adapter stays until another one needs its slot: the one with the least requests goes first, and of those without requests the
+// one that has not been requested for the longest time.
 std::optional<RoutingTarget>
 FleetPlacement::evictableAdapter(const Runner &runner, const EngineProfile &profile, Duration unservedFor, TimePoint now) const
 {
@@ -304,12 +268,12 @@
     }
     const bool mayDisplaceAny = unservedFor >= m_limits.adapterStarvation;
     std::optional<RoutingTarget> leastUsed;
-    double lowestUse = 0;
+    std::pair<double, TimePoint> lowestUse;
     for (const RoutingTarget &target : runner.held) {
         const double rate = rateOf(target, now);
         const bool mayGo = !target.adapter.empty() && (mayDisplaceAny || rate < IdleAdapterRate)
                            && isResident(runner, target, m_limits.adapterResidence, now);
-        const double use = rate + RatePerRunningRequest * running(runner, target);
+        const std::pair use(rate + RatePerRunningRequest * running(runner, target), lastRequestedAt(target));
         if (mayGo && (!leastUsed || use < lowestUse)) {
             leastUsed = target;
             lowestUse = use;
--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -44,7 +44,6 @@
             unloadWithdrawn(id, now, orders);
             placeAdapters(id, *service.engine, now, orders);
             placeModels(id, *service.engine, now, orders);
-            preloadAdapters(id, *service.engine, now, orders);
         }
     }
     return orders;
