Void a lost unload with the adapter that callers want, not with a1

What callers saw: an adapter slot and a load from the store spent on the adapter a1, whatever callers asked for; and no order at all where a1 was loaded already, so that a lost unload could still take the last copy of their model.

Cause: the order that voids the lost one named a fixed adapter, as a spare.

Change: the adapter of that model that is requested most, or was requested last, is loaded. If there is none, or no slot for it, an adapter that nobody requests and no request uses is unloaded; the runner accepts that too and advances its sequence. Where neither exists, nothing is ordered, as before for models without adapters; before, a1 was loaded there for nobody.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -388,6 +388,10 @@
     Duration idleFor(const ModelId &model, TimePoint now) const;
     // When the last request for the target was reported; the beginning of time if this leader has seen none.
     TimePoint lastRequestedAt(const RoutingTarget &target) const;
+    // The adapter of the model that callers request most, or requested last, of those that are not on the runner.
+    std::optional<RoutingTarget> mostRequestedAdapter(const Runner &runner, const ModelId &model, TimePoint now) const;
+    // The adapter on the runner that nobody requests and no request uses, and that was requested the longest time ago.
+    std::optional<RoutingTarget> unusedAdapter(const Runner &runner, TimePoint now) const;
     bool isResident(const Runner &runner, const RoutingTarget &target, Duration residence, TimePoint now) const;
     void updateRoomBeingMade(const ServiceId &service, const EngineProfile &profile);
     // Reserves room that unloads in progress make, if the model fits nowhere else. Returns whether there is enough.
--- a/src/libhemlockhill/placement/fleet_adapters.cpp
+++ b/src/libhemlockhill/placement/fleet_adapters.cpp
@@ -110,6 +110,36 @@
     return demand == m_demand.end() ? TimePoint{} : demand->second.at;
 }
 
+std::optional<RoutingTarget> FleetPlacement::mostRequestedAdapter(const Runner &runner, const ModelId &model, TimePoint now) const
+{
+    std::optional<RoutingTarget> best;
+    std::pair<double, TimePoint> bestUse;
+    for (auto entry = m_demand.lower_bound(baseOf(model)); entry != m_demand.end() && entry->first.model == model; ++entry) {
+        const RoutingTarget &target = entry->first;
+        const bool isThere = runner.held.contains(target) || runner.loadingAdapters.contains(target) || runner.unloading.contains(target)
+                             || runner.withdrawn.contains(target);
+        const std::pair use(rateOf(target, now), entry->second.at);
+        if (!target.adapter.empty() && !isThere && (!best || use > bestUse)) {
+            best = target;
+            bestUse = use;
+        }
+    }
+    return best;
+}
+
+std::optional<RoutingTarget> FleetPlacement::unusedAdapter(const Runner &runner, TimePoint now) const
+{
+    std::optional<RoutingTarget> unused;
+    for (const RoutingTarget &target : runner.held) {
+        const bool isUnused =
+            !target.adapter.empty() && rateOf(target, now) == 0 && !m_waitingByTarget.contains(target) && running(runner, target) == 0;
+        if (isUnused && (!unused || lastRequestedAt(target) < lastRequestedAt(*unused))) {
+            unused = target;
+        }
+    }
+    return unused;
+}
+
 bool FleetPlacement::isResident(const Runner &runner, const RoutingTarget &target, Duration residence, TimePoint now) const
 {
     const auto loaded = runner.loadedAt.find(target);
--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -120,11 +120,12 @@
         // The model is needed again. Any other accepted order advances the sequence number, so that the lost one is refused when it arrives
         // late.
         const auto model = profile.models.find(unresolvedOrder.target.model);
-        const RoutingTarget spare{unresolvedOrder.target.model, AdapterId{"a1"}};
-        const bool canLoad = model != profile.models.end() && model->second.adapters > 0 && !runner.held.contains(spare)
-                             && adapterFits(runner, profile, model->second);
-        if (canLoad) {
-            orders.push_back(order(runner, RunnerOperation::Load, spare));
+        const bool canLoad = model != profile.models.end() && adapterFits(runner, profile, model->second);
+        const auto wanted = canLoad ? mostRequestedAdapter(runner, model->first, now) : std::nullopt;
+        if (wanted) {
+            orders.push_back(order(runner, RunnerOperation::Load, *wanted));
+        } else if (const auto unused = unusedAdapter(runner, now)) {
+            orders.push_back(order(runner, RunnerOperation::Unload, *unused));
         }
     }
 }
--- a/src/libhemlockhill/placement/fleet_placement_test.cpp
+++ b/src/libhemlockhill/placement/fleet_placement_test.cpp
@@ -444,6 +444,50 @@
     }
 }
 
+// A lost order to unload a model must not be carried out after the model's other copy is gone. Guards against the order that takes its
+// place loading an adapter by its name, though callers wait for another one.
+BOOST_AUTO_TEST_CASE(lost_unload_is_replaced_by_the_load_of_an_adapter_that_nobody_requested)
+{
+    for (const char *wanted : {"a1", "a3"}) {
+        Fleet fleet({{model("m1"), model("m2")}, {model("m1"), model("m2")}}, {"m1", "m2", "m3"}, {}, 3);
+        fleet.addDemand(model("m3"), 1);
+        const auto lost = fleet.decideAndAnswer(OrderOutcome::Unknown);
+        BOOST_REQUIRE_EQUAL(lost.size(), 1);
+        BOOST_REQUIRE(lost[0].operation == RunnerOperation::Unload);
+        const std::string needed = lost[0].target.model.value;
+        const std::size_t index = lost[0].endpoint == EndpointId{"r0"} ? 0 : 1;
+        fleet.listing.erase(EndpointId{"r" + std::to_string(1 - index)});
+        fleet.now += std::chrono::milliseconds(700);
+        fleet.placement.onListing(fleet.listing, fleet.now);
+        fleet.report(index, 0, {model("m1"), model("m2")});
+        fleet.addDemand(adapter(needed, wanted), 1);
+        const auto orders = fleet.decideAndAnswer(OrderOutcome::Accepted);
+        BOOST_REQUIRE_EQUAL(orders.size(), 1);
+        BOOST_CHECK(orders[0].operation == RunnerOperation::Load && orders[0].expected == lost[0].expected);
+        BOOST_CHECK(orders[0].target == adapter(needed, wanted));
+    }
+}
+
+// The same where no caller has asked for an adapter: one that nobody uses goes.
+BOOST_AUTO_TEST_CASE(lost_unload_stays_valid_while_no_adapter_is_requested)
+{
+    const std::set<RoutingTarget> held{model("m1"), model("m2"), adapter("m1", "a1"), adapter("m2", "a1")};
+    Fleet fleet({held, held}, {"m1", "m2", "m3"}, {}, 3);
+    fleet.addDemand(model("m3"), 1);
+    const auto lost = fleet.decideAndAnswer(OrderOutcome::Unknown);
+    BOOST_REQUIRE_EQUAL(lost.size(), 1);
+    BOOST_REQUIRE(lost[0].operation == RunnerOperation::Unload);
+    const std::size_t index = lost[0].endpoint == EndpointId{"r0"} ? 0 : 1;
+    fleet.listing.erase(EndpointId{"r" + std::to_string(1 - index)});
+    fleet.now += std::chrono::milliseconds(700);
+    fleet.placement.onListing(fleet.listing, fleet.now);
+    fleet.report(index, 0, held);
+    const auto orders = fleet.decideAndAnswer(OrderOutcome::AlreadyDone);
+    BOOST_REQUIRE_EQUAL(orders.size(), 1);
+    BOOST_CHECK(orders[0].expected == lost[0].expected);
+    BOOST_CHECK(orders[0].operation == RunnerOperation::Unload && !orders[0].target.adapter.empty());
+}
+
 // 140 runners and 171 models, 30 of them with demand from 67 nodes. The leader has a twelfth of a core and decides about seven times per
 // second, so that a decision may take 5 ms of a whole core on average.
 BOOST_AUTO_TEST_CASE(a_decision_for_a_large_fleet_stays_within_its_cpu_budget)
