Load further copies of a model for its requests, not for its copies

What callers saw: before the first request after a start, or after a change of leader, free memory and loads from the store went to the model that had the most copies by chance; ties went by the order of names. A requested model then found the memory taken.

Cause: without any demand, preloadModels took the number of copies for demand.

Change: without demand nothing is loaded beyond the one copy of each model.

--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -125,7 +125,7 @@
     double evictionWorkRatio = 0.8;
     // A model whose work takes less than this ratio of a runner's time is cold: it may be moved to another runner to free memory.
     double coldThreshold = 0.08;
-    // Free memory is filled ahead of demand with models of which one copy takes more than this ratio of a runner's time.
+    // Free memory is filled with further copies of requested models of which one copy takes more than this ratio of a runner's time.
     double preloadThreshold = 0.25;
     // Throughput of a runner: prompt tokens per second, and output tokens per second over all requests of a full batch.
     double promptTokensPerSecond = 25'800;
--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -342,9 +342,8 @@
 {
     const bool storeAvailable = storeRateAllows(profile, now);
     const auto needOf = [this](const ModelId &id) {
-        // Before there is any demand, the initial number of copies serves as an estimate of it.
         const ModelState &state = stateOf(id);
-        return state.copies == 0 ? 0 : m_demand.empty() ? state.copies - 1.0 : state.work / state.copies;
+        return state.copies == 0 ? 0 : state.work / state.copies;
     };
     std::vector<const EngineModel *> needed;
     for (const auto &[id, model] : profile.models) {
--- a/src/libhemlockhill/placement/fleet_placement_test.cpp
+++ b/src/libhemlockhill/placement/fleet_placement_test.cpp
@@ -398,14 +398,18 @@
     BOOST_CHECK(moved);
 }
 
-// Before there is any demand, a free place goes to the model with the most copies.
-BOOST_AUTO_TEST_CASE(free_memory_is_filled_ahead_of_demand)
+// Guards against memory and store time spent on models for which no caller has asked: the number of their copies is no demand.
+BOOST_AUTO_TEST_CASE(free_memory_is_filled_with_models_that_nobody_requested)
 {
     Fleet fleet({{model("m1"), model("m2")}, {model("m1"), model("m3")}, {model("m3")}}, {"m1", "m2", "m3"}, {});
+    BOOST_CHECK(fleet.decideAndAnswer(OrderOutcome::Accepted).empty());
+    for (int request = 0; request < 20; ++request) {
+        fleet.addDemand(model("m2"), 0, 1000);
+    }
     const auto orders = fleet.decideAndAnswer(OrderOutcome::Accepted);
     BOOST_REQUIRE_EQUAL(orders.size(), 1);
     BOOST_CHECK_EQUAL(orders[0].endpoint, EndpointId{"r2"});
-    BOOST_CHECK(orders[0].target == model("m1"));
+    BOOST_CHECK(orders[0].target == model("m2"));
 }
 
 // Guards against adapter slots that are taken, in the order of a list, by adapters for which no caller has asked.
