--- a/src/libhemlockhill/placement/fleet_decisions.cpp
+++ b/src/libhemlockhill/placement/fleet_decisions.cpp
@@ -44,7 +44,6 @@
             unloadWithdrawn(id, now, orders);
             placeAdapters(id, *service.engine, now, orders);
             placeModels(id, *service.engine, now, orders);
-            preloadAdapters(id, *service.engine, now, orders);
         }
     }
     return orders;
@@ -121,11 +120,12 @@
         // The model is needed again. Any other accepted order advances the sequence number, so that the lost one is refused when it arrives
         // late.
         const auto model = profile.models.find(unresolvedOrder.target.model);
-        const RoutingTarget spare{unresolvedOrder.target.model, AdapterId{"a1"}};
-        const bool canLoad = model != profile.models.end() && model->second.adapters > 0 && !runner.held.contains(spare)
-                             && adapterFits(runner, profile, model->second);
-        if (canLoad) {
-            orders.push_back(order(runner, RunnerOperation::Load, spare));
+        const bool canLoad = model != profile.models.end() && adapterFits(runner, profile, model->second);
+        const auto wanted = canLoad ? mostRequestedAdapter(runner, model->first, now) : std::nullopt;
+        if (wanted) {
+            orders.push_back(order(runner, RunnerOperation::Load, *wanted));
+        } else if (const auto unused = unusedAdapter(runner, now)) {
+            orders.push_back(order(runner, RunnerOperation::Unload, *unused));
         }
     }
 }
@@ -342,9 +342,8 @@
 {
     const bool storeAvailable = storeRateAllows(profile, now);
     const auto needOf = [this](const ModelId &id) {
-        // Before there is any demand, the initial number of copies serves as an estimate of it.
         const ModelState &state = stateOf(id);
-        return state.copies == 0 ? 0 : m_demand.empty() ? state.copies - 1.0 : state.work / state.copies;
+        return state.copies == 0 ? 0 : state.work / state.copies;
     };
     std::vector<const EngineModel *> needed;
     for (const auto &[id, model] : profile.models) {
