Serve waiting requests by priority and by when their callers give up

What callers saw: a request whose latency target could not be met any more went behind every one that could still meet it, less urgent ones included, and was then refused. Its caller still waits. And a caller with little time left waited behind one with much.

Cause: the order followed what counts towards a target, not what callers need.

Change: the route's priority first (a promise of the config), then the rest of a stream (only endpoints of its software version can go on), then the request that is the first to be of no use to its caller, then the first come. What can't be served is refused as before.

--- a/src/include/hemlockhill/queue_policy.h
+++ b/src/include/hemlockhill/queue_policy.h
@@ -1,7 +1,7 @@
 // Queueing policy of routed requests: maximum waiting times and the order of dispatch. Without I/O or state.
 //
-// Designed for bursts that exceed the capacity of the runners: requests that can still meet their latency target are dispatched before
-// late ones, and a request that would time out is refused early enough for its caller to retry.
+// Designed for bursts that exceed the capacity of the runners: the route's priority comes first, then the caller who gives up first, and a
+// request that would time out is refused early enough for its caller to retry.
 #pragma once
 
 #include "hemlockhill/deployment.h"
@@ -13,9 +13,6 @@
 namespace Hemlockhill
 {
 
-// Returns whether a request that has waited this long can no longer meet the route's latency target.
-bool isLate(const Route &route, Duration waited);
-
 // Returns the time without an event after which the caller of a stream disconnects.
 Duration callerStreamTimeout(const Route &route);
 
@@ -27,15 +24,20 @@
 // more: its caller has given up by then, or would before anything could arrive.
 Duration dispatchTimeout(const Route &route, Duration callerTimeout);
 
+// Returns the time from which a request is not sent to an endpoint any more. silentSince is the time of the last event of its stream, or of
+// its arrival if there was none.
+TimePoint latestDispatch(const Route &route, TimePoint arrivedAt, TimePoint silentSince, TimePoint deadline);
+
 // Returns the time within which a stream began that its caller takes up: callers come back within the route's timeout.
 Duration streamLifetime(const Route &route);
 
 // Dispatch order of queued requests. Lower values are dispatched first.
 struct WaitingRank {
-    bool late = false;
     std::uint32_t priority = 0;
     // False for the rest of a stream: its caller has received a part already, and the endpoints that can continue it may be few.
     bool isNew = true;
+    // After this the request is of no use to its caller: who has the least time left goes first.
+    TimePoint latestDispatch;
     TimePoint arrivedAt;
 
     auto operator<=>(const WaitingRank &) const = default;
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -65,7 +65,7 @@
                && (m_waitingFor == NoEndpointReason::Full || m_waitingFor == NoEndpointReason::RateLimited
                    || m_waitingFor == NoEndpointReason::RequestLimited);
     }
-    WaitingRank rank(TimePoint now) const;
+    WaitingRank rank() const;
     const RoutingTarget &target() const { return m_head.target; }
     // The endpoint to which the request has been sent and that has not answered it completely.
     std::optional<EndpointId> currentEndpoint() const { return m_exchange ? std::optional(m_endpoint) : std::nullopt; }
@@ -87,6 +87,8 @@
     TimePoint waitEnd() const;
     Duration waitLimit(NoEndpointReason reason) const;
     bool isWaitExpired(TimePoint now) const;
+    // Time from which the request is not sent any more.
+    TimePoint latestDispatch() const;
     // Whether the caller has given up by now, or would before an endpoint could answer.
     bool isTooLate(TimePoint now) const;
     // Ends a request that is too late.
--- a/src/libhemlockhill/node/gateway_waiting.cpp
+++ b/src/libhemlockhill/node/gateway_waiting.cpp
@@ -94,9 +94,15 @@
     }
 }
 
-WaitingRank Gateway::Request::rank(TimePoint now) const
+TimePoint Gateway::Request::latestDispatch() const
 {
-    return {isLate(m_route, now - m_arrivedAt), m_route.priority, !m_requirements.softwareVersion, m_arrivedAt};
+    const TimePoint silentSince = m_lastEventAt == TimePoint{} ? m_arrivedAt : m_lastEventAt;
+    return Hemlockhill::latestDispatch(m_route, m_arrivedAt, silentSince, m_deadline);
+}
+
+WaitingRank Gateway::Request::rank() const
+{
+    return {m_route.priority, !m_requirements.softwareVersion, latestDispatch(), m_arrivedAt};
 }
 
 // Returns the limit on waiting that follows from the reason. The deadline and the usefulness to the caller limit it further.
@@ -109,8 +115,7 @@
 
 bool Gateway::Request::isTooLate(TimePoint now) const
 {
-    const TimePoint silentSince = m_lastEventAt == TimePoint{} ? m_arrivedAt : m_lastEventAt;
-    return now >= m_deadline || now - silentSince >= dispatchTimeout(m_route, m_deadline - m_arrivedAt);
+    return now >= latestDispatch();
 }
 
 void Gateway::Request::giveUp()
--- a/src/libhemlockhill/request/queue_policy.cpp
+++ b/src/libhemlockhill/request/queue_policy.cpp
@@ -28,11 +28,6 @@
 
 } // namespace
 
-bool isLate(const Route &route, Duration waited)
-{
-    return waited + MinimumFirstByteTime > route.latencyTarget;
-}
-
 Duration callerStreamTimeout(const Route &route)
 {
     return std::max({MinimumStreamTimeout, route.latencyTarget * LatencyTargetFactor, route.eventGapTarget * EventGapFactor});
@@ -60,4 +55,9 @@
     return std::min(callerTimeout, callerStreamTimeout(route) - MinimumFirstByteTime);
 }
 
+TimePoint latestDispatch(const Route &route, TimePoint arrivedAt, TimePoint silentSince, TimePoint deadline)
+{
+    return std::min(deadline, silentSince + dispatchTimeout(route, std::chrono::duration_cast<Duration>(deadline - arrivedAt)));
+}
+
 } // namespace Hemlockhill
