--- a/src/libhemlockhill/control/storage_thread_test.cpp
+++ b/src/libhemlockhill/control/storage_thread_test.cpp
@@ -256,7 +256,7 @@
 {
     const auto folder = std::filesystem::temp_directory_path() / ("storage_thread_late_grant-" + std::to_string(::getpid()));
     std::filesystem::remove_all(folder);
-    LogStorage(StorageSettings{folder / "data"});
+    std::make_unique<LogStorage>(StorageSettings{folder / "data"}).reset();
     Metrics metrics;
     Events events;
     StorageThread storage({folder / "data", Founders}, metrics, [&events](StorageEvent event) { events.push(std::move(event)); });
--- a/src/libhemlockhill/storage/log_storage_test.cpp
+++ b/src/libhemlockhill/storage/log_storage_test.cpp
@@ -543,7 +543,7 @@
             const LogStorage storage(folder.settings(), hooks);
             continue;
         }
-        requireFault(StorageFault::InputOutput, StorageReaction::Reopen, [&] { LogStorage(folder.settings(), hooks); });
+        requireFault(StorageFault::InputOutput, StorageReaction::Reopen, [&] { const LogStorage storage(folder.settings(), hooks); });
     }
 }
 
@@ -703,8 +703,8 @@
         ++syncs;
         return real(file);
     };
-    requireFault(StorageFault::SyncFailed, StorageReaction::Reopen, [&] { LogStorage(folder.settings(), hooks); });
-    LogStorage(folder.settings(), hooks);
+    requireFault(StorageFault::SyncFailed, StorageReaction::Reopen, [&] { const LogStorage storage(folder.settings(), hooks); });
+    const LogStorage storage(folder.settings(), hooks);
     BOOST_CHECK_GE(syncs, 1);
 }
 
