--- a/src/include/hemlockhill/consensus.h
+++ b/src/include/hemlockhill/consensus.h
@@ -190,6 +190,10 @@
 
 std::string_view toText(VoterRole role);
 
+// Whether a voter may rely on no other leader being elected, and if not, why. TermNotCommitted: no entry of the leader's term is committed
+// yet. Transferring: the leader has asked its successor to start an election. Expired: no quorum has answered lately enough.
+enum class LeaseState { NotLeading, TermNotCommitted, Transferring, Expired, Held };
+
 // Position of an accepted proposal. The proposal is committed if the entry committed at this index has this term; an entry of another
 // term means that the proposal was lost.
 struct Proposal {
@@ -283,6 +287,7 @@
     // True if this voter leads, no other leader can be elected before the lease ends, and an entry of its term is committed. Its committed
     // state is then the latest.
     bool leaseHeld(TimePoint now) const;
+    LeaseState leaseState(TimePoint now) const;
     // End of the lease unless it is renewed. Empty without a lease, TimePoint::max() for the only voter of a group.
     std::optional<TimePoint> leaseEnd() const;
 
--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -5,6 +5,7 @@
 #include "hemlockhill/membership_repair.h"
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/peer_messages.h"
+#include "hemlockhill/read_status.h"
 #include "hemlockhill/replicated_state.h"
 #include "hemlockhill/serving_lease.h"
 #include "hemlockhill/settings.h"
@@ -88,6 +89,8 @@
     void onLeaveReply(const LeaveReply &reply);
 
     bool leads(TimePoint now) const;
+    // Whether this controller may answer a read of its state, and if not, why.
+    ReadStatus readStatus(TimePoint now) const;
     // Nodes that have sent a follow request within the last 5 s, as of the last tick.
     const std::vector<VmId> &followers() const { return m_followers; }
     // VM of the known leader; empty if unknown.
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -66,6 +66,8 @@
     // Latest committed document; empty unless this node leads and holds its lease, so that no newer one can exist.
     std::optional<DeploymentDocument> newestDocument() const;
     bool leads() const;
+    // Why newestDocument() is empty. Requires that this node is a controller or follows one.
+    ReadStatus readStatus() const;
     // Known leader; empty if unknown.
     VmId leader() const;
     // Sets the endpoint directory that followers receive. It agrees with the endpoint list that was requested at listedAt. No effect unless
--- a/src/libhemlockhill/consensus/consensus.cpp
+++ b/src/libhemlockhill/consensus/consensus.cpp
@@ -97,8 +97,12 @@
 
 bool Consensus::leaseHeld(TimePoint now) const
 {
-    const std::optional<TimePoint> end = m_core->leaseEnd();
-    return end && now < *end;
+    return leaseState(now) == LeaseState::Held;
+}
+
+LeaseState Consensus::leaseState(TimePoint now) const
+{
+    return m_core->leaseState(now);
 }
 
 std::optional<TimePoint> Consensus::leaseEnd() const
--- a/src/libhemlockhill/consensus/core.h
+++ b/src/libhemlockhill/consensus/core.h
@@ -69,6 +69,7 @@
     Term term() const { return m_hardState.term; }
     const std::optional<VoterId> &leader() const { return m_leader; }
     LogIndex commitIndex() const { return m_commitIndex; }
+    LeaseState leaseState(TimePoint now) const;
     std::optional<TimePoint> leaseEnd() const;
     std::optional<LogIndex> matchIndex(const VoterId &member) const;
     std::optional<TimePoint> answeredAt(const VoterId &member) const;
@@ -130,6 +131,8 @@
     void applyLatestMembership();
     void continueTransfer();
     void checkQuorum();
+    // What rules out a lease, whatever a quorum has answered; empty if nothing does.
+    std::optional<LeaseState> leaseObstacle() const;
     // Returns the latest time up to which a quorum is known to have followed this leader. self is the time assumed for this voter, fallback
     // the time assumed for voters that have not answered.
     TimePoint quorumAnsweredAt(TimePoint self, TimePoint fallback) const;
--- a/src/libhemlockhill/consensus/leading.cpp
+++ b/src/libhemlockhill/consensus/leading.cpp
@@ -362,10 +362,30 @@
     return answered.at(quorum() - 1);
 }
 
-std::optional<TimePoint> Consensus::Core::leaseEnd() const
+std::optional<LeaseState> Consensus::Core::leaseObstacle() const
 {
+    if (role() != VoterRole::Leader) {
+        return LeaseState::NotLeading;
+    }
+    if (m_commitIndex < m_termStartIndex) {
+        return LeaseState::TermNotCommitted;
+    }
     const bool forfeited = m_transfer && m_transfer->requested;
-    if (role() != VoterRole::Leader || forfeited || m_commitIndex < m_termStartIndex) {
+    return forfeited ? std::optional(LeaseState::Transferring) : std::nullopt;
+}
+
+LeaseState Consensus::Core::leaseState(TimePoint now) const
+{
+    if (const auto obstacle = leaseObstacle()) {
+        return *obstacle;
+    }
+    const std::optional<TimePoint> end = leaseEnd();
+    return end && now < *end ? LeaseState::Held : LeaseState::Expired;
+}
+
+std::optional<TimePoint> Consensus::Core::leaseEnd() const
+{
+    if (leaseObstacle()) {
         return std::nullopt;
     }
     const TimePoint answered = quorumAnsweredAt(TimePoint::max(), TimePoint::min());
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -706,6 +706,19 @@
     return m_consensus && m_leases && m_consensus->leaseHeld(now);
 }
 
+ReadStatus Controller::readStatus(TimePoint now) const
+{
+    ReadStatus status;
+    if (!m_open) {
+        status.obstacle = ReadObstacle::FolderNotOpen;
+    }
+    if (m_consensus) {
+        status = readStatusOf(*m_consensus, now);
+    }
+    status.leader = leader();
+    return status;
+}
+
 VmId Controller::leader() const
 {
     const auto voter = m_consensus ? m_consensus->leader() : std::nullopt;
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -132,6 +132,16 @@
     return m_controller && m_controller->leads(currentTime());
 }
 
+ReadStatus GroupMember::readStatus() const
+{
+    if (m_controller) {
+        return m_controller->readStatus(currentTime());
+    }
+    ReadStatus status;
+    status.leader = m_leader;
+    return status;
+}
+
 VmId GroupMember::leader() const
 {
     return m_controller ? m_controller->leader() : m_leader;
