Decode only the newest deployment when a controller applies its log

Cause: a controller that starts again applies its whole log in one turn of its event loop once the first entry of the new term is committed, and handed each deployment in it to the node, which parsed it. The loop answers neither heartbeats nor reads meanwhile, so the new leader lost its leadership as soon as it was done, and the next one began the same.

The controller now reports a changed deployment once for all that it applies at a time, with the newest.

--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -39,6 +39,8 @@
     std::function<void(const ReplicatedCommand &command)> applied;
     // The replicated state was replaced by a snapshot.
     std::function<void()> restored;
+    // Another deployment is current. Called once for all that were committed since the last call, with the newest.
+    std::function<void(const DeploymentDocument &document)> deploymentChanged;
 };
 
 // VMs of the controllers that create the group at the first start of the system, or empty if this controller takes no part in that.
@@ -137,6 +139,7 @@
     void restore(const ConsensusSnapshot &snapshot);
     void refreshQuarantine();
     void apply(const LogEntry &entry, TimePoint now);
+    void announceDeployment();
     void completeProposal(const LogEntry &entry, const std::string &outcome, TimePoint now);
     void updateLeadership(TimePoint now);
     void abandonProposals();
@@ -202,6 +205,7 @@
     TimePoint m_listedAt;
     LogIndex m_applied;
     LogIndex m_compacted;
+    DeploymentVersion m_announcedDeployment;
     std::optional<LeaseRegister> m_leases;
     std::map<LogIndex, PendingProposal> m_pendingProposals;
     std::vector<AcceptedCommand> m_acceptedCommands;
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -143,6 +143,7 @@
     refreshQuarantine();
     m_applied = LogIndex{};
     m_compacted = LogIndex{};
+    m_announcedDeployment = DeploymentVersion{};
     abandonProposals();
 }
 
@@ -276,6 +277,17 @@
         }
         actions = m_consensus->takeActions(now);
     }
+    announceDeployment();
+}
+
+// Decoding a document takes long, and a controller that starts applies all documents of its log at once.
+void Controller::announceDeployment()
+{
+    const DeploymentDocument &current = m_state.deployment().current();
+    if (current.version != m_announcedDeployment) {
+        m_announcedDeployment = current.version;
+        m_hooks.deploymentChanged(current);
+    }
 }
 
 void Controller::send(std::vector<Envelope> envelopes)
--- a/src/libhemlockhill/control/controller_host.cpp
+++ b/src/libhemlockhill/control/controller_host.cpp
@@ -85,6 +85,8 @@
         m_placement.restore(m_controller.state().orders());
         m_placement.onState(m_controller.state().region().state());
     };
+    // The declared state of this control plane has no deployments.
+    result.deploymentChanged = [](const DeploymentDocument &) {};
     return result;
 }
 
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -78,12 +78,9 @@
         m_storage->saveInitialMembership(opening, std::move(membership));
     };
     hooks.leadershipChanged = [this](std::optional<Term> term) { m_hooks.leadershipChanged(term); };
-    hooks.applied = [this](const ReplicatedCommand &command) {
-        if (command.machine == ReplicatedMachine::Deployment) {
-            applyDocument(m_controller->state().deployment().current());
-        }
-    };
-    hooks.restored = [this] { applyDocument(m_controller->state().deployment().current()); };
+    hooks.applied = [](const ReplicatedCommand &) {};
+    hooks.restored = [] {};
+    hooks.deploymentChanged = [this](const DeploymentDocument &document) { applyDocument(document); };
     return hooks;
 }
 
--- a/src/libhemlockhill/control/simulated_region.h
+++ b/src/libhemlockhill/control/simulated_region.h
@@ -139,6 +139,7 @@
         hooks.leadershipChanged = [](std::optional<Term>) {};
         hooks.applied = [this, node](const ReplicatedCommand &) { checkVersion(node); };
         hooks.restored = [this, node] { checkVersion(node); };
+        hooks.deploymentChanged = [this, node](const DeploymentDocument &) { checkVersion(node); };
         vm.controller = std::make_unique<Controller>(settings, m_metrics, std::move(hooks));
         StorageOpened opened;
         opened.identity = VoterId{vm.disk.folder};
