--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -205,6 +205,9 @@
     TimePoint m_listedAt;
     LogIndex m_applied;
     LogIndex m_compacted;
+    // Size of the entries applied since the last snapshot, and of that snapshot.
+    std::size_t m_appliedBytes = 0;
+    std::size_t m_snapshotBytes = 0;
     DeploymentVersion m_announcedDeployment;
     std::optional<LeaseRegister> m_leases;
     std::map<LogIndex, PendingProposal> m_pendingProposals;
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -26,8 +26,9 @@
 constexpr Duration FollowerTimeout = std::chrono::seconds(5);
 // Time within which an accepted operator command must be in force on every node; otherwise it is answered as NoQuorum.
 constexpr Duration InForceTimeout = std::chrono::seconds(10);
-// Number of applied entries after which the log is replaced by a snapshot.
-constexpr std::uint64_t CompactionThreshold = 4096;
+// Number of applied entries after which the log is replaced by a snapshot, and their size in bytes, if the snapshot is not larger.
+constexpr std::uint64_t CompactionEntries = 4096;
+constexpr std::size_t CompactionBytes = 1U << 20U;
 // A follow request of an up-to-date node is held for a fifth of the lease, so that a change is pushed to the node immediately.
 constexpr int FollowHoldLeaseDivisor = 5;
 constexpr std::chrono::seconds RetryAfterWithoutLeader(1);
@@ -143,6 +144,8 @@
     refreshQuarantine();
     m_applied = LogIndex{};
     m_compacted = LogIndex{};
+    m_appliedBytes = 0;
+    m_snapshotBytes = 0;
     m_announcedDeployment = DeploymentVersion{};
     abandonProposals();
 }
@@ -307,6 +310,8 @@
     m_history.reset(m_state.region());
     m_applied = snapshot.index;
     m_compacted = snapshot.index;
+    m_appliedBytes = 0;
+    m_snapshotBytes = snapshot.data.size();
     refreshQuarantine();
     m_hooks.restored();
     logEvent(Severity::Info, "state restored from snapshot", {{"index", snapshot.index.value}, {"revision", m_history.revision().value}});
@@ -321,6 +326,7 @@
 void Controller::apply(const LogEntry &entry, TimePoint now)
 {
     m_applied = entry.index;
+    m_appliedBytes += entry.payload.size();
     if (entry.kind == EntryKind::Membership) {
         logEvent(Severity::Info, "membership committed", {{"index", entry.index.value}, {"membership", entry.payload}});
     }
@@ -739,11 +745,16 @@
 
 void Controller::compactIfNeeded()
 {
-    if (m_applied.value < m_compacted.value + CompactionThreshold) {
+    const bool hasManyEntries = m_applied.value >= m_compacted.value + CompactionEntries;
+    const bool hasLargeEntries = m_appliedBytes >= std::max(CompactionBytes, m_snapshotBytes);
+    if (!hasManyEntries && !hasLargeEntries) {
         return;
     }
+    std::string snapshot = m_state.snapshot();
     m_compacted = m_applied;
-    m_consensus->compact(m_applied, m_state.snapshot());
+    m_appliedBytes = 0;
+    m_snapshotBytes = snapshot.size();
+    m_consensus->compact(m_applied, std::move(snapshot));
 }
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/control/restart_after_many_changes_test.cpp
+++ b/src/libhemlockhill/control/restart_after_many_changes_test.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr std::uint64_t Changes = 300;
+constexpr std::size_t LargeBytes = 20'000;
 const VmId Vm{"10.0.0.1"};
 const VoterId Folder{"folder"};
 
@@ -54,7 +55,15 @@
         }
     }
 
+    void submit(const std::string &payload)
+    {
+        m_controller.submit(
+            payload, [](const SubmitReply &) {}, m_now);
+        persist();
+    }
+
     const std::vector<DeploymentVersion> &announced() const { return m_announced; }
+    std::size_t snapshots() const { return m_snapshots; }
 
 private:
     static Settings settings()
@@ -67,7 +76,10 @@
     ControllerHooks hooks()
     {
         ControllerHooks hooks;
-        hooks.persist = [this](StorageOpening, const ConsensusActions &actions) { m_mark = actions.mark; };
+        hooks.persist = [this](StorageOpening, const ConsensusActions &actions) {
+            m_mark = actions.mark;
+            m_snapshots += actions.snapshot ? 1 : 0;
+        };
         hooks.leadershipChanged = [](std::optional<Term>) {};
         hooks.applied = [](const ReplicatedCommand &) {};
         hooks.restored = [] {};
@@ -86,6 +98,7 @@
     TimePoint m_now{std::chrono::hours(1)};
     std::optional<PersistedMark> m_mark;
     std::vector<DeploymentVersion> m_announced;
+    std::size_t m_snapshots = 0;
     Controller m_controller;
 };
 
@@ -103,3 +116,15 @@
     BOOST_REQUIRE_EQUAL(controller.announced().size(), 1);
     BOOST_CHECK_EQUAL(controller.announced().back().value, Changes);
 }
+
+BOOST_AUTO_TEST_CASE(log_of_large_deployments_is_never_compacted)
+{
+    SingleController controller;
+    controller.start({});
+    for (std::uint64_t version = 1; version <= Changes; ++version) {
+        controller.submit(change(version, LargeBytes));
+    }
+    BOOST_CHECK_GE(controller.snapshots(), 2);
+    BOOST_CHECK_LE(controller.snapshots(), 10);
+    BOOST_CHECK_EQUAL(controller.announced().size(), Changes);
+}
