A new leader keeps its quorum while its first entry is synced

What callers saw: after a restart of all controllers on disks whose syncs take longer than the election timeout, a controller took the leadership and lost it one election timeout later, again and again; reads of the config were refused for as long.

Cause: a leader does not know yet whether a member's log matches, and sent the same entries again with each heartbeat. A reply to entries waits for their sync. No member answered anything within the election timeout, and check-quorum deposed the leader.

Fix: while a reply to entries is outstanding, a heartbeat carries no entries, as it does once the logs match. It is answered at once. Its reply also causes entries that were lost to be sent again, so nothing else has to repeat them.

Evidence: new_leader_loses_its_quorum_while_its_first_entry_is_synced is red before (the voter is no longer the leader) and green after. lost_first_entry_is_sent_again is green before and after. consensus_random_test (200 schedules) and full_disk_random_test (60) are green.

--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -293,6 +293,42 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(new_leader_loses_its_quorum_while_its_first_entry_is_synced)
+{
+    SingleVoter voter({}, Term{1});
+    voter.becomeLeader();
+    voter.act();
+    const TimePoint start = voter.now;
+    while (voter.now < start + std::chrono::seconds(5)) {
+        voter.now = voter.core.nextDeadline();
+        voter.core.tick(voter.now);
+        // B answers what it may answer before its sync.
+        for (const Envelope &envelope : voter.act()) {
+            const auto *request = std::get_if<AppendRequest>(&envelope.message);
+            if (request != nullptr && envelope.to == B && request->entries.empty()) {
+                voter.receive(B, AppendReply{request->term, true, request->previousIndex, LogIndex{}, request->sentAt});
+            }
+        }
+        BOOST_REQUIRE((voter.core.role() == VoterRole::Leader));
+    }
+    voter.receive(B, AppendReply{voter.core.term(), true, LogIndex{}, LogIndex{1}, voter.now});
+    BOOST_TEST(voter.core.leaseHeld(voter.now));
+}
+
+BOOST_AUTO_TEST_CASE(lost_first_entry_is_sent_again)
+{
+    SingleVoter voter({}, Term{1});
+    voter.becomeLeader();
+    voter.act();
+    voter.now = voter.core.nextDeadline();
+    voter.core.tick(voter.now);
+    voter.act();
+    voter.receive(B, AppendReply{voter.core.term(), true, LogIndex{}, LogIndex{}, voter.now});
+    const std::vector<Envelope> messages = voter.act();
+    BOOST_REQUIRE(messages.size() == 1U);
+    BOOST_TEST(std::get<AppendRequest>(messages.front().message).entries.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(voter_returning_from_partition_does_not_disrupt_leader)
 {
     SimulatedGroup group(3, Seed);
--- a/src/libhemlockhill/consensus/leading.cpp
+++ b/src/libhemlockhill/consensus/leading.cpp
@@ -258,9 +258,12 @@
         return;
     }
     if (progress.probing) {
-        if (!progress.awaitingReply || heartbeat) {
+        if (!progress.awaitingReply) {
             progress.awaitingReply = true;
             sendEntries(member, progress, m_log.slice(progress.next, m_settings.maxBatchEntries, m_settings.maxBatchBytes), now);
+        } else if (heartbeat) {
+            // Answered without waiting for the entries to be synced. If they were lost, the reply causes them to be sent again.
+            sendHeartbeat(member, progress, now);
         }
         return;
     }
