Elections end on disks that sync slower than the election timeout

Cause: a vote needs the candidate's sync, then another voter's. The candidate gave up one to two election timeouts after its own and did not count votes for its term that came later. Voters whose vote was not synced yet called elections of their own meanwhile, in the next term. The timer after the sync ran from the latest time known before it, so part of the wait was over when it began.

Fix: the votes of a term count while its candidate asks for pre-votes again, until it knows a leader or a higher term, or stands again. No voter calls an election before its term and vote are synced. From there it waits two syncs of that length longer, 8 election timeouts at most. Who may vote for whom, and what is on disk before a message leaves, is unchanged, so a term still has one leader.

--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -11,6 +11,8 @@
 constexpr std::int64_t Millisecond = 1'000;
 constexpr std::int64_t Second = 1'000 * Millisecond;
 constexpr std::uint64_t Seed = 7;
+constexpr std::uint64_t ElectionSeeds = 100;
+constexpr std::int64_t ElectionLimit = 120 * Second;
 
 std::size_t awaitLeader(SimulatedGroup &group)
 {
@@ -24,6 +26,20 @@
     throw InvariantViolation("no leader was elected");
 }
 
+// Returns the time until a leader holds a lease, or the limit if none does by then.
+std::int64_t timeUntilLease(SimulatedGroup &group, std::int64_t limit)
+{
+    const std::int64_t start = group.time();
+    while (group.time() < start + limit) {
+        const auto leader = group.leader();
+        if (leader && group.core(*leader)->leaseHeld(group.local(*leader))) {
+            return group.time() - start;
+        }
+        group.run(10 * Millisecond);
+    }
+    return limit;
+}
+
 // Runs until a new command is committed and returns how long that took.
 std::int64_t commitOne(SimulatedGroup &group)
 {
@@ -99,6 +115,24 @@
         BOOST_REQUIRE(core.role() == VoterRole::Leader);
     }
 
+    void timeOut()
+    {
+        now = core.nextDeadline();
+        core.tick(now);
+        act();
+        BOOST_REQUIRE(core.role() == VoterRole::PreCandidate);
+    }
+
+    // Stands in the next term and, without an answer by the end of the election timeout, asks for pre-votes again.
+    void becomePreCandidateAfterElection()
+    {
+        timeOut();
+        receive(B, PreVoteReply{core.term() + Term{1}, true});
+        act();
+        BOOST_REQUIRE(core.role() == VoterRole::Candidate);
+        timeOut();
+    }
+
     TimePoint now{std::chrono::hours(1)};
     Consensus core;
 };
@@ -329,6 +363,132 @@
     BOOST_TEST(std::get<AppendRequest>(messages.front().message).entries.size() == 1U);
 }
 
+// All voters restart at once. Each step of the group checks that a term has one leader.
+BOOST_AUTO_TEST_CASE(no_election_ends_on_disks_that_sync_slower_than_the_election_timeout)
+{
+    // In tenths of the election timeout.
+    for (const std::int64_t tenths : {3, 6, 10, 15, 20, 30}) {
+        for (const auto &[shortest, absent] : {std::pair(90, 0U), std::pair(90, 1U), std::pair(0, 0U), std::pair(0, 1U)}) {
+            int late = 0;
+            std::vector<std::int64_t> took;
+            for (std::uint64_t seed = 1; seed <= ElectionSeeds; ++seed) {
+                SimulatedGroup group(seed % 2 == 0 ? 3 : 5, seed);
+                const std::int64_t timeout = group.settings.electionTimeout.count();
+                group.run(20 * Second);
+                for (std::size_t node = 0; node < group.size(); ++node) {
+                    group.crash(node, true);
+                }
+                const std::int64_t syncTime = timeout * tenths / 10;
+                group.network.minSync = std::max<std::int64_t>(1, syncTime * shortest / 100);
+                group.network.maxSync = syncTime;
+                for (std::size_t node = absent; node < group.size(); ++node) {
+                    group.start(node);
+                }
+                took.push_back(timeUntilLease(group, ElectionLimit));
+                // One more round of pre-votes, and two syncs for each of both votes and the first entry.
+                late += took.back() > 4 * timeout + 6 * syncTime ? 1 : 0;
+            }
+            std::sort(took.begin(), took.end());
+            const std::string syncs = std::to_string(shortest) + " to 100 % of " + std::to_string(tenths) + "/10 election timeouts, "
+                                      + std::to_string(absent) + " absent";
+            BOOST_TEST_MESSAGE("syncs of " << syncs << ": lease after " << took[took.size() / 2] / Millisecond << " ms (median), "
+                                           << took[took.size() * 95 / 100] / Millisecond << " ms (p95), " << took.back() / Millisecond
+                                           << " ms (longest), " << late << " late");
+            BOOST_TEST(took.back() < ElectionLimit, "no leader, syncs of " << syncs);
+            BOOST_TEST(late * 20 <= static_cast<int>(took.size()), late << " late, syncs of " << syncs);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(vote_that_arrives_after_the_election_timeout_is_lost)
+{
+    SingleVoter voter({}, Term{1});
+    voter.becomePreCandidateAfterElection();
+    BOOST_TEST(voter.core.term().value == 2U);
+    voter.receive(C, VoteReply{Term{1}, true});
+    BOOST_TEST((voter.core.role() == VoterRole::PreCandidate));
+    voter.receive(B, VoteReply{Term{2}, true});
+    BOOST_TEST((voter.core.role() == VoterRole::Leader));
+    BOOST_TEST(voter.core.term().value == 2U);
+    BOOST_TEST((voter.core.leader() == A));
+}
+
+BOOST_AUTO_TEST_CASE(late_votes_of_an_ended_election_do_not_count)
+{
+    // A leader of the term is known.
+    SingleVoter following({}, Term{1});
+    following.becomePreCandidateAfterElection();
+    following.receive(B, AppendRequest{Term{2}, LogIndex{}, Term{}, LogIndex{}, {}, following.now});
+    following.act();
+    following.receive(C, VoteReply{Term{2}, true});
+    BOOST_TEST((following.core.role() == VoterRole::Follower));
+    following.timeOut();
+    following.receive(C, VoteReply{Term{2}, true});
+    following.receive(B, VoteReply{Term{2}, true});
+    BOOST_TEST((following.core.role() == VoterRole::PreCandidate));
+
+    // The voter has led the term already.
+    SingleVoter deposed({}, Term{1});
+    deposed.becomeLeader();
+    deposed.now += std::chrono::seconds(5);
+    deposed.core.tick(deposed.now);
+    deposed.act();
+    BOOST_TEST((deposed.core.role() == VoterRole::Follower));
+    deposed.timeOut();
+    deposed.receive(C, VoteReply{Term{2}, true});
+    deposed.receive(B, VoteReply{Term{2}, true});
+    BOOST_TEST((deposed.core.role() == VoterRole::PreCandidate));
+
+    // A higher term is known.
+    SingleVoter outdated({}, Term{1});
+    outdated.becomePreCandidateAfterElection();
+    outdated.receive(C, VoteRequest{Term{3}, LogIndex{}, Term{}, false});
+    outdated.act();
+    outdated.receive(B, VoteReply{Term{2}, true});
+    BOOST_TEST((outdated.core.role() == VoterRole::Follower));
+    BOOST_TEST(outdated.core.term().value == 3U);
+
+    // The next election has begun.
+    SingleVoter standingAgain({}, Term{1});
+    standingAgain.becomePreCandidateAfterElection();
+    standingAgain.receive(B, PreVoteReply{Term{3}, true});
+    standingAgain.act();
+    standingAgain.receive(B, VoteReply{Term{2}, true});
+    BOOST_TEST((standingAgain.core.role() == VoterRole::Candidate));
+    BOOST_TEST(standingAgain.core.term().value == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(voter_stands_against_the_candidate_that_its_vote_is_not_yet_synced_for)
+{
+    SingleVoter voter({}, Term{1});
+    voter.now += std::chrono::seconds(10);
+    voter.receive(B, VoteRequest{Term{2}, LogIndex{}, Term{}, false});
+    const ConsensusActions vote = voter.core.takeActions(voter.now);
+    constexpr std::chrono::seconds SyncTime(2);
+    const TimePoint synced = voter.now + SyncTime;
+    while (voter.now < synced) {
+        voter.now = std::min(synced, voter.core.nextDeadline());
+        voter.core.tick(voter.now);
+        BOOST_REQUIRE((voter.core.role() == VoterRole::Follower));
+    }
+    voter.core.persisted(vote.mark.value());
+    BOOST_TEST(voter.core.takeActions(voter.now).messages.size() == 1U);
+    // The candidate may need another voter whose sync takes as long.
+    BOOST_TEST((voter.core.nextDeadline() >= synced + SyncTime + SingleVoter::settings().electionTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(voter_stopped_during_sync_of_its_vote_waits_for_a_few_election_timeouts_only)
+{
+    SingleVoter voter({}, Term{1});
+    voter.now += std::chrono::seconds(10);
+    voter.receive(B, VoteRequest{Term{2}, LogIndex{}, Term{}, false});
+    const ConsensusActions vote = voter.core.takeActions(voter.now);
+    voter.now += std::chrono::minutes(10);
+    voter.core.persisted(vote.mark.value());
+    voter.core.takeActions(voter.now);
+    BOOST_TEST((voter.core.nextDeadline() <= voter.now + 10 * SingleVoter::settings().electionTimeout));
+}
+
 BOOST_AUTO_TEST_CASE(voter_returning_from_partition_does_not_disrupt_leader)
 {
     SimulatedGroup group(3, Seed);
--- a/src/libhemlockhill/consensus/core.cpp
+++ b/src/libhemlockhill/consensus/core.cpp
@@ -70,8 +70,8 @@
     if (role() == VoterRole::Learner || m_now < m_electionDeadline) {
         return;
     }
-    if (m_ownVoteMark) {
-        // No request for votes has been sent yet.
+    if (m_termUnsynced) {
+        // The own vote request, or the vote for another candidate, has not been sent yet.
         resetElectionTimer();
         return;
     }
@@ -107,6 +107,8 @@
     m_hardState = std::move(hardState);
     m_hardStateUnwritten = true;
     m_hardStateMark = nextSyncMark();
+    m_termUnsynced = true;
+    m_hardStateChangedAt = m_now;
 }
 
 bool Consensus::Core::isTermDurable() const
@@ -180,11 +182,6 @@
         m_persistedIndex = std::max(m_persistedIndex, m_pendingMarks.front().lastIndex);
         m_pendingMarks.pop_front();
     }
-    if (role() == VoterRole::Candidate && m_ownVoteMark && *m_ownVoteMark <= m_persistedMark) {
-        m_ownVoteMark.reset();
-        resetElectionTimer();
-        recordVote(m_settings.self);
-    }
     if (role() == VoterRole::Leader) {
         advanceCommit();
     }
@@ -193,6 +190,10 @@
 ConsensusActions Consensus::Core::takeActions(TimePoint now)
 {
     advanceTime(now);
+    if (m_termUnsynced && isTermDurable()) {
+        m_termUnsynced = false;
+        termBecameDurable();
+    }
     if (role() == VoterRole::Leader) {
         replicate(now);
     }
--- a/src/libhemlockhill/consensus/core.h
+++ b/src/libhemlockhill/consensus/core.h
@@ -95,7 +95,10 @@
     void startElection();
     void startLeading();
     void adoptTerm(Term term);
+    void recordPreVote(const VoterId &voter);
     void recordVote(const VoterId &voter);
+    // The term and the vote in it have been synced, and the messages that depend on them are about to be sent.
+    void termBecameDurable();
     void resetElectionTimer();
     bool hasRecentLeader() const;
     bool isUpToDate(LogIndex lastIndex, Term lastTerm) const;
@@ -164,9 +167,12 @@
     std::optional<VoterId> m_leader;
     TimePoint m_leaderHeardAt;
     TimePoint m_electionDeadline;
+    std::set<VoterId> m_preVotes;
+    // Set from the start of an election until a leader of its term is known or a higher term is seen. The votes of the term count even when
+    // they arrive after the election timeout, while pre-votes for the next term are requested.
+    bool m_standing = false;
     std::set<VoterId> m_votes;
     bool m_transferElection = false;
-    std::optional<PersistedMark> m_ownVoteMark;
     std::optional<IncomingSnapshot> m_incoming;
 
     std::map<VoterId, MemberProgress> m_members;
@@ -184,6 +190,9 @@
     LogIndex m_writtenIndex;
     bool m_hardStateUnwritten = false;
     PersistedMark m_hardStateMark;
+    // Until termBecameDurable() has been called for the hard state.
+    bool m_termUnsynced = false;
+    TimePoint m_hardStateChangedAt;
     bool m_snapshotUnwritten = false;
     bool m_discardLog = false;
     std::optional<LogIndex> m_truncateFrom;
--- a/src/libhemlockhill/consensus/election.cpp
+++ b/src/libhemlockhill/consensus/election.cpp
@@ -3,13 +3,29 @@
 
 #include <boost/random/uniform_int_distribution.hpp>
 
+#include <algorithm>
+
 namespace Hemlockhill
 {
 
+namespace
+{
+
+// Number of syncs that a voter may have to finish before its reply to a vote request is sent: one that is under way, and that of its vote.
+constexpr int SyncsBeforeVote = 2;
+// Longest time that a voter allows for these syncs, in election timeouts. A process that was stopped during a sync must not wait for as
+// long.
+constexpr int LongestVoteWait = 8;
+
+} // namespace
+
 void Consensus::Core::enteredRole(VoterRole role)
 {
-    m_votes.clear();
-    m_ownVoteMark.reset();
+    m_preVotes.clear();
+    if (role != VoterRole::PreCandidate) {
+        m_standing = false;
+        m_votes.clear();
+    }
     if (role != VoterRole::Leader) {
         m_members.clear();
         m_transfer.reset();
@@ -53,14 +69,14 @@
             sendAfterSync(voter, request);
         }
     }
-    recordVote(m_settings.self);
+    recordPreVote(m_settings.self);
 }
 
 void Consensus::Core::startElection()
 {
     m_leader.reset();
+    m_standing = true;
     setHardState(HardState{term() + Term{1}, m_settings.self});
-    m_ownVoteMark = nextSyncMark();
     const VoteRequest request{term(), m_log.lastIndex(), m_log.lastTerm(), m_transferElection};
     m_transferElection = false;
     for (const VoterId &voter : m_log.membership().voters) {
@@ -88,18 +104,37 @@
     m_role.stepDown();
 }
 
-void Consensus::Core::recordVote(const VoterId &voter)
+void Consensus::Core::termBecameDurable()
 {
-    if (!isVoter(voter)) {
+    if (role() == VoterRole::Leader) {
         return;
     }
-    m_votes.insert(voter);
-    if (m_votes.size() < quorum()) {
+    resetElectionTimer();
+    // The syncs of the other voters may take as long. Asking for pre-votes before they can have voted would start another term in vain.
+    m_electionDeadline += std::min(SyncsBeforeVote * (m_now - m_hardStateChangedAt), LongestVoteWait * m_settings.electionTimeout);
+    if (role() == VoterRole::Candidate) {
+        recordVote(m_settings.self);
+    }
+}
+
+void Consensus::Core::recordPreVote(const VoterId &voter)
+{
+    if (!isVoter(voter)) {
         return;
     }
-    if (role() == VoterRole::PreCandidate) {
+    m_preVotes.insert(voter);
+    if (m_preVotes.size() >= quorum()) {
         m_role.preVoteWon();
-    } else if (role() == VoterRole::Candidate) {
+    }
+}
+
+void Consensus::Core::recordVote(const VoterId &voter)
+{
+    if (!isVoter(voter)) {
+        return;
+    }
+    m_votes.insert(voter);
+    if (m_votes.size() >= quorum()) {
         m_role.voteWon();
     }
 }
@@ -119,7 +154,7 @@
         return;
     }
     if (role() == VoterRole::PreCandidate && reply.term == term() + Term{1}) {
-        recordVote(from);
+        recordPreVote(from);
     }
 }
 
@@ -147,7 +182,7 @@
         adoptTerm(reply.term);
         return;
     }
-    if (reply.granted && reply.term == term() && role() == VoterRole::Candidate) {
+    if (reply.granted && reply.term == term() && m_standing) {
         recordVote(from);
     }
 }
--- a/src/libhemlockhill/consensus/role_machine.cpp
+++ b/src/libhemlockhill/consensus/role_machine.cpp
@@ -83,6 +83,7 @@
         Row<Follower, VotingRevoked, Learner>,
         Row<PreCandidate, ElectionTimedOut, PreCandidate>,
         Row<PreCandidate, PreVoteWon, Candidate>,
+        Row<PreCandidate, VoteWon, Leader>,
         Row<PreCandidate, StepDown, Follower>,
         Row<PreCandidate, VotingRevoked, Learner>,
         Row<Candidate, ElectionTimedOut, PreCandidate>,
