A learner forgets a leader that is gone

What callers saw: a controller that is a learner redirected (307) every read of the config to the last leader that it had heard, for as long as it heard no other, even if that machine was gone.

Cause: only an election clears the leader of a voter, and a learner calls none.

Fix: a leader without messages is forgotten after 2 election timeouts, by which time a voter that can calls an election. The read is then refused as retryable (503), and a node that searches for the leader is sent elsewhere. Messages on the wire are unchanged.

Evidence: learner_names_a_leader_that_is_gone_for_ever and voter_whose_disk_hangs_names_a_leader_that_is_gone_for_ever are red before and green after. removed_voter_names_a_leader_that_is_gone_for_ever was green before: a removed voter is not told, stays a voter in its own view and calls elections. consensus_random_test (200 schedules), full_disk_random_test (60), open_group_test, planned_replacement_test and second_lost_disk_test are green.

--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -546,6 +546,56 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(learner_names_a_leader_that_is_gone_for_ever)
+{
+    SimulatedGroup group(3, Seed);
+    const std::size_t leader = awaitLeader(group);
+    const std::size_t learning = (leader + 1) % 3;
+    group.loseDisk(learning);
+    group.core(leader)->proposeMembership({MembershipChangeKind::AddLearner, group.voter(learning).id}, group.local(leader));
+    group.pump(leader);
+    group.run(500 * Millisecond);
+    BOOST_TEST((group.core(learning)->role() == VoterRole::Learner));
+    BOOST_TEST((group.core(learning)->leader() == group.voter(leader).id));
+
+    // A leader with which the learner still exchanges messages is not forgotten.
+    group.run(10 * Second);
+    BOOST_TEST((group.core(learning)->leader() == group.voter(leader).id));
+
+    group.crash(leader, true);
+    group.run(3 * Second);
+    BOOST_TEST(!group.core(learning)->leader().has_value());
+    BOOST_TEST((group.core(learning)->role() == VoterRole::Learner));
+}
+
+BOOST_AUTO_TEST_CASE(removed_voter_names_a_leader_that_is_gone_for_ever)
+{
+    SimulatedGroup group(3, Seed);
+    const std::size_t leader = awaitLeader(group);
+    const std::size_t removed = (leader + 1) % 3;
+    group.core(leader)->proposeMembership({MembershipChangeKind::Remove, group.voter(removed).id}, group.local(leader));
+    group.pump(leader);
+    group.run(3 * Second);
+    group.crash(leader, true);
+    group.run(3 * Second);
+    BOOST_TEST(!group.core(removed)->leader().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(voter_whose_disk_hangs_names_a_leader_that_is_gone_for_ever)
+{
+    SingleVoter voter({}, Term{1});
+    voter.receive(B, AppendRequest{Term{2}, LogIndex{}, Term{}, LogIndex{}, {}, voter.now});
+    // Never synced.
+    voter.core.takeActions(voter.now);
+    BOOST_TEST((voter.core.leader() == B));
+    const TimePoint end = voter.now + std::chrono::seconds(10);
+    while (voter.now < end) {
+        voter.now = voter.core.nextDeadline();
+        voter.core.tick(voter.now);
+    }
+    BOOST_TEST(!voter.core.leader().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(new_identity_is_not_promoted_before_it_has_caught_up)
 {
     SimulatedGroup group(3, Seed);
--- a/src/libhemlockhill/consensus/core.cpp
+++ b/src/libhemlockhill/consensus/core.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// Time, in election timeouts, after which a leader without messages is forgotten. A voter calls an election by then, if it can.
+constexpr int LeaderRetention = 2;
+
 ReplicatedLog emptyLog(const RestoredState &restored)
 {
     if (restored.snapshot) {
@@ -67,6 +70,9 @@
         checkQuorum();
         return;
     }
+    if (m_leader && m_now >= leaderForgottenAt()) {
+        m_leader.reset();
+    }
     if (role() == VoterRole::Learner || m_now < m_electionDeadline) {
         return;
     }
@@ -87,10 +93,15 @@
     std::visit([this, &envelope](const auto &message) { handle(envelope.from, message); }, envelope.message);
 }
 
+TimePoint Consensus::Core::leaderForgottenAt() const
+{
+    return m_leaderHeardAt + LeaderRetention * m_settings.electionTimeout;
+}
+
 TimePoint Consensus::Core::nextDeadline() const
 {
     if (role() == VoterRole::Learner) {
-        return TimePoint::max();
+        return m_leader ? leaderForgottenAt() : TimePoint::max();
     }
     if (role() != VoterRole::Leader) {
         return m_electionDeadline;
--- a/src/libhemlockhill/consensus/core.h
+++ b/src/libhemlockhill/consensus/core.h
@@ -101,6 +101,7 @@
     void termBecameDurable();
     void resetElectionTimer();
     bool hasRecentLeader() const;
+    TimePoint leaderForgottenAt() const;
     bool isUpToDate(LogIndex lastIndex, Term lastTerm) const;
     void handle(const VoterId &from, const PreVoteRequest &request);
     void handle(const VoterId &from, const PreVoteReply &reply);
