--- a/src/libhemlockhill/consensus/core.cpp
+++ b/src/libhemlockhill/consensus/core.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// Time, in election timeouts, after which a leader without messages is forgotten. A voter calls an election by then, if it can.
+constexpr int LeaderRetention = 2;
+
 ReplicatedLog emptyLog(const RestoredState &restored)
 {
     if (restored.snapshot) {
@@ -67,11 +70,14 @@
         checkQuorum();
         return;
     }
+    if (m_leader && m_now >= leaderForgottenAt()) {
+        m_leader.reset();
+    }
     if (role() == VoterRole::Learner || m_now < m_electionDeadline) {
         return;
     }
-    if (m_ownVoteMark) {
-        // No request for votes has been sent yet.
+    if (m_termUnsynced) {
+        // The own vote request, or the vote for another candidate, has not been sent yet.
         resetElectionTimer();
         return;
     }
@@ -87,10 +93,15 @@
     std::visit([this, &envelope](const auto &message) { handle(envelope.from, message); }, envelope.message);
 }
 
+TimePoint Consensus::Core::leaderForgottenAt() const
+{
+    return m_leaderHeardAt + LeaderRetention * m_settings.electionTimeout;
+}
+
 TimePoint Consensus::Core::nextDeadline() const
 {
     if (role() == VoterRole::Learner) {
-        return TimePoint::max();
+        return m_leader ? leaderForgottenAt() : TimePoint::max();
     }
     if (role() != VoterRole::Leader) {
         return m_electionDeadline;
@@ -107,6 +118,8 @@
     m_hardState = std::move(hardState);
     m_hardStateUnwritten = true;
     m_hardStateMark = nextSyncMark();
+    m_termUnsynced = true;
+    m_hardStateChangedAt = m_now;
 }
 
 bool Consensus::Core::isTermDurable() const
@@ -180,11 +193,6 @@
         m_persistedIndex = std::max(m_persistedIndex, m_pendingMarks.front().lastIndex);
         m_pendingMarks.pop_front();
     }
-    if (role() == VoterRole::Candidate && m_ownVoteMark && *m_ownVoteMark <= m_persistedMark) {
-        m_ownVoteMark.reset();
-        resetElectionTimer();
-        recordVote(m_settings.self);
-    }
     if (role() == VoterRole::Leader) {
         advanceCommit();
     }
@@ -193,6 +201,10 @@
 ConsensusActions Consensus::Core::takeActions(TimePoint now)
 {
     advanceTime(now);
+    if (m_termUnsynced && isTermDurable()) {
+        m_termUnsynced = false;
+        termBecameDurable();
+    }
     if (role() == VoterRole::Leader) {
         replicate(now);
     }
