Sync the data folder after the removal of each log segment

Not seen on real processes; found by reading.

Cause: removeCoveredSegments() removed several names without a sync of the folder. After a loss of power an older removed segment can be back while a newer one is gone. openLog() takes the gap for a missing segment, calls the log corrupt, and the folder is set aside.

Why the fix works: segments go from the oldest on, and the folder is synced after each, so at most one removed name is not durable. The segments that are left have consecutive numbers whether it is back or not.

Red before: log_storage_test, removed_segment_is_back_after_a_loss_of_power (crash at each operation, each unsynced removal back alone): "storage corrupt: a log segment is missing". Green now, with the 23 other cases of log_storage_test.

--- a/src/libhemlockhill/storage/log_storage.cpp
+++ b/src/libhemlockhill/storage/log_storage.cpp
@@ -362,6 +362,8 @@
     while (m_segments.size() > 1 && m_segments.front().highestIndex <= index) {
         removeFile(m_hooks, segmentPath(m_segments.front()));
         m_segments.pop_front();
+        // After a loss of power, any names that were removed without a sync may be back, without those between them and the rest.
+        syncFolder(m_hooks, m_settings.folder);
     }
 }
 
--- a/src/libhemlockhill/storage/log_storage_test.cpp
+++ b/src/libhemlockhill/storage/log_storage_test.cpp
@@ -6,6 +6,8 @@
 #include <cerrno>
 #include <fcntl.h>
 #include <fstream>
+#include <iterator>
+#include <map>
 #include <optional>
 #include <random>
 #include <utility>
@@ -129,6 +131,32 @@
     }
 };
 
+// Files that were removed since their folder was last synced, with their content. A loss of power may bring any of them back.
+struct UnsyncedRemovals {
+    std::map<fs::path, std::string> files;
+
+    FileHooks hooks(FileHooks hooks)
+    {
+        hooks.remove = [this, real = hooks.remove](const char *path) {
+            std::ifstream file(path, std::ios::binary);
+            const std::string bytes(std::istreambuf_iterator<char>(file), {});
+            const int result = real(path);
+            if (result == 0) {
+                files[path] = bytes;
+            }
+            return result;
+        };
+        hooks.syncFolder = [this, real = hooks.syncFolder](int folder) {
+            const int result = real(folder);
+            if (result == 0) {
+                files.clear();
+            }
+            return result;
+        };
+        return hooks;
+    }
+};
+
 // A disk without room: from the given modifying file operation on, a number of them fail. Syncs are only counted.
 struct FullDiskAt {
     int remainingOperations;
@@ -745,3 +773,39 @@
     const LogStorage storage(folder.settings(), hooks);
     BOOST_TEST(temporaryFiles(folder).empty());
 }
+
+// Guards against a voter that sets its folder aside after a loss of power: of several segments that were removed without a sync of the
+// folder, an earlier one was back and a later one was not, which passed as a segment that is missing.
+BOOST_AUTO_TEST_CASE(removed_segment_is_back_after_a_loss_of_power)
+{
+    bool crashed = true;
+    for (int operation = 0; crashed; ++operation) {
+        const TemporaryFolder folder;
+        {
+            LogStorage storage(folder.settings(200));
+            ConsensusActions voted;
+            voted.hardState = HardState{Term{3}, VoterId{"a"}};
+            writeSynced(storage, voted);
+            for (std::uint64_t index = 1; index <= 20; ++index) {
+                writeSynced(storage, entries(index, index));
+            }
+        }
+        CrashAt crash{operation};
+        UnsyncedRemovals removals;
+        crashed = faultOf([&] {
+                      LogStorage storage(folder.settings(200), removals.hooks(crash.hooks()));
+                      writeSynced(storage, snapshotAt(18));
+                  }).has_value();
+        for (const auto &[path, bytes] : removals.files) {
+            BOOST_TEST_CONTEXT("crash at operation " << operation << ", only " << path << " is back")
+            {
+                const TemporaryFolder copy;
+                fs::copy(folder.path / "data", copy.path / "data");
+                std::ofstream(copy.file(path.filename()), std::ios::binary) << bytes;
+                const RestoredState state = LogStorage(copy.settings()).takeRestoredState();
+                BOOST_TEST(lastIndexOf(state) == 20U);
+                BOOST_TEST((state.hardState == HardState{Term{3}, VoterId{"a"}}));
+            }
+        }
+    }
+}
