Tell writes that a loss of power has taken from damage of synced records

What callers would see: as for a missing segment: a controller whose power is lost under load sets its folder aside and rejoins with a new identity; two of three at once leave no quorum for ever. Not seen on real processes; found by reading.

Cause: several writes wait for one sync. A loss of power may take one of them and leave a later one. The log then has a hole behind what is known to be synced, with whole records after it, which passed as corruption of synced records.

Why the fix works: the first write after each sync begins with a record of the offset that is synced. Whole records behind a bad one are damage only if the note `synced` or one of them says that the bad one was synced; otherwise the tail was never acknowledged and is cut off. This keeps telling damage without the file `synced`. A folder of an older version has no such records; only its note `synced` tells there.

Red before: log_storage_test, unsynced_write_is_missing_before_a_later_one: "storage corrupt: invalid log record at byte 123".

--- a/src/libhemlockhill/storage/log_replay.cpp
+++ b/src/libhemlockhill/storage/log_replay.cpp
@@ -26,15 +26,20 @@
     m_highestInSegment = LogIndex{};
     m_hasHardStateInSegment = false;
     std::size_t offset = 0;
+    std::size_t validBytes = 0;
     while (const auto decoded = decodeRecord(bytes, offset)) {
         applyRecord(decoded->record);
         offset = decoded->nextOffset;
+        // A note of what was synced belongs to the record that follows it in the same write.
+        validBytes = std::holds_alternative<SyncedRecord>(decoded->record) ? validBytes : offset;
     }
     const bool complete = offset == bytes.size();
-    if (offset < syncedBytes || (!complete && (!lastSegment || containsRecordFrom(bytes, offset)))) {
+    // After a loss of power, a write that no sync had covered may be missing or torn although a later one is present.
+    const std::uint64_t synced = std::max<std::uint64_t>(syncedBytes, complete ? 0 : syncedOffsetFrom(bytes, offset));
+    if (offset < synced || (!complete && !lastSegment)) {
         throwCorrupt("invalid log record at byte " + std::to_string(offset));
     }
-    return offset;
+    return validBytes;
 }
 
 void LogReplay::applyRecord(const StorageRecord &record)
@@ -48,7 +53,7 @@
         std::erase_if(m_state.entries, [truncate](const LogEntry &held) { return held.index >= truncate->from; });
     } else if (std::holds_alternative<RestartRecord>(record)) {
         m_state.entries.clear();
-    } else {
+    } else if (!std::holds_alternative<SyncedRecord>(record)) {
         throwCorrupt("the log contains a record type that is not allowed in it");
     }
 }
--- a/src/libhemlockhill/storage/log_replay.h
+++ b/src/libhemlockhill/storage/log_replay.h
@@ -18,8 +18,8 @@
     explicit LogReplay(std::optional<ConsensusSnapshot> snapshot);
 
     // Applies the records of one segment and returns the size of its valid records in bytes. An invalid tail of the last segment is
-    // ignored. Throws StorageError with StorageFault::Corrupt when an invalid record precedes a valid one, is in an earlier segment, or
-    // starts before syncedBytes.
+    // ignored. Throws StorageError with StorageFault::Corrupt when an invalid record is in an earlier segment, or starts before syncedBytes
+    // or an offset that a later record states to be synced.
     std::size_t apply(std::string_view bytes, bool lastSegment, std::size_t syncedBytes);
 
     // Index of the last entry of the log, or 0 when it has no entries.
--- a/src/libhemlockhill/storage/log_storage.cpp
+++ b/src/libhemlockhill/storage/log_storage.cpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <random>
 #include <sstream>
+#include <utility>
 
 namespace Hemlockhill
 {
@@ -301,7 +302,9 @@
     if (m_buffer.empty()) {
         return;
     }
-    m_dirty = true;
+    if (!std::exchange(m_dirty, true)) {
+        m_buffer.insert(0, encodeRecord(SyncedRecord{m_segments.back().number, m_segments.back().bytes}));
+    }
     m_active->write(m_buffer);
     m_segments.back().bytes += m_buffer.size();
     m_buffer.clear();
--- a/src/libhemlockhill/storage/log_storage_test.cpp
+++ b/src/libhemlockhill/storage/log_storage_test.cpp
@@ -76,6 +76,13 @@
     file.put(byte);
 }
 
+void zeroBytes(const fs::path &path, std::uint64_t from, std::uint64_t to)
+{
+    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<std::streamoff>(from));
+    file << std::string(to - from, '\0');
+}
+
 template<typename Work>
 std::optional<StorageFault> faultOf(const Work &work)
 {
@@ -809,3 +816,39 @@
         }
     }
 }
+
+// Guards against a voter that sets its folder aside after a loss of power: one of several writes that no sync had covered was missing or
+// torn and a later one was present, which passed as corruption of synced data.
+BOOST_AUTO_TEST_CASE(unsynced_write_is_missing_before_a_later_one)
+{
+    for (const bool keepsSyncedFile : {true, false}) {
+        for (const std::size_t lost : {0U, 1U}) {
+            for (const std::size_t keptBytes : {0U, 1U, 20U}) {
+                BOOST_TEST_CONTEXT("write " << lost << " keeps " << keptBytes << " bytes, synced file " << keepsSyncedFile)
+                {
+                    const TemporaryFolder folder;
+                    std::vector<std::uintmax_t> ends;
+                    {
+                        LogStorage storage(folder.settings());
+                        writeSynced(storage, entries(1, 2));
+                        for (std::uint64_t index = 3; index <= 5; ++index) {
+                            ends.push_back(fs::file_size(folder.file(FirstSegment)));
+                            storage.write(entries(index, index));
+                        }
+                    }
+                    // Bytes that were never written read as zeros.
+                    zeroBytes(folder.file(FirstSegment), ends[lost] + keptBytes, ends[lost + 1]);
+                    if (!keepsSyncedFile) {
+                        fs::remove(folder.file("synced"));
+                    }
+                    {
+                        LogStorage storage(folder.settings());
+                        BOOST_TEST(lastIndexOf(storage.takeRestoredState()) == 2 + lost);
+                        writeSynced(storage, entries(3 + lost, 3 + lost));
+                    }
+                    BOOST_TEST(lastIndexOf(LogStorage(folder.settings()).takeRestoredState()) == 3 + lost);
+                }
+            }
+        }
+    }
+}
--- a/src/libhemlockhill/storage/record_codec.cpp
+++ b/src/libhemlockhill/storage/record_codec.cpp
@@ -4,6 +4,7 @@
 #include <boost/crc.hpp>
 #include <boost/endian/conversion.hpp>
 
+#include <algorithm>
 #include <cstring>
 #include <limits>
 
@@ -189,14 +190,16 @@
     return DecodedRecord{readBody(alternative, reader), bodyOffset + length};
 }
 
-bool containsRecordFrom(std::string_view bytes, std::size_t offset)
+std::uint64_t syncedOffsetFrom(std::string_view bytes, std::size_t offset)
 {
+    std::uint64_t synced = 0;
     for (std::size_t found = bytes.find(RecordMagic, offset); found != std::string_view::npos; found = bytes.find(RecordMagic, found + 1)) {
-        if (decodeRecord(bytes, found)) {
-            return true;
+        const auto decoded = decodeRecord(bytes, found);
+        if (decoded && std::holds_alternative<SyncedRecord>(decoded->record)) {
+            synced = std::max(synced, std::get<SyncedRecord>(decoded->record).offset);
         }
     }
-    return false;
+    return synced;
 }
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/storage/record_codec.h
+++ b/src/libhemlockhill/storage/record_codec.h
@@ -25,7 +25,7 @@
     LogIndex after;
 };
 
-// States that a segment has been synced up to an offset in bytes.
+// States that a segment has been synced up to an offset in bytes. Also precedes the first write after each sync in the segment itself.
 struct SyncedRecord {
     std::uint64_t segment = 0;
     std::uint64_t offset = 0;
@@ -51,7 +51,7 @@
 // checksum matches but the body is malformed.
 std::optional<DecodedRecord> decodeRecord(std::string_view bytes, std::size_t offset);
 
-// True when a complete record with a matching checksum starts at or after offset.
-bool containsRecordFrom(std::string_view bytes, std::size_t offset);
+// Offset up to which the bytes have been synced according to the complete records at or after an offset; 0 if none of them says so.
+std::uint64_t syncedOffsetFrom(std::string_view bytes, std::size_t offset);
 
 } // namespace Hemlockhill
