--- a/src/libhemlockhill/storage/log_storage_test.cpp
+++ b/src/libhemlockhill/storage/log_storage_test.cpp
@@ -6,6 +6,8 @@
 #include <cerrno>
 #include <fcntl.h>
 #include <fstream>
+#include <iterator>
+#include <map>
 #include <optional>
 #include <random>
 #include <utility>
@@ -74,6 +76,13 @@
     file.put(byte);
 }
 
+void zeroBytes(const fs::path &path, std::uint64_t from, std::uint64_t to)
+{
+    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<std::streamoff>(from));
+    file << std::string(to - from, '\0');
+}
+
 template<typename Work>
 std::optional<StorageFault> faultOf(const Work &work)
 {
@@ -129,6 +138,32 @@
     }
 };
 
+// Files that were removed since their folder was last synced, with their content. A loss of power may bring any of them back.
+struct UnsyncedRemovals {
+    std::map<fs::path, std::string> files;
+
+    FileHooks hooks(FileHooks hooks)
+    {
+        hooks.remove = [this, real = hooks.remove](const char *path) {
+            std::ifstream file(path, std::ios::binary);
+            const std::string bytes(std::istreambuf_iterator<char>(file), {});
+            const int result = real(path);
+            if (result == 0) {
+                files[path] = bytes;
+            }
+            return result;
+        };
+        hooks.syncFolder = [this, real = hooks.syncFolder](int folder) {
+            const int result = real(folder);
+            if (result == 0) {
+                files.clear();
+            }
+            return result;
+        };
+        return hooks;
+    }
+};
+
 // A disk without room: from the given modifying file operation on, a number of them fail. Syncs are only counted.
 struct FullDiskAt {
     int remainingOperations;
@@ -745,3 +780,75 @@
     const LogStorage storage(folder.settings(), hooks);
     BOOST_TEST(temporaryFiles(folder).empty());
 }
+
+// Guards against a voter that sets its folder aside after a loss of power: of several segments that were removed without a sync of the
+// folder, an earlier one was back and a later one was not, which passed as a segment that is missing.
+BOOST_AUTO_TEST_CASE(removed_segment_is_back_after_a_loss_of_power)
+{
+    bool crashed = true;
+    for (int operation = 0; crashed; ++operation) {
+        const TemporaryFolder folder;
+        {
+            LogStorage storage(folder.settings(200));
+            ConsensusActions voted;
+            voted.hardState = HardState{Term{3}, VoterId{"a"}};
+            writeSynced(storage, voted);
+            for (std::uint64_t index = 1; index <= 20; ++index) {
+                writeSynced(storage, entries(index, index));
+            }
+        }
+        CrashAt crash{operation};
+        UnsyncedRemovals removals;
+        crashed = faultOf([&] {
+                      LogStorage storage(folder.settings(200), removals.hooks(crash.hooks()));
+                      writeSynced(storage, snapshotAt(18));
+                  }).has_value();
+        for (const auto &[path, bytes] : removals.files) {
+            BOOST_TEST_CONTEXT("crash at operation " << operation << ", only " << path << " is back")
+            {
+                const TemporaryFolder copy;
+                fs::copy(folder.path / "data", copy.path / "data");
+                std::ofstream(copy.file(path.filename()), std::ios::binary) << bytes;
+                const RestoredState state = LogStorage(copy.settings()).takeRestoredState();
+                BOOST_TEST(lastIndexOf(state) == 20U);
+                BOOST_TEST((state.hardState == HardState{Term{3}, VoterId{"a"}}));
+            }
+        }
+    }
+}
+
+// Guards against a voter that sets its folder aside after a loss of power: one of several writes that no sync had covered was missing or
+// torn and a later one was present, which passed as corruption of synced data.
+BOOST_AUTO_TEST_CASE(unsynced_write_is_missing_before_a_later_one)
+{
+    for (const bool keepsSyncedFile : {true, false}) {
+        for (const std::size_t lost : {0U, 1U}) {
+            for (const std::size_t keptBytes : {0U, 1U, 20U}) {
+                BOOST_TEST_CONTEXT("write " << lost << " keeps " << keptBytes << " bytes, synced file " << keepsSyncedFile)
+                {
+                    const TemporaryFolder folder;
+                    std::vector<std::uintmax_t> ends;
+                    {
+                        LogStorage storage(folder.settings());
+                        writeSynced(storage, entries(1, 2));
+                        for (std::uint64_t index = 3; index <= 5; ++index) {
+                            ends.push_back(fs::file_size(folder.file(FirstSegment)));
+                            storage.write(entries(index, index));
+                        }
+                    }
+                    // Bytes that were never written read as zeros.
+                    zeroBytes(folder.file(FirstSegment), ends[lost] + keptBytes, ends[lost + 1]);
+                    if (!keepsSyncedFile) {
+                        fs::remove(folder.file("synced"));
+                    }
+                    {
+                        LogStorage storage(folder.settings());
+                        BOOST_TEST(lastIndexOf(storage.takeRestoredState()) == 2 + lost);
+                        writeSynced(storage, entries(3 + lost, 3 + lost));
+                    }
+                    BOOST_TEST(lastIndexOf(LogStorage(folder.settings()).takeRestoredState()) == 3 + lost);
+                }
+            }
+        }
+    }
+}
