A stopping controller keeps its vote while the others are no quorum

What callers saw, in virtual time: a successor had its vote, so the group had four voters; one of the former three was asked to stop, and another machine lost its disk within 2 s. The leader said that the vote of the stopping controller was kept, since fewer than three others responded, and the controller ended at once. Two of four voters were left. The machine with the empty disk came back and was never taken in, as a change of the membership needs a quorum: no leader, no config, for good.

Cause: an outcome that lets the controller end at once was meant for a restart, from which the group recovers by itself. It did not ask whether the voters that respond without it are a quorum.

Why the fix works: while they are none, the outcome is pending, so that the controller goes on voting until the end of its grace period. With its vote the leader removes the lost voter, takes in its successor, and then removes the stopping one.

--- a/src/include/hemlockhill/membership_repair.h
+++ b/src/include/hemlockhill/membership_repair.h
@@ -57,8 +57,8 @@
     std::vector<MembershipChange> removalsOfFormer(const Consensus &consensus, TimePoint now) const;
     // Members that are about to stop and can be spared.
     std::vector<MembershipChange> removalsOfLeaving(const Consensus &consensus, TimePoint now) const;
-    // Whether enough voters respond without this one.
-    bool canSpare(const Consensus &consensus, const VoterId &voter, TimePoint now) const;
+    // Number of voters that respond, without this one.
+    std::size_t respondingBeside(const Consensus &consensus, const VoterId &voter, TimePoint now) const;
     // Whether a controller that stays is about to become a voter.
     bool expectsVoter(const Consensus &consensus, TimePoint now) const;
     bool isLeaving(const VoterId &voter, TimePoint now) const;
--- a/src/libhemlockhill/control/membership_repair.cpp
+++ b/src/libhemlockhill/control/membership_repair.cpp
@@ -97,11 +97,14 @@
     }
     // Not all voters that respond have answered a new leader yet.
     const bool isNewLeader = now - m_leaderSince < m_electionTimeout;
-    const bool mayBeRemoved = isNewLeader || canSpare(consensus, voter, now) || expectsVoter(consensus, now);
-    return mayBeRemoved ? LeaveOutcome::Pending : LeaveOutcome::Kept;
+    const std::size_t responding = respondingBeside(consensus, voter, now);
+    const bool mayBeRemoved = isNewLeader || responding >= m_requiredVoters || expectsVoter(consensus, now);
+    // The group can only replace a lost voter while it has a quorum.
+    const bool isQuorumLeft = responding > consensus.membership().voters.size() / 2;
+    return mayBeRemoved || !isQuorumLeft ? LeaveOutcome::Pending : LeaveOutcome::Kept;
 }
 
-bool MembershipRepair::canSpare(const Consensus &consensus, const VoterId &voter, TimePoint now) const
+std::size_t MembershipRepair::respondingBeside(const Consensus &consensus, const VoterId &voter, TimePoint now) const
 {
     std::size_t responding = 0;
     for (const VoterId &other : consensus.membership().voters) {
@@ -110,7 +113,7 @@
             ++responding;
         }
     }
-    return responding >= m_requiredVoters;
+    return responding;
 }
 
 bool MembershipRepair::expectsVoter(const Consensus &consensus, TimePoint now) const
@@ -188,7 +191,7 @@
     std::vector<MembershipChange> removals;
     for (const VoterId &voter : leaving(now)) {
         const bool isLearner = consensus.membership().learners.contains(voter);
-        if (isLearner || (consensus.membership().voters.contains(voter) && canSpare(consensus, voter, now))) {
+        if (isLearner || (consensus.membership().voters.contains(voter) && respondingBeside(consensus, voter, now) >= m_requiredVoters)) {
             removals.push_back({MembershipChangeKind::Remove, voter});
         }
     }
--- a/src/libhemlockhill/control/planned_replacement_test.cpp
+++ b/src/libhemlockhill/control/planned_replacement_test.cpp
@@ -185,6 +185,35 @@
     }
 }
 
+// Guards against a controller that stops for good while another voter is lost: the voters that are left are no quorum, and the group cannot
+// replace the lost one even when it returns with an empty disk.
+BOOST_AUTO_TEST_CASE(no_quorum_is_left_by_a_controller_that_stops_while_another_voter_has_lost_its_disk)
+{
+    for (const std::size_t maxSyncMs : {30U, 150U}) {
+        for (std::uint64_t seed = firstSeed(); seed < firstSeed() + Schedules; ++seed) {
+            BOOST_TEST_CONTEXT("HEMLOCKHILL_TEST_SEED=" << seed << ", syncs of up to " << maxSyncMs << " ms")
+            {
+                SimulatedRegion region(Controllers + 1, seed);
+                region.maxSyncMs = maxSyncMs;
+                startGroup(region, Controllers);
+                startSuccessors(region, 1);
+                BOOST_REQUIRE_EQUAL(region.voters(), Controllers + 1);
+                const std::size_t stopped = region.random(Controllers);
+                const std::size_t lost = (stopped + 1 + region.random(Controllers)) % (Controllers + 1);
+                region.stop(stopped);
+                region.run(std::chrono::milliseconds(region.random(300)));
+                region.loseDisk(lost);
+                region.run(std::chrono::milliseconds(500 + region.random(1500)));
+                region.start(lost);
+                region.run(RecoveryTime);
+                BOOST_CHECK(!region.runs(stopped));
+                checkCommits(region);
+                BOOST_CHECK_EQUAL(region.voters(), Controllers);
+            }
+        }
+    }
+}
+
 // Guards against a controller that left the group at its stop and isn't taken in again when it returns.
 BOOST_AUTO_TEST_CASE(controller_that_left_is_not_added_again_after_its_restart)
 {
