--- a/src/libhemlockhill/control/simulated_region.h
+++ b/src/libhemlockhill/control/simulated_region.h
@@ -60,6 +60,8 @@
     bool everStarted = false;
     // Syncs of a disk complete one after another: time at which the latest one completes.
     TimePoint syncedUntil;
+    // Calls of other machines fail until this time.
+    TimePoint unreachableUntil;
     // When the process ends at the latest, once it has been asked to stop.
     std::optional<TimePoint> stopsAt;
     // Highest document version applied by this process.
@@ -86,6 +88,8 @@
         settings.vm = vmAt(node);
         settings.peers.openMembership = true;
         settings.control.toleratedFailures = losses;
+        settings.control.heartbeat = heartbeat;
+        settings.control.electionTimeout = electionTimeout;
         settings.peers.listen.port = 1;
         vm.knownControllers.clear();
         for (const std::size_t seed : seeds) {
@@ -113,7 +117,7 @@
             send(node, to, [this, node, requestedAt = now](std::size_t at) {
                 const IdentityReply reply = m_vms[at].controller->identity();
                 m_vms[at].controller->onIdentityRequested(vmAt(node), now);
-                send(at, vmAt(node), [this, at, reply, requestedAt](std::size_t back) {
+                answer(at, node, [this, at, reply, requestedAt](std::size_t back) {
                     if (!reply.leader.empty()) {
                         learn(back, nodeOf(reply.leader));
                     }
@@ -124,7 +128,7 @@
         hooks.requestLeave = [this, node](const VmId &to, const LeaveRequest &request) {
             send(node, to, [this, node, request](std::size_t at) {
                 const LeaveReply reply = m_vms[at].controller->onLeaveRequested(request, now);
-                send(at, vmAt(node), [this, reply](std::size_t back) { m_vms[back].controller->onLeaveReply(reply); });
+                answer(at, node, [this, reply](std::size_t back) { m_vms[back].controller->onLeaveReply(reply); });
             });
         };
         hooks.persist = [this, node](StorageOpening opening, const ConsensusActions &actions) {
@@ -134,21 +138,15 @@
             });
         };
         hooks.saveInitialMembership = [this, node](StorageOpening, const VoterMembership &membership) {
-            m_vms[node].disk.initialMembership = membership;
+            scheduleSyncs(node, folderSyncs, [this, node, membership] { m_vms[node].disk.initialMembership = membership; });
         };
         hooks.leadershipChanged = [](std::optional<Term>) {};
         hooks.applied = [this, node](const ReplicatedCommand &) { checkVersion(node); };
         hooks.restored = [this, node] { checkVersion(node); };
         vm.controller = std::make_unique<Controller>(settings, m_metrics, std::move(hooks));
-        StorageOpened opened;
-        opened.identity = VoterId{vm.disk.folder};
-        opened.restored = {vm.disk.log.hardState, std::nullopt, vm.disk.log.entries, vm.disk.initialMembership.value_or(VoterMembership{})};
-        if (vm.disk.log.snapshot) {
-            opened.restored.snapshot = *vm.disk.log.snapshot;
-        }
-        opened.initialMembership = vm.disk.initialMembership;
-        opened.founders = vm.disk.founders;
-        vm.controller->onStorage(opened, now);
+        vm.syncedUntil = now;
+        vm.unreachableUntil = now + halfOpenTime;
+        scheduleSyncs(node, folderSyncs, [this, node] { open(node); });
     }
 
     void kill(std::size_t node)
@@ -297,12 +295,35 @@
     std::size_t dropPercent = 0;
     // Upper limit of the duration of a sync.
     std::size_t maxSyncMs = 30;
+    std::size_t minSyncMs = 0;
+    // Upper limit of the delay of a message.
+    std::size_t maxDelayMs = 40;
+    Duration heartbeat = ControlSettings().heartbeat;
+    Duration electionTimeout = ControlSettings().electionTimeout;
+    // Syncs until a folder is open, and until an initial membership is saved.
+    std::size_t folderSyncs = 0;
+    // Time after a start in which calls of other machines to this one fail; its own calls succeed.
+    Duration halfOpenTime{0};
     // Number of controllers that may be lost at the same time.
     std::uint32_t losses = 1;
     // Seeds named in the settings of the processes that start from now on.
     std::vector<std::size_t> seeds{0, 1, 2};
 
 private:
+    void open(std::size_t node)
+    {
+        Vm &vm = m_vms[node];
+        StorageOpened opened;
+        opened.identity = VoterId{vm.disk.folder};
+        opened.restored = {vm.disk.log.hardState, std::nullopt, vm.disk.log.entries, vm.disk.initialMembership.value_or(VoterMembership{})};
+        if (vm.disk.log.snapshot) {
+            opened.restored.snapshot = *vm.disk.log.snapshot;
+        }
+        opened.initialMembership = vm.disk.initialMembership;
+        opened.founders = vm.disk.founders;
+        vm.controller->onStorage(opened, now);
+    }
+
     void endIfStopped(std::size_t node)
     {
         const Vm &vm = m_vms[node];
@@ -312,10 +333,19 @@
     }
 
     // Data that is not synced yet is lost when the process is killed.
-    void scheduleSync(std::size_t node, std::function<void()> action)
+    void scheduleSync(std::size_t node, std::function<void()> action) { scheduleSyncs(node, 1, std::move(action)); }
+
+    void scheduleSyncs(std::size_t node, std::size_t count, std::function<void()> action)
     {
+        if (count == 0) {
+            action();
+            return;
+        }
         TimePoint &syncedUntil = m_vms[node].syncedUntil;
-        syncedUntil = std::max(syncedUntil, now) + std::chrono::milliseconds(random(maxSyncMs));
+        syncedUntil = std::max(syncedUntil, now);
+        for (std::size_t sync = 0; sync < count; ++sync) {
+            syncedUntil += std::chrono::milliseconds(minSyncMs + random(maxSyncMs - minSyncMs));
+        }
         m_deliveries.push_back({node, node, syncedUntil, std::move(action)});
     }
 
@@ -324,11 +354,25 @@
         const std::size_t target = nodeOf(to);
         // The receiver learns the sender's address from the call, as with real peer calls.
         learn(from, target);
-        if (target >= m_vms.size() || cuts.contains({from, target}) || chance(dropPercent)) {
+        if (target < m_vms.size() && now >= m_vms[target].unreachableUntil) {
+            transmit(from, target, std::move(deliver));
+        }
+    }
+
+    // A reply returns on the connection of its call.
+    void answer(std::size_t from, std::size_t to, std::function<void(std::size_t)> deliver)
+    {
+        learn(from, to);
+        transmit(from, to, std::move(deliver));
+    }
+
+    void transmit(std::size_t from, std::size_t target, std::function<void(std::size_t)> deliver)
+    {
+        if (cuts.contains({from, target}) || chance(dropPercent)) {
             return;
         }
         m_deliveries.push_back(
-            {from, target, now + std::chrono::milliseconds(random(40)), [this, from, target, deliver = std::move(deliver)] {
+            {from, target, now + std::chrono::milliseconds(random(maxDelayMs)), [this, from, target, deliver = std::move(deliver)] {
                  learn(target, from);
                  deliver(target);
              }});
