--- a/src/libhemlockhill/control/closing_day_test.cpp
+++ b/src/libhemlockhill/control/closing_day_test.cpp
@@ -63,12 +63,17 @@
         m_region.electionTimeout = ElectionTimeout;
     }
 
-    void found()
+    void start()
     {
         m_region.now = TimePoint{} + Step;
         for (const std::size_t node : m_running) {
             m_region.start(node);
         }
+    }
+
+    void found()
+    {
+        start();
         run(RecoveryTime);
         BOOST_REQUIRE(m_region.leader());
         BOOST_REQUIRE_EQUAL(m_region.voters(), m_running.size());
@@ -92,14 +97,14 @@
     }
 
     // Right after an acknowledgement all machines lose power, and at most one of them its disk.
-    void close()
+    void close(Duration acknowledgementTime = AcknowledgementTime)
     {
         while (isStopping()) {
             step();
         }
         const std::uint64_t before = m_region.acknowledged;
         m_region.submit();
-        for (const TimePoint end = m_region.now + AcknowledgementTime; m_region.acknowledged == before && m_region.now < end;) {
+        for (const TimePoint end = m_region.now + acknowledgementTime; m_region.acknowledged == before && m_region.now < end;) {
             submitIfDue();
             step();
         }
@@ -204,11 +209,11 @@
         m_region.kill(node);
         std::erase(m_running, node);
         run(downtime());
-        start();
+        startNext();
         awaitTolerance(m_region.now, overlaps ? RecoveryTime : m_conditions.voteTime);
     }
 
-    void start()
+    void startNext()
     {
         m_running.push_back(m_next);
         setSeeds();
@@ -218,7 +223,7 @@
     void replacePlanned()
     {
         const std::size_t node = m_running[m_region.random(m_running.size())];
-        start();
+        startNext();
         run(PlannedCatchUpTime);
         std::erase(m_running, node);
         m_region.stop(node);
@@ -286,8 +291,32 @@
     }
 }
 
+// All lose power right after the first acknowledged change, while controllers may still be joining the group.
+void checkFoundings(const Conditions &conditions)
+{
+    for (std::uint64_t seed = firstSeed(); seed < firstSeed() + Schedules; ++seed) {
+        BOOST_TEST_CONTEXT("HEMLOCKHILL_TEST_SEED=" << seed)
+        {
+            Day day(conditions, seed);
+            day.start();
+            day.close(RecoveryTime);
+            day.close(RecoveryTime);
+        }
+    }
+}
+
 } // namespace
 
+BOOST_AUTO_TEST_CASE(first_config_is_not_read_back_after_a_loss_of_power)
+{
+    for (const std::size_t controllers : {3U, 5U}) {
+        checkFoundings({.controllers = controllers});
+        checkFoundings({.controllers = controllers, .maxSyncMs = 300, .voteTime = RecoveryTime});
+        checkFoundings({.controllers = controllers, .dropPercent = 10, .maxDelayMs = 150, .voteTime = RecoveryTime});
+        checkFoundings({.controllers = controllers, .halfOpenTime = std::chrono::seconds(1)});
+    }
+}
+
 BOOST_AUTO_TEST_CASE(config_is_not_read_back_after_lost_disks_and_a_loss_of_power)
 {
     checkDays({});
