Accept peers again after an accept has failed

What callers saw: a node that was out of file descriptors for a moment, on a machine that lacked memory or during a surge of connections, accepted no connection of another node again until it was restarted. A controller in this state hears no heartbeat, vote or answer over any connection that is opened later.

Cause: capnp's TwoPartyServer::listen ends with the first error that accept() reports and that kj does not consider transient, such as EMFILE. It was logged ("peer listener failed"), and nothing accepted from then on.

Evidence: node_accepts_peers_again_after_it_was_out_of_descriptors uses up the descriptors, connects, and releases them.

Why it works: the loop of accepts is the peer thread's own. A failure is counted (peer_accept_failed), logged once until an accept succeeds, and followed by another accept after 20 ms, as in HttpServer. It is not known that a controller of the users was ever out of descriptors.

--- a/src/libhemlockhill/peers/peer_thread.cpp
+++ b/src/libhemlockhill/peers/peer_thread.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t RingCapacity = 16'384;
 // Maximum number of incoming calls that wait for a reply from the control thread.
 constexpr std::size_t IncomingLimit = 4096;
+// Delay after a failed accept, for instance when the process is out of file descriptors.
+constexpr kj::Duration AcceptRetryDelay = 20 * kj::MILLISECONDS;
 
 // Incoming calls that the control thread has not answered yet.
 class IncomingCalls
@@ -220,7 +222,7 @@
 
     void run()
     {
-        auto listening = m_server.listen(*m_listener).eagerlyEvaluate([](kj::Exception &&problem) {
+        const auto accepting = accept().eagerlyEvaluate([](kj::Exception &&problem) {
             logEvent(Severity::Error, "peer listener failed", {{"problem", problem.getDescription().cStr()}});
         });
         while (!m_owner.m_stopping) {
@@ -232,6 +234,26 @@
     }
 
 private:
+    // Serves all connections that arrive. A failed accept is repeated after a delay, since its cause may pass.
+    kj::Promise<void> accept()
+    {
+        // An accept that fails at once throws.
+        return kj::evalNow([this] { return m_listener->accept(); })
+            .then(
+                [this](kj::Own<kj::AsyncIoStream> &&stream) {
+                    m_acceptFails = false;
+                    m_server.accept(kj::mv(stream));
+                    return accept();
+                },
+                [this](kj::Exception &&problem) {
+                    m_owner.m_metrics.countEvent("peer_accept_failed");
+                    if (!std::exchange(m_acceptFails, true)) {
+                        logEvent(Severity::Warning, "peer accept failed", {{"problem", problem.getDescription().cStr()}});
+                    }
+                    return m_io.provider->getTimer().afterDelay(AcceptRetryDelay).then([this] { return accept(); });
+                });
+    }
+
     void add(const PeerSettings &peer)
     {
         m_links.try_emplace(peer.vm, std::make_unique<PeerLink>(m_owner.m_settings, peer, m_io, m_owner.m_metrics, [this](PeerEvent event) {
@@ -258,6 +280,8 @@
     IncomingCalls m_incoming;
     capnp::TwoPartyServer m_server;
     kj::Own<kj::ConnectionReceiver> m_listener;
+    // Whether the last accept failed.
+    bool m_acceptFails = false;
     kj::Own<kj::AsyncInputStream> m_wake;
     std::array<kj::byte, sizeof(std::uint64_t)> m_wakeBytes{};
     std::map<VmId, std::unique_ptr<PeerLink>> m_links;
--- /dev/null
+++ b/src/libhemlockhill/peers/peer_thread_test.cpp
@@ -0,0 +1,135 @@
+// Calls between the peer threads of two nodes.
+#include "hemlockhill/peer_thread.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <condition_variable>
+#include <fcntl.h>
+#include <mutex>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace Hemlockhill;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const VmId Caller{"127.0.0.1"};
+const VmId Callee{"127.0.0.2"};
+constexpr std::uint16_t Port = 7421;
+// Longer than a call, a new connection and the delay before it.
+constexpr std::chrono::seconds AnswerTimeout(5);
+// Descriptors left to the process before the test uses them up.
+constexpr rlim_t DescriptorLimit = 128;
+
+Settings settingsOf(const VmId &vm)
+{
+    Settings settings;
+    settings.cluster = ClusterId{"peers"};
+    settings.vm = vm;
+    settings.peers.listen = Address{vm.value, Port};
+    settings.peers.openMembership = true;
+    return settings;
+}
+
+// A peer thread that answers each identity request, and records what becomes of its own.
+class TestPeer
+{
+public:
+    explicit TestPeer(const VmId &vm)
+        : m_thread(settingsOf(vm), m_metrics, [this](PeerEvent event) { return receive(std::move(event)); })
+    {
+        m_thread.start();
+    }
+
+    // Must be called before calls to the peer.
+    void know(const VmId &vm) { m_thread.post(AddPeer{{vm, {}, Address{vm.value, Port}, true}}); }
+
+    // Repeats the call until it is answered. Returns whether that happened in time.
+    bool reaches(const VmId &vm)
+    {
+        const auto end = std::chrono::steady_clock::now() + AnswerTimeout;
+        std::unique_lock lock(m_mutex);
+        m_answers = 0;
+        while (m_answers == 0 && std::chrono::steady_clock::now() < end) {
+            m_thread.post(StartCall{CallId{++m_lastCall}, vm, IdentityRequest{}});
+            m_changed.wait_for(lock, 50ms);
+        }
+        return m_answers > 0;
+    }
+
+private:
+    bool receive(PeerEvent &&event)
+    {
+        if (const auto *incoming = std::get_if<IncomingCall>(&event)) {
+            return m_thread.post(AnswerCall{incoming->incoming, IdentityReply{}});
+        }
+        const std::lock_guard lock(m_mutex);
+        m_answers += std::holds_alternative<PeerCallAnswered>(event) ? 1 : 0;
+        m_changed.notify_all();
+        return true;
+    }
+
+    Metrics m_metrics;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::uint64_t m_lastCall = 0;
+    int m_answers = 0;
+    PeerThread m_thread;
+};
+
+// Opens files until the process has no descriptor left, and closes them again when destroyed.
+class UsedUpDescriptors
+{
+public:
+    UsedUpDescriptors()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_former);
+        const rlimit lower{DescriptorLimit, m_former.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &lower);
+        for (int file = ::dup(STDIN_FILENO); file >= 0; file = ::dup(STDIN_FILENO)) {
+            m_files.push_back(file);
+        }
+    }
+
+    ~UsedUpDescriptors()
+    {
+        for (const int file : m_files) {
+            ::close(file);
+        }
+        ::setrlimit(RLIMIT_NOFILE, &m_former);
+    }
+
+    UsedUpDescriptors(const UsedUpDescriptors &) = delete;
+    UsedUpDescriptors &operator=(const UsedUpDescriptors &) = delete;
+
+private:
+    rlimit m_former{};
+    std::vector<int> m_files;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(node_accepts_peers_again_after_it_was_out_of_descriptors)
+{
+    TestPeer callee(Callee);
+    TestPeer caller(Caller);
+    caller.know(Callee);
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    BOOST_REQUIRE_GE(socket, 0);
+    {
+        const UsedUpDescriptors used;
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(Port);
+        ::inet_pton(AF_INET, Callee.value.c_str(), &address.sin_addr);
+        BOOST_REQUIRE_EQUAL(::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+        std::this_thread::sleep_for(200ms);
+    }
+    ::close(socket);
+    BOOST_CHECK(caller.reaches(Callee));
+}
