Send the log in parts that a slow link transports within a call's timeout

What callers saw: a controller that returned without its data behind a link of 1 Mbit/s never caught up: no byte of the log arrived in 33 s, and its vote was proposed again and again (17 membership changes). Until it has caught up, the group does not survive the loss of another controller, and then no controller answers reads of the config.

A call that is not answered within one second breaks the connection and with it the message, and the leader sends the same message again, so that there is no progress.

No link of the users is known to have been this slow.

Why it works: a message has at most 64 KiB, unless a single entry is larger, so each connection transports some whole messages, and what was received is kept.

--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -28,6 +28,9 @@
 constexpr Duration InForceTimeout = std::chrono::seconds(10);
 // Number of applied entries after which the log is replaced by a snapshot.
 constexpr std::uint64_t CompactionThreshold = 4096;
+// Maximum size of a message with entries of the log or a part of a snapshot, unless a single entry is larger. A link of 1 Mbit/s
+// transports it within the timeout of a call, so that a controller behind a slow link makes progress with each message.
+constexpr std::size_t MessageBytes = 64U << 10U;
 // A follow request of an up-to-date node is held for a fifth of the lease, so that a change is pushed to the node immediately.
 constexpr int FollowHoldLeaseDivisor = 5;
 constexpr std::chrono::seconds RetryAfterWithoutLeader(1);
@@ -51,6 +54,8 @@
     settings.self = self;
     settings.heartbeat = control.heartbeat;
     settings.electionTimeout = control.electionTimeout;
+    settings.maxBatchBytes = MessageBytes;
+    settings.snapshotChunkBytes = MessageBytes;
     return settings;
 }
 
--- a/src/libhemlockhill/control/simulated_region.h
+++ b/src/libhemlockhill/control/simulated_region.h
@@ -52,6 +52,22 @@
     std::optional<std::set<VmId>> founders;
 };
 
+// Bytes of the entries and snapshots in a batch.
+inline std::size_t bytesOf(const ConsensusBatch &batch)
+{
+    std::size_t bytes = 0;
+    for (const Envelope &envelope : batch.envelopes) {
+        if (const auto *append = std::get_if<AppendRequest>(&envelope.message)) {
+            for (const LogEntry &entry : append->entries) {
+                bytes += entry.payload.size();
+            }
+        } else if (const auto *snapshot = std::get_if<SnapshotRequest>(&envelope.message)) {
+            bytes += snapshot->bytes.size();
+        }
+    }
+    return bytes;
+}
+
 struct Vm {
     std::unique_ptr<Controller> controller;
     Disk disk;
@@ -107,7 +123,9 @@
         }
         ControllerHooks hooks;
         hooks.sendConsensus = [this, node](const VmId &to, const ConsensusBatch &batch) {
-            send(node, to, [this, batch](std::size_t at) { m_vms[at].controller->onConsensus(batch, now); });
+            if (!messageLimit || bytesOf(batch) <= *messageLimit) {
+                send(node, to, [this, batch](std::size_t at) { m_vms[at].controller->onConsensus(batch, now); });
+            }
         };
         hooks.requestIdentity = [this, node](const VmId &to) {
             send(node, to, [this, node, requestedAt = now](std::size_t at) {
@@ -222,7 +240,10 @@
         if (!at) {
             return;
         }
-        const DeploymentDocument document{DeploymentVersion{++m_lastVersion}, "document " + std::to_string(m_lastVersion)};
+        DeploymentDocument document{DeploymentVersion{++m_lastVersion}, "document " + std::to_string(m_lastVersion)};
+        while (document.text.size() < documentBytes) {
+            document.text += static_cast<char>(random(256));
+        }
         m_vms[*at].controller->submit(
             encodePayload(ReplicatedMachine::Deployment, encode(document)),
             [this, version = document.version.value](const SubmitReply &reply) {
@@ -295,6 +316,11 @@
     std::uint64_t acknowledged = 0;
     std::set<std::pair<std::size_t, std::size_t>> cuts;
     std::size_t dropPercent = 0;
+    // Consensus messages with more bytes of entries or snapshots are lost, as on a link that does not transport them within the timeout
+    // of a call.
+    std::optional<std::size_t> messageLimit;
+    // Size of submitted documents, which cannot be compressed; small ones if 0.
+    std::size_t documentBytes = 0;
     // Upper limit of the duration of a sync.
     std::size_t maxSyncMs = 30;
     // Number of controllers that may be lost at the same time.
