--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -29,6 +29,9 @@
 // Number of applied entries after which the log is replaced by a snapshot, and their size in bytes, if the snapshot is not larger.
 constexpr std::uint64_t CompactionEntries = 4096;
 constexpr std::size_t CompactionBytes = 1U << 20U;
+// Maximum size of a message with entries of the log or a part of a snapshot, unless a single entry is larger. A link of 1 Mbit/s
+// transports it within the timeout of a call, so that a controller behind a slow link makes progress with each message.
+constexpr std::size_t MessageBytes = 64U << 10U;
 // A follow request of an up-to-date node is held for a fifth of the lease, so that a change is pushed to the node immediately.
 constexpr int FollowHoldLeaseDivisor = 5;
 constexpr std::chrono::seconds RetryAfterWithoutLeader(1);
@@ -52,6 +55,8 @@
     settings.self = self;
     settings.heartbeat = control.heartbeat;
     settings.electionTimeout = control.electionTimeout;
+    settings.maxBatchBytes = MessageBytes;
+    settings.snapshotChunkBytes = MessageBytes;
     return settings;
 }
 
