--- a/src/include/hemlockhill/consensus.h
+++ b/src/include/hemlockhill/consensus.h
@@ -172,8 +172,10 @@
     // Maximum number of uncommitted entries in the leader's log; further proposals are refused as QueueFull.
     std::size_t maxUncommittedEntries = 16384;
     std::size_t snapshotChunkBytes = 256U << 10U;
-    // Number of entries before a snapshot that stay in memory, so that followers that lag slightly need no snapshot.
+    // Maximum number of entries before a snapshot that stay in memory, so that followers that lag slightly need no snapshot, and their
+    // maximum size in bytes.
     std::size_t retainedEntries = 1024;
+    std::size_t retainedBytes = 4U << 20U;
     // A learner may be promoted when it lags by at most this many entries.
     std::size_t promotionLag = 64;
 };
--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -128,6 +128,38 @@
     BOOST_TEST(voter.core.commitIndex().value == 2U);
 }
 
+// A leader kept 1,024 entries of any size in memory after a snapshot, and sent all of them to a voter that had been away at once.
+BOOST_AUTO_TEST_CASE(returning_voter_is_sent_a_day_of_large_entries_at_once)
+{
+    constexpr std::size_t Entries = 600;
+    constexpr std::size_t EntryBytes = 100'000;
+    constexpr std::size_t SentLimit = std::size_t{8} << 20U;
+    SingleVoter voter({}, Term{1});
+    voter.becomeLeader();
+    for (std::size_t count = 0; count < Entries; ++count) {
+        voter.core.propose(std::string(EntryBytes, 'x'), voter.now);
+        voter.act();
+        voter.receive(B, AppendReply{voter.core.term(), true, LogIndex{}, voter.core.lastIndex(), voter.now});
+        voter.act();
+    }
+    voter.core.compact(voter.core.commitIndex(), "state");
+    voter.receive(C, AppendReply{voter.core.term(), false, LogIndex{}, LogIndex{}, voter.now});
+    std::size_t sent = 0;
+    const auto count = [&sent](const std::vector<Envelope> &messages) {
+        for (const Envelope &envelope : messages) {
+            const auto *append = std::get_if<AppendRequest>(&envelope.message);
+            for (const LogEntry &entry : append == nullptr ? std::vector<LogEntry>{} : append->entries) {
+                sent += entry.payload.size();
+            }
+        }
+    };
+    count(voter.act());
+    // The first entries have arrived, so its log is known to match.
+    voter.receive(C, AppendReply{voter.core.term(), true, LogIndex{}, LogIndex{2}, voter.now});
+    count(voter.act());
+    BOOST_CHECK_LE(sent, SentLimit);
+}
+
 BOOST_AUTO_TEST_CASE(vote_survives_restart)
 {
     SingleVoter voter({}, Term{5}, B);
--- a/src/libhemlockhill/consensus/core.cpp
+++ b/src/libhemlockhill/consensus/core.cpp
@@ -167,10 +167,22 @@
     ConsensusSnapshot snapshot{upTo, m_log.termAt(upTo).value(), m_log.membershipAt(upTo), std::move(snapshotData)};
     m_snapshot = std::make_shared<const ConsensusSnapshot>(std::move(snapshot));
     m_snapshotUnwritten = true;
-    const LogIndex retained{m_settings.retainedEntries};
-    if (upTo > retained) {
-        m_log.dropUpTo(std::max(m_log.baseIndex(), upTo - retained));
+    m_log.dropUpTo(lastDropped(upTo));
+}
+
+// Last entry that a snapshot of the entries up to an index replaces in memory.
+LogIndex Consensus::Core::lastDropped(LogIndex upTo) const
+{
+    LogIndex last = upTo;
+    std::size_t bytes = 0;
+    while (last > m_log.baseIndex() && upTo.value - last.value < m_settings.retainedEntries) {
+        bytes += m_log.at(last).payload.size();
+        if (bytes > m_settings.retainedBytes) {
+            break;
+        }
+        last -= LogIndex{1};
     }
+    return last;
 }
 
 void Consensus::Core::persisted(PersistedMark mark)
--- a/src/libhemlockhill/consensus/core.h
+++ b/src/libhemlockhill/consensus/core.h
@@ -146,6 +146,7 @@
     void sendAfterSync(const VoterId &to, ConsensusMessage message);
     void releaseDeferred();
     void truncateLog(LogIndex from);
+    LogIndex lastDropped(LogIndex upTo) const;
     std::size_t quorum() const { return m_log.membership().voters.size() / 2 + 1; }
     bool isVoter(const VoterId &member) const { return m_log.membership().voters.count(member) > 0; }
     void advanceTime(TimePoint now);
