Send heartbeats to voters whose log is not known to match

Cause: until a new leader knows that the log of a voter matches, it sent the same entries with each heartbeat and no empty ones. Entries are acknowledged once they are synced. So a leader whose voters took longer than an election timeout to sync the first entry of its term heard from nobody, and stepped down before the entry was committed; the next one did the same.

An empty request is now sent with a heartbeat while a reply to entries is awaited. It is answered at once, and its reply tells whether the log matches. Whether an entry is committed, and the lease, depend on the same as before.

--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -160,6 +160,48 @@
     BOOST_CHECK_LE(sent, SentLimit);
 }
 
+// A voter that was behind was only sent entries, which it acknowledges once they are synced, and no heartbeats.
+BOOST_AUTO_TEST_CASE(voter_that_syncs_slowly_gets_its_entries_with_each_heartbeat)
+{
+    constexpr int Heartbeats = 5;
+    std::vector<LogEntry> entries;
+    for (std::uint64_t index = 1; index <= 10; ++index) {
+        entries.push_back(LogEntry{Term{1}, LogIndex{index}, EntryKind::Command, "x"});
+    }
+    SingleVoter voter(std::move(entries), Term{1});
+    voter.becomeLeader();
+    voter.receive(C, AppendReply{voter.core.term(), false, LogIndex{10}, LogIndex{4}, voter.now});
+    voter.act();
+    int withEntries = 0;
+    for (int count = 0; count < Heartbeats; ++count) {
+        voter.now += SingleVoter::settings().heartbeat;
+        for (const Envelope &envelope : voter.act()) {
+            const auto *append = std::get_if<AppendRequest>(&envelope.message);
+            withEntries += envelope.to == C && append != nullptr && !append->entries.empty() ? 1 : 0;
+        }
+    }
+    BOOST_CHECK_EQUAL(withEntries, 0);
+}
+
+// Nobody led while the voters took longer than an election timeout to sync the first entry of a term.
+BOOST_AUTO_TEST_CASE(new_leader_steps_down_before_voters_have_synced_its_first_entry)
+{
+    constexpr int Heartbeats = 30;
+    SingleVoter voter({}, Term{1});
+    voter.becomeLeader();
+    for (int count = 0; count < Heartbeats; ++count) {
+        voter.now += SingleVoter::settings().heartbeat;
+        voter.core.tick(voter.now);
+        for (const Envelope &envelope : voter.act()) {
+            const auto *append = std::get_if<AppendRequest>(&envelope.message);
+            if (envelope.to == B && append != nullptr && append->entries.empty()) {
+                voter.receive(B, AppendReply{voter.core.term(), true, append->previousIndex, LogIndex{}, append->sentAt});
+            }
+        }
+    }
+    BOOST_CHECK(voter.core.role() == VoterRole::Leader);
+}
+
 BOOST_AUTO_TEST_CASE(vote_survives_restart)
 {
     SingleVoter voter({}, Term{5}, B);
--- a/src/libhemlockhill/consensus/leading.cpp
+++ b/src/libhemlockhill/consensus/leading.cpp
@@ -258,9 +258,12 @@
         return;
     }
     if (progress.probing) {
-        if (!progress.awaitingReply || heartbeat) {
+        if (!progress.awaitingReply) {
             progress.awaitingReply = true;
             sendEntries(member, progress, m_log.slice(progress.next, m_settings.maxBatchEntries, m_settings.maxBatchBytes), now);
+        } else if (heartbeat) {
+            // Unlike entries, answered before they are synced. The reply also tells whether the log matches.
+            sendHeartbeat(member, progress, now);
         }
         return;
     }
