--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -162,6 +162,61 @@
     BOOST_TEST(voter.core.commitIndex().value == 2U);
 }
 
+// A leader kept 1,024 entries of any size in memory after a snapshot, and sent all of them to a voter that had been away at once.
+BOOST_AUTO_TEST_CASE(returning_voter_is_sent_a_day_of_large_entries_at_once)
+{
+    constexpr std::size_t Entries = 600;
+    constexpr std::size_t EntryBytes = 100'000;
+    constexpr std::size_t SentLimit = std::size_t{8} << 20U;
+    SingleVoter voter({}, Term{1});
+    voter.becomeLeader();
+    for (std::size_t count = 0; count < Entries; ++count) {
+        voter.core.propose(std::string(EntryBytes, 'x'), voter.now);
+        voter.act();
+        voter.receive(B, AppendReply{voter.core.term(), true, LogIndex{}, voter.core.lastIndex(), voter.now});
+        voter.act();
+    }
+    voter.core.compact(voter.core.commitIndex(), "state");
+    voter.receive(C, AppendReply{voter.core.term(), false, LogIndex{}, LogIndex{}, voter.now});
+    std::size_t sent = 0;
+    const auto count = [&sent](const std::vector<Envelope> &messages) {
+        for (const Envelope &envelope : messages) {
+            const auto *append = std::get_if<AppendRequest>(&envelope.message);
+            for (const LogEntry &entry : append == nullptr ? std::vector<LogEntry>{} : append->entries) {
+                sent += entry.payload.size();
+            }
+        }
+    };
+    count(voter.act());
+    // The first entries have arrived, so its log is known to match.
+    voter.receive(C, AppendReply{voter.core.term(), true, LogIndex{}, LogIndex{2}, voter.now});
+    count(voter.act());
+    BOOST_CHECK_LE(sent, SentLimit);
+}
+
+// A voter that was behind was only sent entries, which it acknowledges once they are synced, and no heartbeats.
+BOOST_AUTO_TEST_CASE(voter_that_syncs_slowly_gets_its_entries_with_each_heartbeat)
+{
+    constexpr int Heartbeats = 5;
+    std::vector<LogEntry> entries;
+    for (std::uint64_t index = 1; index <= 10; ++index) {
+        entries.push_back(LogEntry{Term{1}, LogIndex{index}, EntryKind::Command, "x"});
+    }
+    SingleVoter voter(std::move(entries), Term{1});
+    voter.becomeLeader();
+    voter.receive(C, AppendReply{voter.core.term(), false, LogIndex{10}, LogIndex{4}, voter.now});
+    voter.act();
+    int withEntries = 0;
+    for (int count = 0; count < Heartbeats; ++count) {
+        voter.now += SingleVoter::settings().heartbeat;
+        for (const Envelope &envelope : voter.act()) {
+            const auto *append = std::get_if<AppendRequest>(&envelope.message);
+            withEntries += envelope.to == C && append != nullptr && !append->entries.empty() ? 1 : 0;
+        }
+    }
+    BOOST_CHECK_EQUAL(withEntries, 0);
+}
+
 BOOST_AUTO_TEST_CASE(vote_survives_restart)
 {
     SingleVoter voter({}, Term{5}, B);
