--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -344,6 +344,24 @@
     commitOne(group);
 }
 
+// The first entry of a term was never committed, since its leader stepped down before.
+BOOST_AUTO_TEST_CASE(nobody_leads_while_syncs_take_longer_than_an_election_timeout)
+{
+    constexpr std::int64_t SyncTime = 1100 * Millisecond;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        SimulatedGroup group(3, seed);
+        group.network.minSync = SyncTime;
+        group.network.maxSync = SyncTime;
+        bool hasLed = false;
+        while (!hasLed && group.time() < 30 * Second) {
+            group.run(50 * Millisecond);
+            const auto leader = group.leader();
+            hasLed = leader && group.core(*leader)->leaseHeld(group.local(*leader));
+        }
+        BOOST_TEST(hasLed, "no lease within 30 s, seed " << seed);
+    }
+}
+
 // Syncs take almost as long as an election timeout, and a write is always in progress.
 BOOST_AUTO_TEST_CASE(leadership_is_lost_while_disks_are_slow)
 {
