Close connections between nodes when the other machine is gone

What callers saw: nothing yet. A machine that loses power or is behind a partition closes none of its connections. A node kept each connection that it had accepted from such a machine until it was restarted, one descriptor for each loss.

Cause: socket_options.h says that keep-alive and TCP_USER_TIMEOUT are set on every TCP connection, but connections of the peer thread had neither. The calling end closes its connection when a call times out; the accepting end waits for the next call without a bound.

Evidence: both_ends_of_a_connection_are_closed_when_the_other_machine_is_gone reads the options of both ends.

Why it works: the kernel probes an idle connection and closes it after lost probes, as it does with all other connections of a node.

--- a/src/libhemlockhill/net/socket_options.cpp
+++ b/src/libhemlockhill/net/socket_options.cpp
@@ -27,7 +27,11 @@
 
 void enableDeadPeerDetection(boost::asio::ip::tcp::socket &socket)
 {
-    const int descriptor = socket.native_handle();
+    enableDeadPeerDetection(socket.native_handle());
+}
+
+void enableDeadPeerDetection(int descriptor)
+{
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
--- a/src/libhemlockhill/peers/peer_link.cpp
+++ b/src/libhemlockhill/peers/peer_link.cpp
@@ -1,6 +1,7 @@
 // Outgoing RPC to one peer.
 #include "peer_link.h"
 
+#include "net/socket_options.h"
 #include "peer_codec.h"
 
 #include <utility>
@@ -134,6 +135,9 @@
             return connected.attach(kj::mv(address));
         })
         .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+            KJ_IF_MAYBE (descriptor, stream->getFd()) {
+                enableDeadPeerDetection(*descriptor);
+            }
             auto connection = kj::heap<Connection>(kj::mv(stream));
             auto request = connection->rpc.bootstrap().castAs<Wire::PeerGate>().helloRequest();
             request.setCluster(m_settings.cluster.value);
--- a/src/libhemlockhill/peers/peer_thread.cpp
+++ b/src/libhemlockhill/peers/peer_thread.cpp
@@ -2,6 +2,7 @@
 #include "hemlockhill/peer_thread.h"
 
 #include "hemlockhill/log.h"
+#include "net/socket_options.h"
 #include "peer_codec.h"
 #include "peer_link.h"
 
@@ -242,6 +243,9 @@
             .then(
                 [this](kj::Own<kj::AsyncIoStream> &&stream) {
                     m_acceptFails = false;
+                    KJ_IF_MAYBE (descriptor, stream->getFd()) {
+                        enableDeadPeerDetection(*descriptor);
+                    }
                     m_server.accept(kj::mv(stream));
                     return accept();
                 },
--- a/src/libhemlockhill/peers/peer_thread_test.cpp
+++ b/src/libhemlockhill/peers/peer_thread_test.cpp
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <mutex>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -112,8 +113,53 @@
     std::vector<int> m_files;
 };
 
+// Returns the port of a socket's own end or of the other end, as one of the two functions names it; 0 if the file is no such socket.
+std::uint16_t portOf(int file, decltype(::getsockname) nameOf)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    const bool isNamed = nameOf(file, reinterpret_cast<sockaddr *>(&address), &size) == 0 && address.sin_family == AF_INET;
+    return isNamed ? ntohs(address.sin_port) : 0;
+}
+
+// Returns the ends of connections between peers that this process holds, accepted ones too.
+std::vector<int> peerConnections()
+{
+    std::vector<int> found;
+    for (int file = 0; file < static_cast<int>(DescriptorLimit); ++file) {
+        const std::uint16_t remote = portOf(file, ::getpeername);
+        if (remote != 0 && (remote == Port || portOf(file, ::getsockname) == Port)) {
+            found.push_back(file);
+        }
+    }
+    return found;
+}
+
+int optionOf(int file, int level, int name)
+{
+    int value = 0;
+    socklen_t size = sizeof value;
+    ::getsockopt(file, level, name, &value, &size);
+    return value;
+}
+
 } // namespace
 
+// A machine that loses power closes none of its connections.
+BOOST_AUTO_TEST_CASE(both_ends_of_a_connection_are_closed_when_the_other_machine_is_gone)
+{
+    TestPeer callee(Callee);
+    TestPeer caller(Caller);
+    caller.know(Callee);
+    BOOST_REQUIRE(caller.reaches(Callee));
+    const std::vector<int> connections = peerConnections();
+    BOOST_CHECK_EQUAL(connections.size(), 2);
+    for (const int connection : connections) {
+        BOOST_CHECK_EQUAL(optionOf(connection, SOL_SOCKET, SO_KEEPALIVE), 1);
+        BOOST_CHECK_GT(optionOf(connection, IPPROTO_TCP, TCP_USER_TIMEOUT), 0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(node_accepts_peers_again_after_it_was_out_of_descriptors)
 {
     TestPeer callee(Callee);
