A stopping leader stays the leader until the others are a quorum

What callers saw, in virtual time with lost messages: of four voters one was asked to stop and another was lost for good right after. The stopping one became the leader, and handed the leadership over at once, twice. Each election needed all three remaining voters and took seconds; none of these leaders lasted until the lost voter was removed. When the grace period ended, two of four voters were left: no leader, no config, for good.

Cause: a leader that stops hands over even where no quorum is left without it. It then still has to vote, but as a voter it can repair nothing.

Why the fix works: while the others that respond are no quorum, it goes on leading: it removes the lost voter or takes in its successor, and hands over once the others are a quorum.

--- a/src/include/hemlockhill/membership_repair.h
+++ b/src/include/hemlockhill/membership_repair.h
@@ -38,6 +38,9 @@
     std::set<VoterId> leaving(TimePoint now) const;
     // What becomes of a leaving member's vote. Requires that the consensus leads.
     LeaveOutcome leaveOutcome(const Consensus &consensus, const VoterId &voter, TimePoint now) const;
+    // Whether the voters that respond are a quorum without this one. The group can only replace a lost voter while it has a quorum.
+    // Requires that the consensus leads.
+    bool leavesQuorum(const Consensus &consensus, const VoterId &voter, TimePoint now) const;
 
     // Latest identity reply of each other controller.
     const std::map<VmId, IdentityReply> &identities() const { return m_identities; }
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -667,8 +667,10 @@
         m_leaveRequestedAt = now;
         requestLeave();
     }
-    // The other voters of a new leader may not have answered it yet.
-    resign(now);
+    // The other voters of a new leader may not have answered it yet. Without a quorum of them it replaces the lost voters first.
+    if (m_consensus->role() == VoterRole::Leader && m_repair.leavesQuorum(*m_consensus, m_self, now)) {
+        resign(now);
+    }
     return m_consensus->membership().voters.size() == 1;
 }
 
--- a/src/libhemlockhill/control/membership_repair.cpp
+++ b/src/libhemlockhill/control/membership_repair.cpp
@@ -97,11 +97,13 @@
     }
     // Not all voters that respond have answered a new leader yet.
     const bool isNewLeader = now - m_leaderSince < m_electionTimeout;
-    const std::size_t responding = respondingBeside(consensus, voter, now);
-    const bool mayBeRemoved = isNewLeader || responding >= m_requiredVoters || expectsVoter(consensus, now);
-    // The group can only replace a lost voter while it has a quorum.
-    const bool isQuorumLeft = responding > consensus.membership().voters.size() / 2;
-    return mayBeRemoved || !isQuorumLeft ? LeaveOutcome::Pending : LeaveOutcome::Kept;
+    const bool mayBeRemoved = isNewLeader || respondingBeside(consensus, voter, now) >= m_requiredVoters || expectsVoter(consensus, now);
+    return mayBeRemoved || !leavesQuorum(consensus, voter, now) ? LeaveOutcome::Pending : LeaveOutcome::Kept;
+}
+
+bool MembershipRepair::leavesQuorum(const Consensus &consensus, const VoterId &voter, TimePoint now) const
+{
+    return respondingBeside(consensus, voter, now) > consensus.membership().voters.size() / 2;
 }
 
 std::size_t MembershipRepair::respondingBeside(const Consensus &consensus, const VoterId &voter, TimePoint now) const
--- a/src/libhemlockhill/control/planned_replacement_test.cpp
+++ b/src/libhemlockhill/control/planned_replacement_test.cpp
@@ -214,6 +214,38 @@
     }
 }
 
+// Guards against elections that need every remaining voter, one of which is about to end: the leader can still replace the lost voter.
+BOOST_AUTO_TEST_CASE(stopping_leader_hands_over_to_voters_that_are_no_quorum)
+{
+    constexpr Duration NoticeTime = std::chrono::milliseconds(800);
+    for (const std::size_t dropPercent : {0U, 10U}) {
+        for (std::uint64_t seed = firstSeed(); seed < firstSeed() + Schedules; ++seed) {
+            BOOST_TEST_CONTEXT("HEMLOCKHILL_TEST_SEED=" << seed << ", " << dropPercent << " % of messages lost")
+            {
+                SimulatedRegion region(Controllers + 1, seed);
+                startGroup(region, Controllers);
+                startSuccessors(region, 1);
+                BOOST_REQUIRE_EQUAL(region.voters(), Controllers + 1);
+                const std::size_t leader = region.leader().value();
+                const std::size_t lost = (leader + 1 + region.random(Controllers)) % (Controllers + 1);
+                region.dropPercent = dropPercent;
+                region.loseDisk(lost);
+                region.run(NoticeTime);
+                region.stop(leader);
+                // Shorter than the time after which a silent voter is removed.
+                region.run(std::chrono::milliseconds(500));
+                BOOST_CHECK(dropPercent > 0 || region.leader() == leader);
+                region.start(lost);
+                region.run(RecoveryTime);
+                BOOST_CHECK(!region.runs(leader));
+                region.dropPercent = 0;
+                checkCommits(region);
+                BOOST_CHECK_EQUAL(region.voters(), Controllers);
+            }
+        }
+    }
+}
+
 // Guards against a controller that left the group at its stop and isn't taken in again when it returns.
 BOOST_AUTO_TEST_CASE(controller_that_left_is_not_added_again_after_its_restart)
 {
