--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -66,7 +66,7 @@
     // Latest committed document; empty unless this node leads and holds its lease, so that no newer one can exist.
     std::optional<DeploymentDocument> newestDocument() const;
     bool leads() const;
-    // Why newestDocument() is empty. Requires that this node is a controller or follows one.
+    // Why newestDocument() is empty, and the known leader.
     ReadStatus readStatus() const;
     // Known leader; empty if unknown.
     VmId leader() const;
