--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -217,6 +217,25 @@
     BOOST_CHECK_EQUAL(withEntries, 0);
 }
 
+// Nobody led while the voters took longer than an election timeout to sync the first entry of a term.
+BOOST_AUTO_TEST_CASE(new_leader_steps_down_before_voters_have_synced_its_first_entry)
+{
+    constexpr int Heartbeats = 30;
+    SingleVoter voter({}, Term{1});
+    voter.becomeLeader();
+    for (int count = 0; count < Heartbeats; ++count) {
+        voter.now += SingleVoter::settings().heartbeat;
+        voter.core.tick(voter.now);
+        for (const Envelope &envelope : voter.act()) {
+            const auto *append = std::get_if<AppendRequest>(&envelope.message);
+            if (envelope.to == B && append != nullptr && append->entries.empty()) {
+                voter.receive(B, AppendReply{voter.core.term(), true, append->previousIndex, LogIndex{}, append->sentAt});
+            }
+        }
+    }
+    BOOST_CHECK(voter.core.role() == VoterRole::Leader);
+}
+
 BOOST_AUTO_TEST_CASE(vote_survives_restart)
 {
     SingleVoter voter({}, Term{5}, B);
