--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -71,6 +71,17 @@
     RequestRate acceptedRate;
 };
 
+// What a node takes for the load of one endpoint, for logs.
+struct EndpointLoad {
+    EndpointId endpoint;
+    std::uint32_t slots = 0;
+    // Requests in progress there of this node and of the others.
+    std::uint32_t own = 0;
+    std::uint32_t others = 0;
+    // Age of the oldest statement that counts towards `others`.
+    Duration oldest{0};
+};
+
 // Limits on the load and the failures of an endpoint.
 struct EndpointChooserLimits {
     // Requests queued at an endpoint, as a fraction of its slots: enough to use a freed slot immediately. All other requests wait at
@@ -115,6 +126,8 @@
     void onUnreachable(const EndpointId &endpoint, TimePoint now);
     // Discards the records of endpoints that are no longer listed and have no requests in flight from this node.
     void onDirectory(const EndpointsById &endpoints, TimePoint now);
+    // Returns what this node takes for the load of the endpoints that hold what the request needs.
+    std::vector<EndpointLoad> loads(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now) const;
     // Number of this node's requests in flight at the endpoint.
     std::uint32_t inFlight(const EndpointId &endpoint) const;
     // The limits that endpoints declare for the requests of all nodes.
--- a/src/include/hemlockhill/exchange_messages.h
+++ b/src/include/hemlockhill/exchange_messages.h
@@ -3,6 +3,7 @@
 
 #include "hemlockhill/engine_api.h"
 #include "hemlockhill/http_exchange.h"
+#include "hemlockhill/overloaded.h"
 #include "hemlockhill/quarantine.h"
 #include "hemlockhill/region_state.h"
 #include "hemlockhill/settings.h"
@@ -121,12 +122,4 @@
                                          LeaveRequested,
                                          SettingsChanged>;
 
-// Combines several lambdas into one visitor for std::visit.
-template<typename... Handlers>
-struct Overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-template<typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/peer_datagrams.h
+++ b/src/include/hemlockhill/peer_datagrams.h
@@ -15,7 +15,9 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -30,6 +32,12 @@
 // The content of one datagram.
 using PeerDatagram = std::variant<DispatchNotice, StreamOriginMessage, CrashSuspectNotice, RateLimitNotice, ForwardingMessage>;
 
+// Name of the kind of a message, for logs.
+std::string_view kindOf(const PeerDatagram &message);
+
+// Numbers of datagrams by kind.
+using DatagramCounts = std::map<std::string_view, std::uint64_t>;
+
 // Serializes a message to the payload of one datagram.
 std::string encode(const PeerDatagram &message);
 // Parses the payload of a datagram. Throws DecodeError when it is malformed.
@@ -53,9 +61,12 @@
     void sendToNext(const PeerDatagram &message);
     // Number of nodes to which sendToAll() sends.
     std::size_t nodes() const { return m_nodes.size(); }
+    // Datagrams sent, also those that failed, and datagrams received that were understood.
+    const DatagramCounts &sent() const { return m_sent; }
+    const DatagramCounts &received() const { return m_receivedCounts; }
 
 private:
-    void send(const std::string &datagram, const boost::asio::ip::udp::endpoint &node);
+    void send(std::string_view kind, const std::string &datagram, const boost::asio::ip::udp::endpoint &node);
     void receive();
 
     boost::asio::ip::udp::socket m_socket;
@@ -64,6 +75,8 @@
     Received m_received;
     std::vector<boost::asio::ip::udp::endpoint> m_nodes;
     std::size_t m_next = 0;
+    DatagramCounts m_sent;
+    DatagramCounts m_receivedCounts;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, DatagramLimitBytes> m_buffer{};
 };
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -212,10 +212,7 @@
     }
     const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_directory.endpoints(), m_requirements, now);
     if (choice.endpoint) {
-        if (m_waitingSince) {
-            m_waited += now - *m_waitingSince;
-            m_waitingSince.reset();
-        }
+        endWaiting(now);
         send(*choice.endpoint);
         return;
     }
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -136,7 +136,10 @@
     void fail(Reason reason);
     void releaseEndpoint(bool rejected = false);
     void finish(std::string_view outcome, unsigned status);
-    void logOutcome(std::string_view outcome, unsigned status) const;
+    // Logs the request. `waitedFor` is set if it was waiting for an endpoint until now.
+    void logOutcome(std::string_view outcome, unsigned status, std::optional<NoEndpointReason> waitedFor) const;
+    // Ends the present wait for an endpoint, if any.
+    void endWaiting(TimePoint now);
     Duration timeLeft() const;
     Duration retryAfter() const;
 
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -52,6 +52,25 @@
     return list;
 }
 
+// Maximum number of endpoints whose load is logged with a request.
+constexpr std::size_t LoggedLoads = 8;
+
+boost::json::array describe(const std::vector<EndpointLoad> &loads)
+{
+    boost::json::array list;
+    for (const EndpointLoad &load : loads) {
+        if (list.size() == LoggedLoads) {
+            break;
+        }
+        list.push_back(boost::json::object{{"endpoint", load.endpoint.value},
+                                           {"slots", load.slots},
+                                           {"own", load.own},
+                                           {"others", load.others},
+                                           {"oldest_ms", milliseconds(load.oldest)}});
+    }
+    return list;
+}
+
 // Formats seconds with two decimals. Callers of this gateway accept a fractional Retry-After.
 std::string fractionalSeconds(Duration duration)
 {
@@ -208,17 +227,18 @@
         return;
     }
     const auto self = shared_from_this();
-    m_waitingSince.reset();
+    const auto waitedFor = m_waitingSince ? std::optional(m_waitingFor) : std::nullopt;
+    endWaiting(currentTime());
     m_gateway.m_timers.cancel(m_deadlineTimer);
     if (outcome == "whole") {
         m_gateway.m_metrics.observeWholeAnswer(currentTime() - m_arrivedAt);
     }
-    logOutcome(outcome, status);
+    logOutcome(outcome, status, waitedFor);
     m_gateway.m_requests.erase(m_number);
     m_gateway.dispatchWaiting();
 }
 
-void Gateway::Request::logOutcome(std::string_view outcome, unsigned status) const
+void Gateway::Request::logOutcome(std::string_view outcome, unsigned status, std::optional<NoEndpointReason> waitedFor) const
 {
     const TimePoint now = currentTime();
     boost::json::object fields{{"request", m_head.id.value},
@@ -257,6 +277,10 @@
     if (m_lastFailure) {
         fields["reason"] = toText(*m_lastFailure);
     }
+    if (waitedFor) {
+        fields["waited_for"] = toText(*waitedFor);
+        fields["loads"] = describe(m_gateway.m_chooser.loads(m_gateway.m_directory.endpoints(), m_requirements, now));
+    }
     logEvent(Severity::Info, "request ended", std::move(fields));
 }
 
--- a/src/libhemlockhill/node/gateway_waiting.cpp
+++ b/src/libhemlockhill/node/gateway_waiting.cpp
@@ -85,6 +85,14 @@
     return std::min(*m_waitingSince + waitLimit(m_waitingFor), m_arrivedAt + maximumQueueWait(m_route, m_deadline - m_arrivedAt));
 }
 
+void Gateway::Request::endWaiting(TimePoint now)
+{
+    if (m_waitingSince) {
+        m_waited += now - *m_waitingSince;
+        m_waitingSince.reset();
+    }
+}
+
 void Gateway::Request::endWait()
 {
     if (m_history.possibleRuns > 0) {
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -2,6 +2,7 @@
 #include "hemlockhill/peer_datagrams.h"
 
 #include "hemlockhill/failure.h"
+#include "hemlockhill/overloaded.h"
 #include "peer.capnp.h"
 
 #include <capnp/message.h>
@@ -256,6 +257,18 @@
 
 } // namespace
 
+std::string_view kindOf(const PeerDatagram &message)
+{
+    return std::visit(Overloaded{
+                          [](const DispatchNotice &) { return "dispatch_notice"; },
+                          [](const StreamOriginMessage &) { return "stream_origin"; },
+                          [](const CrashSuspectNotice &) { return "crash_suspects"; },
+                          [](const RateLimitNotice &) { return "rate_limit"; },
+                          [](const ForwardingMessage &) { return "forwarding"; },
+                      },
+                      message);
+}
+
 std::string encode(const PeerDatagram &message)
 {
     capnp::MallocMessageBuilder builder;
@@ -317,7 +330,7 @@
 {
     const std::string datagram = encode(message);
     for (const udp::endpoint &node : m_nodes) {
-        send(datagram, node);
+        send(kindOf(message), datagram, node);
     }
 }
 
@@ -326,7 +339,7 @@
     boost::system::error_code error;
     const auto ip = boost::asio::ip::make_address(node.value, error);
     if (!error) {
-        send(encode(message), udp::endpoint(ip, m_listen.port));
+        send(kindOf(message), encode(message), udp::endpoint(ip, m_listen.port));
     }
 }
 
@@ -334,12 +347,13 @@
 {
     if (!m_nodes.empty()) {
         m_next = (m_next + 1) % m_nodes.size();
-        send(encode(message), m_nodes[m_next]);
+        send(kindOf(message), encode(message), m_nodes[m_next]);
     }
 }
 
-void PeerDatagrams::send(const std::string &datagram, const udp::endpoint &node)
+void PeerDatagrams::send(std::string_view kind, const std::string &datagram, const udp::endpoint &node)
 {
+    ++m_sent[kind];
     boost::system::error_code error;
     m_socket.send_to(boost::asio::buffer(datagram), node, 0, error);
     if (error) {
@@ -355,7 +369,9 @@
         }
         if (!error) {
             try {
-                m_received(VmId{m_sender.address().to_string()}, decodePeerDatagram({m_buffer.data(), bytes}));
+                const PeerDatagram message = decodePeerDatagram({m_buffer.data(), bytes});
+                ++m_receivedCounts[kindOf(message)];
+                m_received(VmId{m_sender.address().to_string()}, message);
             } catch (const DecodeError &) {
                 m_metrics.countEvent("datagram_unreadable");
             }
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -186,6 +186,28 @@
     return load;
 }
 
+std::vector<EndpointLoad> EndpointChooser::loads(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now) const
+{
+    std::vector<EndpointLoad> list;
+    for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
+        if (!need.target.model.empty() && !endpoint->holds(need.target)) {
+            continue;
+        }
+        EndpointLoad load{endpoint->id, endpoint->slots, inFlight(endpoint->id)};
+        if (const auto record = m_records.find(endpoint->id); record != m_records.end()) {
+            for (const auto &[node, other] : record->second.peerLoads) {
+                const auto age = std::chrono::duration_cast<Duration>(now - other.at);
+                if (age < PeerLoadExpiry) {
+                    load.others += other.inFlight;
+                    load.oldest = std::max(load.oldest, age);
+                }
+            }
+        }
+        list.push_back(load);
+    }
+    return list;
+}
+
 std::uint32_t EndpointChooser::inFlight(const EndpointId &endpoint) const
 {
     const auto found = m_records.find(endpoint);
