A large fleet takes sound endpoints for full: failing test

291 nodes before 5 endpoints of 6 slots, with the load of title-transfer and register-read and notices about other endpoints, in virtual time; links of 10 Mbit/s with a queue of 32 kB.

--- /dev/null
+++ b/src/libhemlockhill/routing/fleet_dispatch_testing.h
@@ -0,0 +1,324 @@
+// Test support: a fleet of nodes that dispatch to the same few endpoints of a plain service, in virtual time. Each node has a link with
+// a queue of limited size: what a node sends waits behind what it has sent before, and datagrams that find no room are lost.
+#pragma once
+
+#include "hemlockhill/dispatch_notice_pacer.h"
+#include "hemlockhill/endpoint_choice.h"
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Hemlockhill::Testing
+{
+
+// Sizes and speeds as on a fleet of the target size: 291 nodes, of which each gets about one request a second.
+struct FleetScenario {
+    std::uint32_t nodes = 291;
+    std::uint32_t endpoints = 5;
+    std::uint32_t slots = 6;
+    std::uint32_t endpointQueue = 24;
+    Duration work = std::chrono::milliseconds(30);
+    double requestsPerSecond = 319;
+    // Notices a second of all nodes about requests to other endpoints.
+    double otherNoticesPerSecond = 1'800;
+    Duration latencyTarget = std::chrono::milliseconds(150);
+    Duration timeout = std::chrono::seconds(1);
+    Duration length = std::chrono::seconds(4);
+    Bandwidth link{1'250'000};
+    double linkQueueBytes = 32'768;
+    Duration linkDelay = std::chrono::microseconds(1'400);
+    // Share of all datagrams that is lost besides.
+    double loss = 0;
+    std::uint64_t seed = 1;
+};
+
+struct FleetOutcome {
+    std::uint32_t asked = 0;
+    std::uint32_t inTime = 0;
+    std::uint32_t late = 0;
+    // Refused by the nodes, without having been sent to any endpoint.
+    std::uint32_t refused = 0;
+    // Rejected by endpoints whose queue was full.
+    std::uint32_t rejected = 0;
+    std::uint64_t datagrams = 0;
+    std::uint64_t datagramsLost = 0;
+
+    double ratio(std::uint32_t count) const { return asked == 0 ? 0 : static_cast<double>(count) / asked; }
+};
+
+class FleetSimulation
+{
+public:
+    explicit FleetSimulation(FleetScenario scenario);
+
+    FleetOutcome run();
+
+private:
+    // A request that has arrived at a node and is not answered yet.
+    struct PendingRequest {
+        std::uint32_t node = 0;
+        TimePoint arrivedAt;
+    };
+
+    struct Node {
+        VmId id;
+        std::unique_ptr<EndpointChooser> chooser;
+        DispatchNoticePacer notices{Bandwidth{0}};
+        bool noticesScheduled = false;
+        // When the last byte of what was sent leaves the node.
+        TimePoint linkFreeAt;
+        std::deque<PendingRequest> waiting;
+    };
+
+    struct Endpoint {
+        std::uint32_t running = 0;
+        std::deque<std::pair<PendingRequest, EndpointId>> queue;
+    };
+
+    struct Event {
+        TimePoint at;
+        std::uint64_t number = 0;
+        std::function<void()> action;
+        bool operator<(const Event &other) const { return std::pair(other.at, other.number) < std::pair(at, number); }
+    };
+
+    void at(TimePoint time, std::function<void()> action) { m_events.push({time, ++m_lastEvent, std::move(action)}); }
+    void arrive();
+    // Sends a notice about another endpoint.
+    void notifyOfOther();
+    // Dispatches the requests that wait at a node, the oldest first, and refuses those whose time is over.
+    void dispatchWaiting(std::uint32_t node);
+    void dispatch(std::uint32_t node, const PendingRequest &request, const EndpointId &endpoint);
+    void reach(const PendingRequest &request, const EndpointId &endpoint);
+    void run(const PendingRequest &request, const EndpointId &endpoint);
+    void end(const PendingRequest &request, const EndpointId &endpoint);
+    void answer(const PendingRequest &request);
+    void notify(std::uint32_t node, const EndpointId &endpoint);
+    void sendNotices(std::uint32_t node);
+    // Sends bytes over the link of a node. Returns when they arrive; empty if they were lost, which only datagrams are.
+    std::optional<TimePoint> transmit(std::uint32_t node, double bytes, bool isDatagram);
+
+    FleetScenario m_scenario;
+    EndpointsById m_directory;
+    EndpointRequirements m_need;
+    std::vector<Node> m_nodes;
+    std::map<EndpointId, Endpoint> m_endpoints;
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_lastEvent = 0;
+    TimePoint m_now;
+    TimePoint m_end;
+    boost::random::mt19937_64 m_random;
+    FleetOutcome m_outcome;
+};
+
+inline FleetSimulation::FleetSimulation(FleetScenario scenario)
+    : m_scenario(scenario)
+    , m_now(TimePoint{} + std::chrono::seconds(100))
+    , m_end(m_now + scenario.length)
+    , m_random(scenario.seed)
+{
+    constexpr std::uint32_t DataCentres = 5;
+    constexpr double NoticeLinkRatio = 0.5;
+    m_need.service = ServiceId{"register"};
+    for (std::uint32_t index = 0; index < m_scenario.endpoints; ++index) {
+        LiveEndpoint endpoint;
+        endpoint.id = EndpointId{"e" + std::to_string(index)};
+        endpoint.service = m_need.service;
+        endpoint.dataCentre = DataCentreId{std::to_string(index % DataCentres)};
+        endpoint.slots = m_scenario.slots;
+        m_directory.emplace(endpoint.id, endpoint);
+    }
+    for (std::uint32_t index = 0; index < m_scenario.nodes; ++index) {
+        Node node;
+        node.id = VmId{"n" + std::to_string(index)};
+        const DataCentreId dataCentre{std::to_string(index * DataCentres / m_scenario.nodes)};
+        node.chooser = std::make_unique<EndpointChooser>(dataCentre, EndpointChooserLimits{}, m_scenario.seed * 10'000 + index, node.id);
+        node.notices = DispatchNoticePacer(Bandwidth{NoticeLinkRatio * m_scenario.link.value});
+        m_nodes.push_back(std::move(node));
+    }
+}
+
+inline FleetOutcome FleetSimulation::run()
+{
+    arrive();
+    notifyOfOther();
+    while (!m_events.empty()) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.action();
+    }
+    return m_outcome;
+}
+
+inline void FleetSimulation::arrive()
+{
+    boost::random::exponential_distribution<double> pause(m_scenario.requestsPerSecond);
+    const TimePoint next = m_now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause(m_random)));
+    if (next >= m_end) {
+        return;
+    }
+    at(next, [this] {
+        boost::random::uniform_int_distribution<std::uint32_t> draw(0, m_scenario.nodes - 1);
+        const std::uint32_t node = draw(m_random);
+        ++m_outcome.asked;
+        m_nodes[node].waiting.push_back({node, m_now});
+        dispatchWaiting(node);
+        arrive();
+    });
+}
+
+inline void FleetSimulation::notifyOfOther()
+{
+    constexpr std::uint32_t OtherEndpoints = 160;
+    boost::random::exponential_distribution<double> pause(m_scenario.otherNoticesPerSecond);
+    const TimePoint next = m_now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause(m_random)));
+    if (next >= m_end) {
+        return;
+    }
+    at(next, [this] {
+        boost::random::uniform_int_distribution<std::uint32_t> drawNode(0, m_scenario.nodes - 1);
+        boost::random::uniform_int_distribution<std::uint32_t> drawEndpoint(0, OtherEndpoints - 1);
+        const std::uint32_t node = drawNode(m_random);
+        const EndpointId endpoint{"other" + std::to_string(drawEndpoint(m_random))};
+        m_nodes[node].notices.add({endpoint, TokenCount{0}, 1});
+        sendNotices(node);
+        notifyOfOther();
+    });
+}
+
+inline void FleetSimulation::dispatchWaiting(std::uint32_t node)
+{
+    constexpr Duration RetryPeriod = std::chrono::milliseconds(10);
+    auto &waiting = m_nodes[node].waiting;
+    while (!waiting.empty()) {
+        const PendingRequest request = waiting.front();
+        if (m_now - request.arrivedAt >= m_scenario.timeout) {
+            ++m_outcome.refused;
+            waiting.pop_front();
+            continue;
+        }
+        const EndpointChoice choice = m_nodes[node].chooser->choose(m_directory, m_need, m_now);
+        if (!choice.endpoint) {
+            at(m_now + RetryPeriod, [this, node] { dispatchWaiting(node); });
+            return;
+        }
+        waiting.pop_front();
+        dispatch(node, request, *choice.endpoint);
+    }
+}
+
+inline void FleetSimulation::dispatch(std::uint32_t node, const PendingRequest &request, const EndpointId &endpoint)
+{
+    constexpr double RequestBytes = 900;
+    m_nodes[node].chooser->onDispatched(endpoint, m_need, m_now);
+    notify(node, endpoint);
+    at(*transmit(node, RequestBytes, false), [this, request, endpoint] { reach(request, endpoint); });
+}
+
+inline void FleetSimulation::reach(const PendingRequest &request, const EndpointId &endpoint)
+{
+    Endpoint &state = m_endpoints[endpoint];
+    if (state.running < m_scenario.slots) {
+        run(request, endpoint);
+    } else if (state.queue.size() < m_scenario.endpointQueue) {
+        state.queue.emplace_back(request, endpoint);
+    } else {
+        ++m_outcome.rejected;
+        at(m_now + m_scenario.linkDelay, [this, request, endpoint] {
+            m_nodes[request.node].chooser->onEnded(endpoint);
+            notify(request.node, endpoint);
+        });
+    }
+}
+
+inline void FleetSimulation::run(const PendingRequest &request, const EndpointId &endpoint)
+{
+    ++m_endpoints[endpoint].running;
+    at(m_now + m_scenario.work, [this, request, endpoint] {
+        Endpoint &state = m_endpoints[endpoint];
+        --state.running;
+        if (!state.queue.empty()) {
+            const auto next = state.queue.front();
+            state.queue.pop_front();
+            run(next.first, next.second);
+        }
+        at(m_now + m_scenario.linkDelay, [this, request, endpoint] { end(request, endpoint); });
+    });
+}
+
+inline void FleetSimulation::end(const PendingRequest &request, const EndpointId &endpoint)
+{
+    constexpr double AnswerBytes = 1'000;
+    Node &node = m_nodes[request.node];
+    node.chooser->onEnded(endpoint);
+    node.chooser->onSucceeded(endpoint);
+    notify(request.node, endpoint);
+    at(*transmit(request.node, AnswerBytes, false), [this, request] { answer(request); });
+    dispatchWaiting(request.node);
+}
+
+inline void FleetSimulation::answer(const PendingRequest &request)
+{
+    ++(m_now - request.arrivedAt <= m_scenario.latencyTarget ? m_outcome.inTime : m_outcome.late);
+}
+
+inline void FleetSimulation::notify(std::uint32_t node, const EndpointId &endpoint)
+{
+    m_nodes[node].notices.add({endpoint, TokenCount{0}, m_nodes[node].chooser->inFlight(endpoint)});
+    sendNotices(node);
+}
+
+inline void FleetSimulation::sendNotices(std::uint32_t node)
+{
+    constexpr Duration PendingNoticePeriod = std::chrono::milliseconds(10);
+    constexpr double NoticeBytes = 130;
+    Node &sender = m_nodes[node];
+    for (const DispatchNotice &notice : sender.notices.take(m_nodes.size() - 1, m_now)) {
+        for (std::uint32_t other = 0; other < m_nodes.size(); ++other) {
+            if (other == node) {
+                continue;
+            }
+            if (const auto arrival = transmit(node, NoticeBytes, true)) {
+                at(*arrival, [this, node, other, notice] { m_nodes[other].chooser->onDispatchNotice(m_nodes[node].id, notice, m_now); });
+            }
+        }
+    }
+    if (sender.notices.hasPending() && !std::exchange(sender.noticesScheduled, true)) {
+        at(m_now + PendingNoticePeriod, [this, node] {
+            m_nodes[node].noticesScheduled = false;
+            sendNotices(node);
+        });
+    }
+}
+
+inline std::optional<TimePoint> FleetSimulation::transmit(std::uint32_t node, double bytes, bool isDatagram)
+{
+    Node &sender = m_nodes[node];
+    const double queued = std::chrono::duration<double>(std::max(sender.linkFreeAt, m_now) - m_now).count() * m_scenario.link.value;
+    if (isDatagram) {
+        boost::random::uniform_real_distribution<double> draw(0, 1);
+        ++m_outcome.datagrams;
+        if (queued + bytes > m_scenario.linkQueueBytes || draw(m_random) < m_scenario.loss) {
+            ++m_outcome.datagramsLost;
+            return std::nullopt;
+        }
+    }
+    const auto duration = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bytes / m_scenario.link.value));
+    sender.linkFreeAt = std::max(sender.linkFreeAt, m_now) + duration;
+    return sender.linkFreeAt + m_scenario.linkDelay;
+}
+
+} // namespace Hemlockhill::Testing
--- /dev/null
+++ b/src/libhemlockhill/routing/sound_endpoints_taken_for_full_test.cpp
@@ -0,0 +1,44 @@
+// Requests of a large fleet to a few endpoints that have room must be served in time.
+#include "fleet_dispatch_testing.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Hemlockhill;
+using namespace Hemlockhill::Testing;
+
+namespace
+{
+
+// With a third of the slots busy, even nodes that choose at random leave a wait of some milliseconds at the endpoints.
+constexpr double MinimumInTime = 0.98;
+
+void checkServed(const FleetOutcome &outcome)
+{
+    BOOST_TEST_MESSAGE("asked " << outcome.asked << ", in time " << outcome.inTime << ", late " << outcome.late << ", refused "
+                                << outcome.refused << ", rejected " << outcome.rejected << ", datagrams " << outcome.datagrams << ", lost "
+                                << outcome.datagramsLost);
+    BOOST_CHECK_GE(outcome.ratio(outcome.inTime), MinimumInTime);
+    BOOST_CHECK_EQUAL(outcome.refused, 0);
+}
+
+} // namespace
+
+// hrw-registers-large, title-transfer: requests were refused as queue_full by nodes that took sound endpoints for full.
+BOOST_AUTO_TEST_CASE(sound_endpoints_are_not_taken_for_full_by_a_large_fleet)
+{
+    checkServed(FleetSimulation(FleetScenario{}).run());
+}
+
+BOOST_AUTO_TEST_CASE(lost_datagrams_do_not_make_sound_endpoints_full)
+{
+    FleetScenario scenario;
+    scenario.loss = 0.03;
+    checkServed(FleetSimulation(scenario).run());
+}
+
+BOOST_AUTO_TEST_CASE(small_fleet_is_served)
+{
+    FleetScenario scenario;
+    scenario.nodes = 8;
+    checkServed(FleetSimulation(scenario).run());
+}
