--- a/src/include/hemlockhill/brittle_endpoints.h
+++ b/src/include/hemlockhill/brittle_endpoints.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace Hemlockhill
 {
@@ -38,6 +39,8 @@
     void onAnswer(const LiveEndpoint &endpoint, std::optional<std::uint32_t> rejectionLimit, TimePoint now);
     // The endpoint has rejected a request of any node for want of room.
     void onRejected(const EndpointId &endpoint, TimePoint now);
+    // Sets nodes that count as active although this node does not hear of all their requests.
+    void setActiveNodes(std::set<VmId> nodes) { m_alwaysActive = std::move(nodes); }
     // Another node has dispatched a request.
     void onNode(const VmId &node, TimePoint now) { m_nodes[node] = now; }
     void onDirectory(const EndpointsById &endpoints);
@@ -77,6 +80,7 @@
 
     std::map<ServiceId, ServiceRecord> m_services;
     std::map<VmId, TimePoint> m_nodes;
+    std::set<VmId> m_alwaysActive;
 };
 
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -2,14 +2,17 @@
 // seed.
 //
 // Designed for many nodes that share the same endpoints, where each node handles a small fraction of the requests: a node knows the
-// number of its own requests exactly, and learns the number of the others' from their dispatch notices.
+// number of its own requests exactly, and learns the number of the others' from their dispatch notices or from the owners of the service.
+// A load that is not known at present counts as a cost, but never as a reason to send nothing: the endpoint's own queue decides then.
 #pragma once
 
 #include "hemlockhill/brittle_endpoints.h"
 #include "hemlockhill/dispatch_notices.h"
 #include "hemlockhill/endpoint_availability.h"
 #include "hemlockhill/endpoint_directory.h"
+#include "hemlockhill/endpoint_loads.h"
 #include "hemlockhill/endpoint_rate_limiter.h"
+#include "hemlockhill/load_queries.h"
 #include "hemlockhill/prompt_rate_limiter.h"
 #include "hemlockhill/request_dialect.h"
 
@@ -53,6 +56,8 @@
     NoneLeft,
     // Every suitable endpoint is at its limit of requests.
     Full,
+    // The load of the endpoints has been asked for, and the answer is awaited.
+    LoadAwaited,
     // Every suitable endpoint has reached its rate limit for prompt tokens.
     RateLimited,
     // Every suitable endpoint accepts a limited rate of requests from all nodes, which is used up, or wants none for a while.
@@ -77,9 +82,7 @@
     std::uint32_t slots = 0;
     // Requests in progress there of this node and of the others.
     std::uint32_t own = 0;
-    std::uint32_t others = 0;
-    // Age of the oldest statement that counts towards `others`.
-    Duration oldest{0};
+    OthersLoad others;
 };
 
 // Limits on the load and the failures of an endpoint.
@@ -106,6 +109,8 @@
 
     // Additional cost of the way to an endpoint, in requests per slot; empty if there is none at this moment. Optional.
     std::function<std::optional<double>(const LiveEndpoint &endpoint)> pathCost;
+    // Whether this node hears of all requests to a service by notices, so that it need not ask for its load. Optional: it does.
+    std::function<bool(const ServiceId &service)> hearsAll;
 
     // Selects the suitable endpoint with the lowest cost: load and uncached prompt tokens per slot, and a penalty for other data centres.
     EndpointChoice choose(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now);
@@ -116,6 +121,12 @@
     // Another node dispatched a request to the endpoint, or one of its requests there ended. The prompt size is 0 when it is to be
     // disregarded.
     void onDispatchNotice(const VmId &node, const DispatchNotice &notice, TimePoint now);
+    // Another node asks for the load of a service's endpoints. The report is true as far as this node hears of all requests.
+    LoadReport answerLoadQuery(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, TimePoint now);
+    // An owner of the service has answered this node's query.
+    void onLoadReport(const LoadReport &report, TimePoint now);
+    // Returns this node's requests in progress at the endpoints of a service.
+    std::vector<EndpointRequests> ownCounts(const ServiceId &service, const EndpointsById &endpoints) const;
     // An exchange with the endpoint ended, successfully or not.
     void onEnded(const EndpointId &endpoint);
     // The endpoint returned a valid response.
@@ -138,14 +149,8 @@
     EndpointAvailability &availability() { return m_availability; }
 
 private:
-    struct PeerLoad {
-        std::uint32_t inFlight = 0;
-        TimePoint at;
-    };
-
     struct Record {
         std::uint32_t inFlight = 0;
-        std::map<VmId, PeerLoad> peerLoads;
         std::uint32_t consecutiveFailures = 0;
         // Failed fraction of the requests, as an exponential moving average.
         double failureRate = 0;
@@ -154,8 +159,9 @@
 
     void backOff(Record &record, TimePoint now) const;
     bool isInBackoff(const EndpointId &endpoint, TimePoint now) const;
-    bool isFull(const LiveEndpoint &endpoint, double load, TimePoint now);
-    double estimatedLoad(const EndpointId &endpoint, TimePoint now) const;
+    // What the other nodes have in progress at the endpoint, as far as this node knows.
+    OthersLoad othersLoad(const LiveEndpoint &endpoint, TimePoint now) const;
+    bool isFull(const LiveEndpoint &endpoint, const OthersLoad &others, TimePoint now);
 
     DataCentreId m_dataCentre;
     EndpointChooserLimits m_limits;
@@ -165,6 +171,7 @@
     BrittleEndpoints m_brittleEndpoints;
     EndpointAvailability m_availability;
     PrefixIndex m_prefixes;
+    EndpointLoads m_loads;
     std::map<EndpointId, Record> m_records;
 };
 
--- /dev/null
+++ b/src/include/hemlockhill/endpoint_loads.h
@@ -0,0 +1,66 @@
+// What a node knows of the requests that the other nodes have in progress at the endpoints. Deterministic, without I/O.
+//
+// There are two sources: notices, in which another node tells the number of its own requests, and reports, in which an owner of the
+// service tells the sum over all nodes but the receiver. Both may be lost, and both grow old.
+#pragma once
+
+#include "hemlockhill/endpoint_directory.h"
+#include "hemlockhill/world.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace Hemlockhill
+{
+
+// The requests of one node at one endpoint.
+struct EndpointRequests {
+    EndpointId endpoint;
+    std::uint32_t requests = 0;
+
+    bool operator==(const EndpointRequests &) const = default;
+};
+
+// The requests of all other nodes at one endpoint.
+struct OthersLoad {
+    std::uint32_t requests = 0;
+    // Age of the report, or of the oldest notice that counts.
+    Duration age{0};
+    // False if nothing is known of the endpoint's load, or only what was known some time ago.
+    bool isCurrent = false;
+};
+
+class EndpointLoads
+{
+public:
+    // Another node has this many requests in progress at the endpoint.
+    void onNotice(const VmId &node, const EndpointRequests &count, TimePoint now);
+    // Another node has no requests in progress at these endpoints but the given ones.
+    void onCounts(const VmId &node, const std::vector<EndpointId> &endpoints, const std::vector<EndpointRequests> &counts, TimePoint now);
+    // An owner has reported the requests of all nodes but this one.
+    void onReport(const EndpointRequests &others, TimePoint now);
+    // Returns the load of an endpoint. Where this node hears of all requests, notices tell it; elsewhere reports.
+    OthersLoad others(const EndpointId &endpoint, bool hearsAll, TimePoint now) const;
+    // Returns the sum of the notices of all nodes but the given one.
+    std::uint32_t sumWithout(const VmId &node, const EndpointId &endpoint, TimePoint now) const;
+    // Forgets endpoints that are not listed any more.
+    void onDirectory(const EndpointsById &endpoints);
+
+private:
+    struct NodeCount {
+        std::uint32_t requests = 0;
+        TimePoint at;
+    };
+
+    struct Record {
+        std::map<VmId, NodeCount> nodes;
+        std::uint32_t reported = 0;
+        // Empty time point if there was no report.
+        TimePoint reportedAt;
+    };
+
+    std::map<EndpointId, Record> m_records;
+};
+
+} // namespace Hemlockhill
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -10,6 +10,8 @@
 #include "hemlockhill/forwarding_peers.h"
 #include "hemlockhill/http_exchange.h"
 #include "hemlockhill/http_server.h"
+#include "hemlockhill/load_owners.h"
+#include "hemlockhill/load_queries.h"
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/request_dialect.h"
 #include "hemlockhill/retry_budget.h"
@@ -25,6 +27,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Hemlockhill
 {
@@ -77,10 +80,16 @@
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
-    // Called when a request is dispatched to an endpoint or ends there, so that the other nodes can be notified.
-    std::function<void(const DispatchNotice &notice)> onDispatch;
+    // Called when a request is dispatched to an endpoint or ends there, so that these nodes can be notified.
+    std::function<void(const DispatchNotice &notice, const std::vector<VmId> &nodes)> onDispatch;
     // Takes into account that another node has dispatched a request to an endpoint, or that one has ended there.
     void onRemoteDispatch(const VmId &node, const DispatchNotice &notice);
+    // Called to ask an owner of a service for the load of its endpoints.
+    std::function<void(const VmId &owner, const LoadQuery &query)> sendLoadQuery;
+    // Another node asks. Returns the answer; empty if this node does not own the loads of the service.
+    std::optional<LoadReport> onLoadQuery(const VmId &node, const LoadQuery &query);
+    // An owner has answered.
+    void onLoadReport(const VmId &owner, const LoadReport &report);
     // Called when the other nodes must learn about the rate limit of an endpoint, or about a request that was dispatched under it.
     std::function<void(const RateLimitNotice &notice)> onRateLimit;
     // Another node has sent such a notice. Returns the notice to send back, if any.
@@ -159,6 +168,10 @@
     // Decides at which software version a stream may go on; empty if it may at none. The stream began within the given time.
     SoftwareVersion versionToResume(const ServiceId &service, Duration begunWithin, const OriginLookupResult &origin);
     void notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt, bool rejected = false);
+    // The nodes that must learn of requests to the endpoint.
+    const std::vector<VmId> &nodesToNotify(const EndpointId &endpoint);
+    // Whether a request for the model must wait until the load of the endpoints is known. Asks for it if that is due.
+    bool awaitsLoad(const ServiceId &service, const ModelId &model);
     // Takes what an endpoint has said of its capacity in the answer to a request that was sent at the given time.
     void onDeclaredCapacity(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint sentAt);
     void logAvailability(const EndpointId &endpoint, const DeclaredCapacity &declared);
@@ -181,10 +194,14 @@
     ConnectionPool m_pool;
     std::unique_ptr<EndpointPaths> m_paths;
     EndpointChooser m_chooser;
+    LoadOwners m_loadOwners;
+    LoadQueries m_loadQueries;
     std::shared_ptr<ArrivalClock> m_arrivalClock;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<HttpServer> m_forwardingServer;
     std::set<VmId> m_nodes;
+    // The same without this node.
+    std::vector<VmId> m_otherNodes;
     std::shared_ptr<const Deployment> m_deployment;
     DirectoryView m_directory;
     CrashGuard m_crashGuard;
--- a/src/include/hemlockhill/peer_datagrams.h
+++ b/src/include/hemlockhill/peer_datagrams.h
@@ -1,11 +1,13 @@
-// UDP datagrams between nodes, for messages whose loss does little harm: notices of dispatched requests, of endpoints' rate limits and of
-// requests that crash endpoints, the origins of streams, and the search for nodes to forward through.
+// UDP datagrams between nodes, for messages whose loss does little harm: notices of dispatched requests, questions about the load of
+// endpoints, notices of endpoints' rate limits and of requests that crash endpoints, the origins of streams, and the search for nodes to
+// forward through.
 #pragma once
 
 #include "hemlockhill/crash_suspects.h"
 #include "hemlockhill/declared_capacity.h"
 #include "hemlockhill/dispatch_notices.h"
 #include "hemlockhill/forwarding_peers.h"
+#include "hemlockhill/load_queries.h"
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/stream_origins.h"
 #include "hemlockhill/world.h"
@@ -30,7 +32,8 @@
 inline constexpr std::size_t DatagramLimitBytes = 2048;
 
 // The content of one datagram.
-using PeerDatagram = std::variant<DispatchNotice, StreamOriginMessage, CrashSuspectNotice, RateLimitNotice, ForwardingMessage>;
+using PeerDatagram =
+    std::variant<DispatchNotice, StreamOriginMessage, CrashSuspectNotice, RateLimitNotice, ForwardingMessage, LoadQuery, LoadReport>;
 
 // Name of the kind of a message, for logs.
 std::string_view kindOf(const PeerDatagram &message);
@@ -57,6 +60,7 @@
     // Failures are counted as "datagram_unsent".
     void sendToAll(const PeerDatagram &message);
     void send(const VmId &node, const PeerDatagram &message);
+    void send(const std::vector<VmId> &nodes, const PeerDatagram &message);
     // Sends to one of the nodes, each in its turn.
     void sendToNext(const PeerDatagram &message);
     // Number of nodes to which sendToAll() sends.
--- a/src/include/hemlockhill/prompt_rate_limiter.h
+++ b/src/include/hemlockhill/prompt_rate_limiter.h
@@ -29,6 +29,10 @@
     // Returns the delay after which a prompt of this size may be sent to the endpoint. Zero when it may be sent now.
     Duration delay(const EndpointId &endpoint, TokenCount prompt, TimePoint now) const;
     void onDispatched(const EndpointId &endpoint, TokenCount prompt, TimePoint now);
+    // Returns the prompt tokens that may be sent to the endpoint at once; negative while it has more to process than the limit allows.
+    double level(const EndpointId &endpoint, TimePoint now) const;
+    // Takes the level that a node has told which hears of all prompts.
+    void setLevel(const EndpointId &endpoint, double level, TimePoint now);
 
 private:
     struct Bucket {
@@ -36,8 +40,6 @@
         TimePoint at;
     };
 
-    double levelOf(const EndpointId &endpoint, TimePoint now) const;
-
     PromptRateLimit m_limit;
     std::map<EndpointId, Bucket> m_buckets;
 };
--- a/src/include/hemlockhill/stream_origins.h
+++ b/src/include/hemlockhill/stream_origins.h
@@ -73,10 +73,6 @@
     OriginSource source = OriginSource::Nowhere;
 };
 
-// Orders nodes by rendezvous hashing for one stream: every node computes the same order, and a node that joins or leaves does not change
-// the order of the others.
-std::vector<VmId> rankNodes(const RequestId &request, const std::vector<VmId> &nodes);
-
 class StreamOrigins
 {
 public:
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -125,12 +125,15 @@
     , m_paths(std::make_unique<EndpointPaths>(
           loop, EndpointPathSettings{m_settings.dataCentre, m_settings.forwardingListen}, m_pool, metrics, randomSeed(m_settings.listen)))
     , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen), VmId{m_settings.listen.host})
+    , m_loadOwners(VmId{m_settings.listen.host}, {})
+    , m_loadQueries({}, metrics, randomSeed(m_settings.listen))
     , m_arrivalClock(std::make_shared<ArrivalClock>(loop))
     , m_directory(m_settings.directoryAge)
     , m_crashGuard(m_settings.crashes)
     , m_versions(StreamOriginLimits().retention)
     , m_randomEngine(randomSeed(m_settings.listen))
 {
+    m_chooser.hearsAll = [this](const ServiceId &service) { return m_loadOwners.isOwner(service); };
     if (m_settings.isFirstStart) {
         m_versions.onFirstStart();
     }
@@ -244,8 +247,14 @@
 
 void Gateway::setNodes(const std::vector<VmId> &nodes)
 {
+    const VmId self{m_settings.listen.host};
     m_nodes = std::set<VmId>(nodes.begin(), nodes.end());
-    m_crashGuard.setNodes(VmId{m_settings.listen.host}, nodes);
+    m_otherNodes = nodes;
+    std::erase(m_otherNodes, self);
+    m_loadOwners.setNodes(nodes);
+    // In a large fleet this node does not hear from the others.
+    m_chooser.brittleEndpoints().setActiveNodes(m_loadOwners.areAllOwners() ? std::set<VmId>{} : m_nodes);
+    m_crashGuard.setNodes(self, nodes);
     m_chooser.requestRates().setNodeCount(nodes.size());
 }
 
@@ -428,10 +437,51 @@
 void Gateway::notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt, bool rejected)
 {
     if (onDispatch) {
-        onDispatch({endpoint, prompt, m_chooser.inFlight(endpoint), rejected});
+        onDispatch({endpoint, prompt, m_chooser.inFlight(endpoint), rejected}, nodesToNotify(endpoint));
     }
 }
 
+// A brittle endpoint's quotas rest on what each node knows of the others, without a question before each dispatch.
+const std::vector<VmId> &Gateway::nodesToNotify(const EndpointId &endpoint)
+{
+    const auto listed = m_directory.endpoints().find(endpoint);
+    const bool isListed = listed != m_directory.endpoints().end();
+    if (!isListed || m_chooser.brittleEndpoints().isBrittle(listed->second, currentTime())) {
+        return m_otherNodes;
+    }
+    return m_loadOwners.others(listed->second.service);
+}
+
+bool Gateway::awaitsLoad(const ServiceId &service, const ModelId &model)
+{
+    if (!sendLoadQuery) {
+        return false;
+    }
+    const LoadQueryPlan plan = m_loadQueries.plan(service, model, m_loadOwners, currentTime());
+    if (plan.knowledge == LoadKnowledge::QueryDue) {
+        sendLoadQuery(plan.owner, {service, model, m_chooser.ownCounts(service, m_directory.endpoints())});
+    }
+    return plan.knowledge != LoadKnowledge::Ready;
+}
+
+std::optional<LoadReport> Gateway::onLoadQuery(const VmId &node, const LoadQuery &query)
+{
+    if (!hasEndpoints() || !m_loadOwners.isOwner(query.service)) {
+        m_metrics.countEvent("load_query_refused");
+        return std::nullopt;
+    }
+    m_metrics.countEvent("load_query_answered");
+    return m_chooser.answerLoadQuery(node, query, m_directory.endpoints(), currentTime());
+}
+
+void Gateway::onLoadReport(const VmId &owner, const LoadReport &report)
+{
+    const TimePoint now = currentTime();
+    m_loadQueries.onReport(owner, report, now);
+    m_chooser.onLoadReport(report, now);
+    dispatchWaiting();
+}
+
 DemandByTarget Gateway::takeTargetDemand()
 {
     DemandByTarget demand = std::exchange(m_demand, {});
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -210,6 +210,10 @@
         wait(EndpointChoice{std::nullopt, NoEndpointReason::DirectoryOutdated});
         return;
     }
+    if (m_gateway.awaitsLoad(service(), m_head.target.model)) {
+        waitForLoad();
+        return;
+    }
     const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_directory.endpoints(), m_requirements, now);
     if (choice.endpoint) {
         endWaiting(now);
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -83,6 +83,8 @@
     // Records the version of the stream that the first event has begun.
     void onFirstEvent();
     void wait(const EndpointChoice &choice);
+    // Waits until the load of the endpoints is known.
+    void waitForLoad();
     // Time at which waiting for the present reason ends.
     TimePoint waitEnd() const;
     Duration waitLimit(NoEndpointReason reason) const;
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -65,8 +65,9 @@
         list.push_back(boost::json::object{{"endpoint", load.endpoint.value},
                                            {"slots", load.slots},
                                            {"own", load.own},
-                                           {"others", load.others},
-                                           {"oldest_ms", milliseconds(load.oldest)}});
+                                           {"others", load.others.requests},
+                                           {"age_ms", milliseconds(load.others.age)},
+                                           {"current", load.others.isCurrent}});
     }
     return list;
 }
--- a/src/libhemlockhill/node/gateway_waiting.cpp
+++ b/src/libhemlockhill/node/gateway_waiting.cpp
@@ -19,8 +19,8 @@
     if (reason == NoEndpointReason::VersionAbsent) {
         return Reason::VersionAbsent;
     }
-    const bool lacksCapacity =
-        reason == NoEndpointReason::Full || reason == NoEndpointReason::RateLimited || reason == NoEndpointReason::RequestLimited;
+    const bool lacksCapacity = reason == NoEndpointReason::Full || reason == NoEndpointReason::LoadAwaited
+                               || reason == NoEndpointReason::RateLimited || reason == NoEndpointReason::RequestLimited;
     return lacksCapacity ? Reason::QueueFull : Reason::NoEndpoint;
 }
 
@@ -59,6 +59,25 @@
     }
 }
 
+void Gateway::Request::waitForLoad()
+{
+    if (m_exchange) {
+        // The answer has come at once, and the request has been sent.
+        return;
+    }
+    const TimePoint now = currentTime();
+    // A request that waits for capacity keeps its place among those that do.
+    if (!m_waitingSince) {
+        m_waitingSince = now;
+        m_waitingFor = NoEndpointReason::LoadAwaited;
+    }
+    if (isWaitExpired(now)) {
+        endWait();
+        return;
+    }
+    m_gateway.scheduleDispatch();
+}
+
 void Gateway::Request::waitBehind(QueueForecast &forecast)
 {
     if (!m_waitingSince || m_done) {
--- a/src/libhemlockhill/peers/dispatch_notice_pacer.cpp
+++ b/src/libhemlockhill/peers/dispatch_notice_pacer.cpp
@@ -2,6 +2,7 @@
 #include "hemlockhill/dispatch_notice_pacer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Hemlockhill
 {
@@ -22,33 +23,33 @@
 {
 }
 
-void DispatchNoticePacer::add(const DispatchNotice &notice)
+void DispatchNoticePacer::add(const DispatchNotice &notice, const std::vector<VmId> &nodes)
 {
-    const auto [found, isNew] = m_pending.try_emplace(notice.endpoint, notice);
+    const auto [found, isNew] = m_pending.try_emplace(notice.endpoint, AddressedNotice{notice, nodes});
     if (isNew) {
         m_order.push_back(notice.endpoint);
         return;
     }
-    DispatchNotice &merged = found->second;
+    found->second.nodes = nodes;
+    DispatchNotice &merged = found->second.notice;
     merged.prompt += notice.prompt;
     merged.inFlight = notice.inFlight;
     merged.rejected = merged.rejected || notice.rejected;
 }
 
-std::vector<DispatchNotice> DispatchNoticePacer::take(std::size_t nodes, TimePoint now)
+std::vector<AddressedNotice> DispatchNoticePacer::take(TimePoint now)
 {
     const double elapsed = std::chrono::duration<double>(now - m_filledAt).count();
     m_allowance = std::min(m_limit.value * Burst.count(), m_allowance + m_limit.value * elapsed);
     m_filledAt = now;
-    const double cost = NoticeBytes * static_cast<double>(nodes);
-    std::vector<DispatchNotice> due;
+    std::vector<AddressedNotice> due;
     // The allowance may be overdrawn by one notice, so that any limit lets some pass.
     while (!m_order.empty() && (m_limit.value == 0 || m_allowance > 0)) {
         const auto next = m_pending.find(m_order.front());
         m_order.pop_front();
-        due.push_back(next->second);
+        m_allowance -= NoticeBytes * static_cast<double>(next->second.nodes.size());
+        due.push_back(std::move(next->second));
         m_pending.erase(next);
-        m_allowance -= cost;
     }
     return due;
 }
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -180,6 +180,36 @@
   forwarding @6 :ForwardingMessage;
   # Set in a dispatch notice if the request that has ended was rejected for want of room.
   rejected @7 :Bool;
+  # Set in a question about the load of a service's endpoints, and in the answer, likewise.
+  loadQuery @8 :LoadQuery;
+  loadReport @9 :LoadReport;
+}
+
+struct EndpointRequests {
+  endpoint @0 :Text;
+  requests @1 :UInt32;
+}
+
+struct LoadQuery {
+  service @0 :Text;
+  # Empty for all endpoints of the service.
+  model @1 :Text;
+  # The sender's requests in progress at all endpoints of the service.
+  own @2 :List(EndpointRequests);
+}
+
+struct ReportedLoad {
+  endpoint @0 :Text;
+  # Requests of all nodes but the one that asked.
+  requests @1 :UInt32;
+  # Prompt tokens that may be sent to the endpoint at once; negative while it has more to process than the limit allows.
+  promptAllowance @2 :Int32;
+}
+
+struct LoadReport {
+  service @0 :Text;
+  model @1 :Text;
+  loads @2 :List(ReportedLoad);
 }
 
 struct ForwardingMessage {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -45,6 +45,10 @@
 CAPNP_DECLARE_SCHEMA(fdf497fe4a97a6be);
 CAPNP_DECLARE_SCHEMA(b03c630585afb38c);
 CAPNP_DECLARE_SCHEMA(fd8ded1fa830a9ad);
+CAPNP_DECLARE_SCHEMA(b351302414f8c9d1);
+CAPNP_DECLARE_SCHEMA(8ad8754158fc6749);
+CAPNP_DECLARE_SCHEMA(da24eefcbb721b91);
+CAPNP_DECLARE_SCHEMA(ce499cfe647ffd6a);
 CAPNP_DECLARE_SCHEMA(9eafb832f321851f);
 CAPNP_DECLARE_SCHEMA(f8cde4e13480126b);
 CAPNP_DECLARE_SCHEMA(af549ea9e3caf259);
@@ -353,7 +357,67 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd8ded1fa830a9ad, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(fd8ded1fa830a9ad, 2, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndpointRequests {
+  EndpointRequests() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b351302414f8c9d1, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LoadQuery {
+  LoadQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ad8754158fc6749, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ReportedLoad {
+  ReportedLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(da24eefcbb721b91, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LoadReport {
+  LoadReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ce499cfe647ffd6a, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2522,6 +2586,12 @@
 
   inline bool getRejected() const;
 
+  inline bool hasLoadQuery() const;
+  inline  ::Hemlockhill::Wire::LoadQuery::Reader getLoadQuery() const;
+
+  inline bool hasLoadReport() const;
+  inline  ::Hemlockhill::Wire::LoadReport::Reader getLoadReport() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2594,6 +2664,20 @@
   inline bool getRejected();
   inline void setRejected(bool value);
 
+  inline bool hasLoadQuery();
+  inline  ::Hemlockhill::Wire::LoadQuery::Builder getLoadQuery();
+  inline void setLoadQuery( ::Hemlockhill::Wire::LoadQuery::Reader value);
+  inline  ::Hemlockhill::Wire::LoadQuery::Builder initLoadQuery();
+  inline void adoptLoadQuery(::capnp::Orphan< ::Hemlockhill::Wire::LoadQuery>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::LoadQuery> disownLoadQuery();
+
+  inline bool hasLoadReport();
+  inline  ::Hemlockhill::Wire::LoadReport::Builder getLoadReport();
+  inline void setLoadReport( ::Hemlockhill::Wire::LoadReport::Reader value);
+  inline  ::Hemlockhill::Wire::LoadReport::Builder initLoadReport();
+  inline void adoptLoadReport(::capnp::Orphan< ::Hemlockhill::Wire::LoadReport>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::LoadReport> disownLoadReport();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2616,6 +2700,8 @@
   inline  ::Hemlockhill::Wire::CrashSuspectNotice::Pipeline getCrashSuspects();
   inline  ::Hemlockhill::Wire::RateLimitNotice::Pipeline getRateLimit();
   inline  ::Hemlockhill::Wire::ForwardingMessage::Pipeline getForwarding();
+  inline  ::Hemlockhill::Wire::LoadQuery::Pipeline getLoadQuery();
+  inline  ::Hemlockhill::Wire::LoadReport::Pipeline getLoadReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2624,9 +2710,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ForwardingMessage::Reader {
+class EndpointRequests::Reader {
 public:
-  typedef ForwardingMessage Reads;
+  typedef EndpointRequests Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2641,12 +2727,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsQuery() const;
-
-  inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
 
-  inline  ::uint32_t getCapacity() const;
+  inline  ::uint32_t getRequests() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2660,9 +2744,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ForwardingMessage::Builder {
+class EndpointRequests::Builder {
 public:
-  typedef ForwardingMessage Builds;
+  typedef EndpointRequests Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2676,18 +2760,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsQuery();
-  inline void setIsQuery(bool value);
-
-  inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
-  inline  ::uint32_t getCapacity();
-  inline void setCapacity( ::uint32_t value);
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2699,9 +2780,9 @@
 };
 
 #if !CAPNP_LITE
-class ForwardingMessage::Pipeline {
+class EndpointRequests::Pipeline {
 public:
-  typedef ForwardingMessage Pipelines;
+  typedef EndpointRequests Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2715,9 +2796,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RateLimitNotice::Reader {
+class LoadQuery::Reader {
 public:
-  typedef RateLimitNotice Reads;
+  typedef LoadQuery Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2732,21 +2813,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
-
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
-
-  inline double getRate() const;
-
-  inline  ::uint32_t getAgeMs() const;
-
-  inline  ::uint64_t getCount() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getDispatched() const;
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
 
-  inline bool getWantsReply() const;
+  inline bool hasOwn() const;
+  inline  ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>::Reader getOwn() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2760,9 +2834,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RateLimitNotice::Builder {
+class LoadQuery::Builder {
 public:
-  typedef RateLimitNotice Builds;
+  typedef LoadQuery Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2776,34 +2850,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
-
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
-
-  inline double getRate();
-  inline void setRate(double value);
-
-  inline  ::uint32_t getAgeMs();
-  inline void setAgeMs( ::uint32_t value);
-
-  inline  ::uint64_t getCount();
-  inline void setCount( ::uint64_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint64_t getDispatched();
-  inline void setDispatched( ::uint64_t value);
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
 
-  inline bool getWantsReply();
-  inline void setWantsReply(bool value);
+  inline bool hasOwn();
+  inline  ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>::Builder getOwn();
+  inline void setOwn( ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>::Builder initOwn(unsigned int size);
+  inline void adoptOwn(::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>> disownOwn();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2815,9 +2881,9 @@
 };
 
 #if !CAPNP_LITE
-class RateLimitNotice::Pipeline {
+class LoadQuery::Pipeline {
 public:
-  typedef RateLimitNotice Pipelines;
+  typedef LoadQuery Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2831,9 +2897,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class CrashSuspect::Reader {
+class ReportedLoad::Reader {
 public:
-  typedef CrashSuspect Reads;
+  typedef ReportedLoad Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2848,16 +2914,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getFingerprint() const;
-
-  inline bool hasLosses() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getLosses() const;
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
 
-  inline bool hasAgesMs() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getAgesMs() const;
+  inline  ::uint32_t getRequests() const;
 
-  inline bool hasUncertaintiesMs() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getUncertaintiesMs() const;
+  inline  ::int32_t getPromptAllowance() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2871,9 +2933,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CrashSuspect::Builder {
+class ReportedLoad::Builder {
 public:
-  typedef CrashSuspect Builds;
+  typedef ReportedLoad Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2887,32 +2949,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
-
-  inline bool hasLosses();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getLosses();
-  inline void setLosses( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setLosses(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initLosses(unsigned int size);
-  inline void adoptLosses(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownLosses();
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
-  inline bool hasAgesMs();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getAgesMs();
-  inline void setAgesMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setAgesMs(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initAgesMs(unsigned int size);
-  inline void adoptAgesMs(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownAgesMs();
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
 
-  inline bool hasUncertaintiesMs();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getUncertaintiesMs();
-  inline void setUncertaintiesMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setUncertaintiesMs(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initUncertaintiesMs(unsigned int size);
-  inline void adoptUncertaintiesMs(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownUncertaintiesMs();
+  inline  ::int32_t getPromptAllowance();
+  inline void setPromptAllowance( ::int32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2924,9 +2972,9 @@
 };
 
 #if !CAPNP_LITE
-class CrashSuspect::Pipeline {
+class ReportedLoad::Pipeline {
 public:
-  typedef CrashSuspect Pipelines;
+  typedef ReportedLoad Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2940,9 +2988,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class CrashSuspectNotice::Reader {
+class LoadReport::Reader {
 public:
-  typedef CrashSuspectNotice Reads;
+  typedef LoadReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2957,27 +3005,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSuspects() const;
-  inline  ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
-
-  inline bool hasAnswered() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAnswered() const;
-
-  inline bool hasDisproved() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getDisproved() const;
-
-  inline bool getIsRequest() const;
-
-  inline  ::Hemlockhill::Wire::CrashSuspectNotice::Subject getSubject() const;
-
-  inline bool hasAnsweredBefore() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAnsweredBefore() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasTried() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTried() const;
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
 
-  inline bool hasTriedAt() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTriedAt() const;
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::Hemlockhill::Wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2991,9 +3026,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CrashSuspectNotice::Builder {
+class LoadReport::Builder {
 public:
-  typedef CrashSuspectNotice Builds;
+  typedef LoadReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3007,58 +3042,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSuspects();
-  inline  ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder getSuspects();
-  inline void setSuspects( ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
-  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>> disownSuspects();
-
-  inline bool hasAnswered();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getAnswered();
-  inline void setAnswered( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setAnswered(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initAnswered(unsigned int size);
-  inline void adoptAnswered(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAnswered();
-
-  inline bool hasDisproved();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getDisproved();
-  inline void setDisproved( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setDisproved(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initDisproved(unsigned int size);
-  inline void adoptDisproved(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownDisproved();
-
-  inline bool getIsRequest();
-  inline void setIsRequest(bool value);
-
-  inline  ::Hemlockhill::Wire::CrashSuspectNotice::Subject getSubject();
-  inline void setSubject( ::Hemlockhill::Wire::CrashSuspectNotice::Subject value);
-
-  inline bool hasAnsweredBefore();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getAnsweredBefore();
-  inline void setAnsweredBefore( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setAnsweredBefore(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initAnsweredBefore(unsigned int size);
-  inline void adoptAnsweredBefore(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAnsweredBefore();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasTried();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTried();
-  inline void setTried( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setTried(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTried(unsigned int size);
-  inline void adoptTried(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTried();
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
 
-  inline bool hasTriedAt();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTriedAt();
-  inline void setTriedAt( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setTriedAt(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTriedAt(unsigned int size);
-  inline void adoptTriedAt(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTriedAt();
+  inline bool hasLoads();
+  inline  ::capnp::List< ::Hemlockhill::Wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::Hemlockhill::Wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hemlockhill::Wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::ReportedLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::ReportedLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3070,9 +3073,9 @@
 };
 
 #if !CAPNP_LITE
-class CrashSuspectNotice::Pipeline {
+class LoadReport::Pipeline {
 public:
-  typedef CrashSuspectNotice Pipelines;
+  typedef LoadReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3086,9 +3089,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StreamOriginMessage::Reader {
+class ForwardingMessage::Reader {
 public:
-  typedef StreamOriginMessage Reads;
+  typedef ForwardingMessage Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3103,13 +3106,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::Hemlockhill::Wire::StreamOriginMessage::Kind getKind() const;
+  inline bool getIsQuery() const;
 
-  inline bool hasRequest() const;
-  inline  ::capnp::Text::Reader getRequest() const;
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
 
-  inline bool hasVersion() const;
-  inline  ::capnp::Text::Reader getVersion() const;
+  inline  ::uint32_t getCapacity() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3123,9 +3125,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StreamOriginMessage::Builder {
+class ForwardingMessage::Builder {
 public:
-  typedef StreamOriginMessage Builds;
+  typedef ForwardingMessage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3139,22 +3141,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::Hemlockhill::Wire::StreamOriginMessage::Kind getKind();
-  inline void setKind( ::Hemlockhill::Wire::StreamOriginMessage::Kind value);
+  inline bool getIsQuery();
+  inline void setIsQuery(bool value);
 
-  inline bool hasRequest();
-  inline  ::capnp::Text::Builder getRequest();
-  inline void setRequest( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
-  inline bool hasVersion();
-  inline  ::capnp::Text::Builder getVersion();
-  inline void setVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVersion(unsigned int size);
-  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+  inline  ::uint32_t getCapacity();
+  inline void setCapacity( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3166,9 +3164,9 @@
 };
 
 #if !CAPNP_LITE
-class StreamOriginMessage::Pipeline {
+class ForwardingMessage::Pipeline {
 public:
-  typedef StreamOriginMessage Pipelines;
+  typedef ForwardingMessage Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3182,9 +3180,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AttestReply::Reader {
+class RateLimitNotice::Reader {
 public:
-  typedef AttestReply Reads;
+  typedef RateLimitNotice Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3199,12 +3197,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getGranted() const;
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
 
-  inline bool hasSnapshot() const;
-  inline  ::capnp::Text::Reader getSnapshot() const;
+  inline double getRate() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::uint64_t getCount() const;
+
+  inline  ::uint64_t getDispatched() const;
+
+  inline bool getWantsReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3218,9 +3225,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AttestReply::Builder {
+class RateLimitNotice::Builder {
 public:
-  typedef AttestReply Builds;
+  typedef RateLimitNotice Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3234,18 +3241,34 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getGranted();
-  inline void setGranted(bool value);
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
 
-  inline bool hasSnapshot();
-  inline  ::capnp::Text::Builder getSnapshot();
-  inline void setSnapshot( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSnapshot(unsigned int size);
-  inline void adoptSnapshot(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSnapshot();
+  inline double getRate();
+  inline void setRate(double value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::uint64_t getCount();
+  inline void setCount( ::uint64_t value);
+
+  inline  ::uint64_t getDispatched();
+  inline void setDispatched( ::uint64_t value);
+
+  inline bool getWantsReply();
+  inline void setWantsReply(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3257,9 +3280,9 @@
 };
 
 #if !CAPNP_LITE
-class AttestReply::Pipeline {
+class RateLimitNotice::Pipeline {
 public:
-  typedef AttestReply Pipelines;
+  typedef RateLimitNotice Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3273,9 +3296,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SubmitReply::Reader {
+class CrashSuspect::Reader {
 public:
-  typedef SubmitReply Reads;
+  typedef CrashSuspect Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3290,19 +3313,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::capnp::Text::Reader getOutcome() const;
-
-  inline bool hasReason() const;
-  inline  ::capnp::Text::Reader getReason() const;
+  inline  ::uint64_t getFingerprint() const;
 
-  inline bool hasRan() const;
-  inline  ::capnp::Text::Reader getRan() const;
+  inline bool hasLosses() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getLosses() const;
 
-  inline bool hasDetail() const;
-  inline  ::capnp::Text::Reader getDetail() const;
+  inline bool hasAgesMs() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getAgesMs() const;
 
-  inline  ::uint32_t getRetryAfterS() const;
+  inline bool hasUncertaintiesMs() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getUncertaintiesMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3316,9 +3336,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SubmitReply::Builder {
+class CrashSuspect::Builder {
 public:
-  typedef SubmitReply Builds;
+  typedef CrashSuspect Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3332,36 +3352,32 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::capnp::Text::Builder getOutcome();
-  inline void setOutcome( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOutcome(unsigned int size);
-  inline void adoptOutcome(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOutcome();
-
-  inline bool hasReason();
-  inline  ::capnp::Text::Builder getReason();
-  inline void setReason( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initReason(unsigned int size);
-  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
 
-  inline bool hasRan();
-  inline  ::capnp::Text::Builder getRan();
-  inline void setRan( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRan(unsigned int size);
-  inline void adoptRan(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRan();
+  inline bool hasLosses();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getLosses();
+  inline void setLosses( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLosses(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initLosses(unsigned int size);
+  inline void adoptLosses(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownLosses();
 
-  inline bool hasDetail();
-  inline  ::capnp::Text::Builder getDetail();
-  inline void setDetail( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDetail(unsigned int size);
-  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
+  inline bool hasAgesMs();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getAgesMs();
+  inline void setAgesMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAgesMs(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initAgesMs(unsigned int size);
+  inline void adoptAgesMs(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownAgesMs();
 
-  inline  ::uint32_t getRetryAfterS();
-  inline void setRetryAfterS( ::uint32_t value);
+  inline bool hasUncertaintiesMs();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getUncertaintiesMs();
+  inline void setUncertaintiesMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUncertaintiesMs(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initUncertaintiesMs(unsigned int size);
+  inline void adoptUncertaintiesMs(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownUncertaintiesMs();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3373,9 +3389,9 @@
 };
 
 #if !CAPNP_LITE
-class SubmitReply::Pipeline {
+class CrashSuspect::Pipeline {
 public:
-  typedef SubmitReply Pipelines;
+  typedef CrashSuspect Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3389,9 +3405,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class QueryReply::Reader {
+class CrashSuspectNotice::Reader {
 public:
-  typedef QueryReply Reads;
+  typedef CrashSuspectNotice Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3406,13 +3422,27 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus() const;
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
-  inline bool hasContentType() const;
-  inline  ::capnp::Text::Reader getContentType() const;
+  inline bool hasAnswered() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAnswered() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Text::Reader getBody() const;
+  inline bool hasDisproved() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getDisproved() const;
+
+  inline bool getIsRequest() const;
+
+  inline  ::Hemlockhill::Wire::CrashSuspectNotice::Subject getSubject() const;
+
+  inline bool hasAnsweredBefore() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAnsweredBefore() const;
+
+  inline bool hasTried() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTried() const;
+
+  inline bool hasTriedAt() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTriedAt() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3426,9 +3456,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class QueryReply::Builder {
+class CrashSuspectNotice::Builder {
 public:
-  typedef QueryReply Builds;
+  typedef CrashSuspectNotice Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3442,36 +3472,72 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
-
-  inline bool hasContentType();
-  inline  ::capnp::Text::Builder getContentType();
-  inline void setContentType( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initContentType(unsigned int size);
-  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::CrashSuspect,  ::capnp::Kind::STRUCT>> disownSuspects();
 
-  inline bool hasBody();
-  inline  ::capnp::Text::Builder getBody();
-  inline void setBody( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBody();
+  inline bool hasAnswered();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getAnswered();
+  inline void setAnswered( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAnswered(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initAnswered(unsigned int size);
+  inline void adoptAnswered(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAnswered();
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline bool hasDisproved();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getDisproved();
+  inline void setDisproved( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDisproved(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initDisproved(unsigned int size);
+  inline void adoptDisproved(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownDisproved();
+
+  inline bool getIsRequest();
+  inline void setIsRequest(bool value);
+
+  inline  ::Hemlockhill::Wire::CrashSuspectNotice::Subject getSubject();
+  inline void setSubject( ::Hemlockhill::Wire::CrashSuspectNotice::Subject value);
+
+  inline bool hasAnsweredBefore();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getAnsweredBefore();
+  inline void setAnsweredBefore( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAnsweredBefore(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initAnsweredBefore(unsigned int size);
+  inline void adoptAnsweredBefore(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAnsweredBefore();
+
+  inline bool hasTried();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTried();
+  inline void setTried( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTried(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTried(unsigned int size);
+  inline void adoptTried(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTried();
+
+  inline bool hasTriedAt();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTriedAt();
+  inline void setTriedAt( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTriedAt(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTriedAt(unsigned int size);
+  inline void adoptTriedAt(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTriedAt();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
 #if !CAPNP_LITE
-class QueryReply::Pipeline {
+class CrashSuspectNotice::Pipeline {
 public:
-  typedef QueryReply Pipelines;
+  typedef CrashSuspectNotice Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3485,98 +3551,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::Hemlockhill::Wire::Peer::ConsensusParams,  ::Hemlockhill::Wire::Peer::ConsensusResults> consensusRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hemlockhill::Wire::Peer::IdentityParams,  ::Hemlockhill::Wire::Peer::IdentityResults> identityRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hemlockhill::Wire::Peer::FollowParams,  ::Hemlockhill::Wire::Peer::FollowResults> followRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hemlockhill::Wire::Peer::AttestParams,  ::Hemlockhill::Wire::Peer::AttestResults> attestRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hemlockhill::Wire::Peer::SubmitParams,  ::Hemlockhill::Wire::Peer::SubmitResults> submitRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hemlockhill::Wire::Peer::QueryParams,  ::Hemlockhill::Wire::Peer::QueryResults> queryRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Hemlockhill::Wire::Peer::LeaveParams,  ::Hemlockhill::Wire::Peer::LeaveResults> leaveRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::Hemlockhill::Wire::Peer::ConsensusParams ConsensusParams;
-  typedef  ::Hemlockhill::Wire::Peer::ConsensusResults ConsensusResults;
-  typedef ::capnp::CallContext<ConsensusParams, ConsensusResults> ConsensusContext;
-  virtual ::kj::Promise<void> consensus(ConsensusContext context);
-  typedef  ::Hemlockhill::Wire::Peer::IdentityParams IdentityParams;
-  typedef  ::Hemlockhill::Wire::Peer::IdentityResults IdentityResults;
-  typedef ::capnp::CallContext<IdentityParams, IdentityResults> IdentityContext;
-  virtual ::kj::Promise<void> identity(IdentityContext context);
-  typedef  ::Hemlockhill::Wire::Peer::FollowParams FollowParams;
-  typedef  ::Hemlockhill::Wire::Peer::FollowResults FollowResults;
-  typedef ::capnp::CallContext<FollowParams, FollowResults> FollowContext;
-  virtual ::kj::Promise<void> follow(FollowContext context);
-  typedef  ::Hemlockhill::Wire::Peer::AttestParams AttestParams;
-  typedef  ::Hemlockhill::Wire::Peer::AttestResults AttestResults;
-  typedef ::capnp::CallContext<AttestParams, AttestResults> AttestContext;
-  virtual ::kj::Promise<void> attest(AttestContext context);
-  typedef  ::Hemlockhill::Wire::Peer::SubmitParams SubmitParams;
-  typedef  ::Hemlockhill::Wire::Peer::SubmitResults SubmitResults;
-  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
-  virtual ::kj::Promise<void> submit(SubmitContext context);
-  typedef  ::Hemlockhill::Wire::Peer::QueryParams QueryParams;
-  typedef  ::Hemlockhill::Wire::Peer::QueryResults QueryResults;
-  typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
-  virtual ::kj::Promise<void> query(QueryContext context);
-  typedef  ::Hemlockhill::Wire::Peer::LeaveParams LeaveParams;
-  typedef  ::Hemlockhill::Wire::Peer::LeaveResults LeaveResults;
-  typedef ::capnp::CallContext<LeaveParams, LeaveResults> LeaveContext;
-  virtual ::kj::Promise<void> leave(LeaveContext context);
-
-  inline  ::Hemlockhill::Wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::Hemlockhill::Wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::ConsensusParams::Reader {
+class StreamOriginMessage::Reader {
 public:
-  typedef ConsensusParams Reads;
+  typedef StreamOriginMessage Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3591,8 +3568,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEnvelopes() const;
-  inline  ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>::Reader getEnvelopes() const;
+  inline  ::Hemlockhill::Wire::StreamOriginMessage::Kind getKind() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3606,9 +3588,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConsensusParams::Builder {
+class StreamOriginMessage::Builder {
 public:
-  typedef ConsensusParams Builds;
+  typedef StreamOriginMessage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3622,12 +3604,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEnvelopes();
-  inline  ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>::Builder getEnvelopes();
-  inline void setEnvelopes( ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>::Builder initEnvelopes(unsigned int size);
-  inline void adoptEnvelopes(::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>> disownEnvelopes();
+  inline  ::Hemlockhill::Wire::StreamOriginMessage::Kind getKind();
+  inline void setKind( ::Hemlockhill::Wire::StreamOriginMessage::Kind value);
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3639,9 +3631,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConsensusParams::Pipeline {
+class StreamOriginMessage::Pipeline {
 public:
-  typedef ConsensusParams Pipelines;
+  typedef StreamOriginMessage Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3655,9 +3647,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConsensusResults::Reader {
+class AttestReply::Reader {
 public:
-  typedef ConsensusResults Reads;
+  typedef AttestReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3672,6 +3664,13 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getGranted() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasSnapshot() const;
+  inline  ::capnp::Text::Reader getSnapshot() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3684,9 +3683,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConsensusResults::Builder {
+class AttestReply::Builder {
 public:
-  typedef ConsensusResults Builds;
+  typedef AttestReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3700,6 +3699,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasSnapshot();
+  inline  ::capnp::Text::Builder getSnapshot();
+  inline void setSnapshot( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSnapshot(unsigned int size);
+  inline void adoptSnapshot(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSnapshot();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3710,9 +3722,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConsensusResults::Pipeline {
+class AttestReply::Pipeline {
 public:
-  typedef ConsensusResults Pipelines;
+  typedef AttestReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3726,9 +3738,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::IdentityParams::Reader {
+class SubmitReply::Reader {
 public:
-  typedef IdentityParams Reads;
+  typedef SubmitReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3743,6 +3755,20 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOutcome() const;
+  inline  ::capnp::Text::Reader getOutcome() const;
+
+  inline bool hasReason() const;
+  inline  ::capnp::Text::Reader getReason() const;
+
+  inline bool hasRan() const;
+  inline  ::capnp::Text::Reader getRan() const;
+
+  inline bool hasDetail() const;
+  inline  ::capnp::Text::Reader getDetail() const;
+
+  inline  ::uint32_t getRetryAfterS() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3755,9 +3781,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::IdentityParams::Builder {
+class SubmitReply::Builder {
 public:
-  typedef IdentityParams Builds;
+  typedef SubmitReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3771,23 +3797,54 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline bool hasOutcome();
+  inline  ::capnp::Text::Builder getOutcome();
+  inline void setOutcome( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOutcome(unsigned int size);
+  inline void adoptOutcome(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOutcome();
 
-#if !CAPNP_LITE
-class Peer::IdentityParams::Pipeline {
-public:
-  typedef IdentityParams Pipelines;
+  inline bool hasReason();
+  inline  ::capnp::Text::Builder getReason();
+  inline void setReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReason();
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  inline bool hasRan();
+  inline  ::capnp::Text::Builder getRan();
+  inline void setRan( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRan(unsigned int size);
+  inline void adoptRan(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRan();
+
+  inline bool hasDetail();
+  inline  ::capnp::Text::Builder getDetail();
+  inline void setDetail( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDetail(unsigned int size);
+  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
+
+  inline  ::uint32_t getRetryAfterS();
+  inline void setRetryAfterS( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SubmitReply::Pipeline {
+public:
+  typedef SubmitReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -3797,9 +3854,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::IdentityResults::Reader {
+class QueryReply::Reader {
 public:
-  typedef IdentityResults Reads;
+  typedef QueryReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3814,8 +3871,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::Hemlockhill::Wire::IdentityReply::Reader getReply() const;
+  inline  ::uint16_t getStatus() const;
+
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Text::Reader getBody() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3829,9 +3891,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::IdentityResults::Builder {
+class QueryReply::Builder {
 public:
-  typedef IdentityResults Builds;
+  typedef QueryReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3845,12 +3907,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::Hemlockhill::Wire::IdentityReply::Builder getReply();
-  inline void setReply( ::Hemlockhill::Wire::IdentityReply::Reader value);
-  inline  ::Hemlockhill::Wire::IdentityReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::IdentityReply>&& value);
-  inline ::capnp::Orphan< ::Hemlockhill::Wire::IdentityReply> disownReply();
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
+  inline bool hasBody();
+  inline  ::capnp::Text::Builder getBody();
+  inline void setBody( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBody();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3862,15 +3934,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::IdentityResults::Pipeline {
+class QueryReply::Pipeline {
 public:
-  typedef IdentityResults Pipelines;
+  typedef QueryReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hemlockhill::Wire::IdentityReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3879,9 +3950,98 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FollowParams::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef FollowParams Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::Hemlockhill::Wire::Peer::ConsensusParams,  ::Hemlockhill::Wire::Peer::ConsensusResults> consensusRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hemlockhill::Wire::Peer::IdentityParams,  ::Hemlockhill::Wire::Peer::IdentityResults> identityRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hemlockhill::Wire::Peer::FollowParams,  ::Hemlockhill::Wire::Peer::FollowResults> followRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hemlockhill::Wire::Peer::AttestParams,  ::Hemlockhill::Wire::Peer::AttestResults> attestRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hemlockhill::Wire::Peer::SubmitParams,  ::Hemlockhill::Wire::Peer::SubmitResults> submitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hemlockhill::Wire::Peer::QueryParams,  ::Hemlockhill::Wire::Peer::QueryResults> queryRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Hemlockhill::Wire::Peer::LeaveParams,  ::Hemlockhill::Wire::Peer::LeaveResults> leaveRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::Hemlockhill::Wire::Peer::ConsensusParams ConsensusParams;
+  typedef  ::Hemlockhill::Wire::Peer::ConsensusResults ConsensusResults;
+  typedef ::capnp::CallContext<ConsensusParams, ConsensusResults> ConsensusContext;
+  virtual ::kj::Promise<void> consensus(ConsensusContext context);
+  typedef  ::Hemlockhill::Wire::Peer::IdentityParams IdentityParams;
+  typedef  ::Hemlockhill::Wire::Peer::IdentityResults IdentityResults;
+  typedef ::capnp::CallContext<IdentityParams, IdentityResults> IdentityContext;
+  virtual ::kj::Promise<void> identity(IdentityContext context);
+  typedef  ::Hemlockhill::Wire::Peer::FollowParams FollowParams;
+  typedef  ::Hemlockhill::Wire::Peer::FollowResults FollowResults;
+  typedef ::capnp::CallContext<FollowParams, FollowResults> FollowContext;
+  virtual ::kj::Promise<void> follow(FollowContext context);
+  typedef  ::Hemlockhill::Wire::Peer::AttestParams AttestParams;
+  typedef  ::Hemlockhill::Wire::Peer::AttestResults AttestResults;
+  typedef ::capnp::CallContext<AttestParams, AttestResults> AttestContext;
+  virtual ::kj::Promise<void> attest(AttestContext context);
+  typedef  ::Hemlockhill::Wire::Peer::SubmitParams SubmitParams;
+  typedef  ::Hemlockhill::Wire::Peer::SubmitResults SubmitResults;
+  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
+  virtual ::kj::Promise<void> submit(SubmitContext context);
+  typedef  ::Hemlockhill::Wire::Peer::QueryParams QueryParams;
+  typedef  ::Hemlockhill::Wire::Peer::QueryResults QueryResults;
+  typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
+  virtual ::kj::Promise<void> query(QueryContext context);
+  typedef  ::Hemlockhill::Wire::Peer::LeaveParams LeaveParams;
+  typedef  ::Hemlockhill::Wire::Peer::LeaveResults LeaveResults;
+  typedef ::capnp::CallContext<LeaveParams, LeaveResults> LeaveContext;
+  virtual ::kj::Promise<void> leave(LeaveContext context);
+
+  inline  ::Hemlockhill::Wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::Hemlockhill::Wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ConsensusParams::Reader {
+public:
+  typedef ConsensusParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3896,8 +4056,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::Hemlockhill::Wire::FollowRequest::Reader getRequest() const;
+  inline bool hasEnvelopes() const;
+  inline  ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>::Reader getEnvelopes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3911,9 +4071,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FollowParams::Builder {
+class Peer::ConsensusParams::Builder {
 public:
-  typedef FollowParams Builds;
+  typedef ConsensusParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3927,12 +4087,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::Hemlockhill::Wire::FollowRequest::Builder getRequest();
-  inline void setRequest( ::Hemlockhill::Wire::FollowRequest::Reader value);
-  inline  ::Hemlockhill::Wire::FollowRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Hemlockhill::Wire::FollowRequest>&& value);
-  inline ::capnp::Orphan< ::Hemlockhill::Wire::FollowRequest> disownRequest();
+  inline bool hasEnvelopes();
+  inline  ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>::Builder getEnvelopes();
+  inline void setEnvelopes( ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>::Builder initEnvelopes(unsigned int size);
+  inline void adoptEnvelopes(::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::Envelope,  ::capnp::Kind::STRUCT>> disownEnvelopes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3944,15 +4104,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FollowParams::Pipeline {
+class Peer::ConsensusParams::Pipeline {
 public:
-  typedef FollowParams Pipelines;
+  typedef ConsensusParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hemlockhill::Wire::FollowRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3961,9 +4120,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FollowResults::Reader {
+class Peer::ConsensusResults::Reader {
 public:
-  typedef FollowResults Reads;
+  typedef ConsensusResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3978,9 +4137,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::Hemlockhill::Wire::FollowReply::Reader getReply() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3993,9 +4149,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FollowResults::Builder {
+class Peer::ConsensusResults::Builder {
 public:
-  typedef FollowResults Builds;
+  typedef ConsensusResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4009,13 +4165,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::Hemlockhill::Wire::FollowReply::Builder getReply();
-  inline void setReply( ::Hemlockhill::Wire::FollowReply::Reader value);
-  inline  ::Hemlockhill::Wire::FollowReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::FollowReply>&& value);
-  inline ::capnp::Orphan< ::Hemlockhill::Wire::FollowReply> disownReply();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4026,15 +4175,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FollowResults::Pipeline {
+class Peer::ConsensusResults::Pipeline {
 public:
-  typedef FollowResults Pipelines;
+  typedef ConsensusResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hemlockhill::Wire::FollowReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4043,9 +4191,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::AttestParams::Reader {
+class Peer::IdentityParams::Reader {
 public:
-  typedef AttestParams Reads;
+  typedef IdentityParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4060,10 +4208,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getKnown() const;
-
-  inline bool getState() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4076,9 +4220,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::AttestParams::Builder {
+class Peer::IdentityParams::Builder {
 public:
-  typedef AttestParams Builds;
+  typedef IdentityParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4092,12 +4236,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getKnown();
-  inline void setKnown( ::uint64_t value);
-
-  inline bool getState();
-  inline void setState(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4108,9 +4246,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::AttestParams::Pipeline {
+class Peer::IdentityParams::Pipeline {
 public:
-  typedef AttestParams Pipelines;
+  typedef IdentityParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4124,9 +4262,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::AttestResults::Reader {
+class Peer::IdentityResults::Reader {
 public:
-  typedef AttestResults Reads;
+  typedef IdentityResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4142,7 +4280,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Hemlockhill::Wire::AttestReply::Reader getReply() const;
+  inline  ::Hemlockhill::Wire::IdentityReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4156,9 +4294,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::AttestResults::Builder {
+class Peer::IdentityResults::Builder {
 public:
-  typedef AttestResults Builds;
+  typedef IdentityResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4173,11 +4311,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Hemlockhill::Wire::AttestReply::Builder getReply();
-  inline void setReply( ::Hemlockhill::Wire::AttestReply::Reader value);
-  inline  ::Hemlockhill::Wire::AttestReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::AttestReply>&& value);
-  inline ::capnp::Orphan< ::Hemlockhill::Wire::AttestReply> disownReply();
+  inline  ::Hemlockhill::Wire::IdentityReply::Builder getReply();
+  inline void setReply( ::Hemlockhill::Wire::IdentityReply::Reader value);
+  inline  ::Hemlockhill::Wire::IdentityReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::IdentityReply>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::IdentityReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4189,15 +4327,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::AttestResults::Pipeline {
+class Peer::IdentityResults::Pipeline {
 public:
-  typedef AttestResults Pipelines;
+  typedef IdentityResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hemlockhill::Wire::AttestReply::Pipeline getReply();
+  inline  ::Hemlockhill::Wire::IdentityReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4206,9 +4344,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SubmitParams::Reader {
+class Peer::FollowParams::Reader {
 public:
-  typedef SubmitParams Reads;
+  typedef FollowParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4223,8 +4361,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPayload() const;
-  inline  ::capnp::Data::Reader getPayload() const;
+  inline bool hasRequest() const;
+  inline  ::Hemlockhill::Wire::FollowRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4238,9 +4376,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SubmitParams::Builder {
+class Peer::FollowParams::Builder {
 public:
-  typedef SubmitParams Builds;
+  typedef FollowParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4254,12 +4392,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPayload();
-  inline  ::capnp::Data::Builder getPayload();
-  inline void setPayload( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+  inline bool hasRequest();
+  inline  ::Hemlockhill::Wire::FollowRequest::Builder getRequest();
+  inline void setRequest( ::Hemlockhill::Wire::FollowRequest::Reader value);
+  inline  ::Hemlockhill::Wire::FollowRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Hemlockhill::Wire::FollowRequest>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::FollowRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4271,14 +4409,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SubmitParams::Pipeline {
+class Peer::FollowParams::Pipeline {
 public:
-  typedef SubmitParams Pipelines;
+  typedef FollowParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Hemlockhill::Wire::FollowRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4287,9 +4426,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SubmitResults::Reader {
+class Peer::FollowResults::Reader {
 public:
-  typedef SubmitResults Reads;
+  typedef FollowResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4305,7 +4444,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Hemlockhill::Wire::SubmitReply::Reader getReply() const;
+  inline  ::Hemlockhill::Wire::FollowReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4319,9 +4458,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SubmitResults::Builder {
+class Peer::FollowResults::Builder {
 public:
-  typedef SubmitResults Builds;
+  typedef FollowResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4336,11 +4475,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Hemlockhill::Wire::SubmitReply::Builder getReply();
-  inline void setReply( ::Hemlockhill::Wire::SubmitReply::Reader value);
-  inline  ::Hemlockhill::Wire::SubmitReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::SubmitReply>&& value);
-  inline ::capnp::Orphan< ::Hemlockhill::Wire::SubmitReply> disownReply();
+  inline  ::Hemlockhill::Wire::FollowReply::Builder getReply();
+  inline void setReply( ::Hemlockhill::Wire::FollowReply::Reader value);
+  inline  ::Hemlockhill::Wire::FollowReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::FollowReply>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::FollowReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4352,15 +4491,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SubmitResults::Pipeline {
+class Peer::FollowResults::Pipeline {
 public:
-  typedef SubmitResults Pipelines;
+  typedef FollowResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hemlockhill::Wire::SubmitReply::Pipeline getReply();
+  inline  ::Hemlockhill::Wire::FollowReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4369,9 +4508,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::QueryParams::Reader {
+class Peer::AttestParams::Reader {
 public:
-  typedef QueryParams Reads;
+  typedef AttestParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4386,10 +4525,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatement() const;
-  inline  ::capnp::Text::Reader getStatement() const;
+  inline  ::uint64_t getKnown() const;
 
-  inline bool getJson() const;
+  inline bool getState() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4403,9 +4541,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::QueryParams::Builder {
+class Peer::AttestParams::Builder {
 public:
-  typedef QueryParams Builds;
+  typedef AttestParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4419,15 +4557,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatement();
-  inline  ::capnp::Text::Builder getStatement();
-  inline void setStatement( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initStatement(unsigned int size);
-  inline void adoptStatement(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownStatement();
+  inline  ::uint64_t getKnown();
+  inline void setKnown( ::uint64_t value);
 
-  inline bool getJson();
-  inline void setJson(bool value);
+  inline bool getState();
+  inline void setState(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4439,9 +4573,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::QueryParams::Pipeline {
+class Peer::AttestParams::Pipeline {
 public:
-  typedef QueryParams Pipelines;
+  typedef AttestParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4455,9 +4589,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::QueryResults::Reader {
+class Peer::AttestResults::Reader {
 public:
-  typedef QueryResults Reads;
+  typedef AttestResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4473,7 +4607,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Hemlockhill::Wire::QueryReply::Reader getReply() const;
+  inline  ::Hemlockhill::Wire::AttestReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4487,9 +4621,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::QueryResults::Builder {
+class Peer::AttestResults::Builder {
 public:
-  typedef QueryResults Builds;
+  typedef AttestResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4504,11 +4638,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Hemlockhill::Wire::QueryReply::Builder getReply();
-  inline void setReply( ::Hemlockhill::Wire::QueryReply::Reader value);
-  inline  ::Hemlockhill::Wire::QueryReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::QueryReply>&& value);
-  inline ::capnp::Orphan< ::Hemlockhill::Wire::QueryReply> disownReply();
+  inline  ::Hemlockhill::Wire::AttestReply::Builder getReply();
+  inline void setReply( ::Hemlockhill::Wire::AttestReply::Reader value);
+  inline  ::Hemlockhill::Wire::AttestReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::AttestReply>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::AttestReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4520,15 +4654,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::QueryResults::Pipeline {
+class Peer::AttestResults::Pipeline {
 public:
-  typedef QueryResults Pipelines;
+  typedef AttestResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hemlockhill::Wire::QueryReply::Pipeline getReply();
+  inline  ::Hemlockhill::Wire::AttestReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4537,9 +4671,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::LeaveParams::Reader {
+class Peer::SubmitParams::Reader {
 public:
-  typedef LeaveParams Reads;
+  typedef SubmitParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4554,8 +4688,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasVoter() const;
-  inline  ::capnp::Text::Reader getVoter() const;
+  inline bool hasPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4569,9 +4703,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::LeaveParams::Builder {
+class Peer::SubmitParams::Builder {
 public:
-  typedef LeaveParams Builds;
+  typedef SubmitParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4585,12 +4719,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasVoter();
-  inline  ::capnp::Text::Builder getVoter();
-  inline void setVoter( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVoter(unsigned int size);
-  inline void adoptVoter(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVoter();
+  inline bool hasPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4602,9 +4736,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::LeaveParams::Pipeline {
+class Peer::SubmitParams::Pipeline {
 public:
-  typedef LeaveParams Pipelines;
+  typedef SubmitParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4618,9 +4752,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::LeaveResults::Reader {
+class Peer::SubmitResults::Reader {
 public:
-  typedef LeaveResults Reads;
+  typedef SubmitResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4636,7 +4770,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Hemlockhill::Wire::LeaveReply::Reader getReply() const;
+  inline  ::Hemlockhill::Wire::SubmitReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4650,9 +4784,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::LeaveResults::Builder {
+class Peer::SubmitResults::Builder {
 public:
-  typedef LeaveResults Builds;
+  typedef SubmitResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4667,11 +4801,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Hemlockhill::Wire::LeaveReply::Builder getReply();
-  inline void setReply( ::Hemlockhill::Wire::LeaveReply::Reader value);
-  inline  ::Hemlockhill::Wire::LeaveReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::LeaveReply>&& value);
-  inline ::capnp::Orphan< ::Hemlockhill::Wire::LeaveReply> disownReply();
+  inline  ::Hemlockhill::Wire::SubmitReply::Builder getReply();
+  inline void setReply( ::Hemlockhill::Wire::SubmitReply::Reader value);
+  inline  ::Hemlockhill::Wire::SubmitReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::SubmitReply>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::SubmitReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4683,15 +4817,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::LeaveResults::Pipeline {
+class Peer::SubmitResults::Pipeline {
 public:
-  typedef LeaveResults Pipelines;
+  typedef SubmitResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hemlockhill::Wire::LeaveReply::Pipeline getReply();
+  inline  ::Hemlockhill::Wire::SubmitReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4700,62 +4834,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class PeerGate::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef PeerGate Calls;
-  typedef PeerGate Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::Hemlockhill::Wire::PeerGate::HelloParams,  ::Hemlockhill::Wire::PeerGate::HelloResults> helloRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class PeerGate::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef PeerGate Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::Hemlockhill::Wire::PeerGate::HelloParams HelloParams;
-  typedef  ::Hemlockhill::Wire::PeerGate::HelloResults HelloResults;
-  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
-  virtual ::kj::Promise<void> hello(HelloContext context);
-
-  inline  ::Hemlockhill::Wire::PeerGate::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::Hemlockhill::Wire::PeerGate>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class PeerGate::HelloParams::Reader {
+class Peer::QueryParams::Reader {
 public:
-  typedef HelloParams Reads;
+  typedef QueryParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4770,13 +4851,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCluster() const;
-  inline  ::capnp::Text::Reader getCluster() const;
-
-  inline bool hasVm() const;
-  inline  ::capnp::Text::Reader getVm() const;
+  inline bool hasStatement() const;
+  inline  ::capnp::Text::Reader getStatement() const;
 
-  inline  ::uint32_t getProtocol() const;
+  inline bool getJson() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4790,9 +4868,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PeerGate::HelloParams::Builder {
+class Peer::QueryParams::Builder {
 public:
-  typedef HelloParams Builds;
+  typedef QueryParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4806,22 +4884,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCluster();
-  inline  ::capnp::Text::Builder getCluster();
-  inline void setCluster( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCluster(unsigned int size);
-  inline void adoptCluster(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCluster();
-
-  inline bool hasVm();
-  inline  ::capnp::Text::Builder getVm();
-  inline void setVm( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVm(unsigned int size);
-  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+  inline bool hasStatement();
+  inline  ::capnp::Text::Builder getStatement();
+  inline void setStatement( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStatement(unsigned int size);
+  inline void adoptStatement(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStatement();
 
-  inline  ::uint32_t getProtocol();
-  inline void setProtocol( ::uint32_t value);
+  inline bool getJson();
+  inline void setJson(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4833,9 +4904,9 @@
 };
 
 #if !CAPNP_LITE
-class PeerGate::HelloParams::Pipeline {
+class Peer::QueryParams::Pipeline {
 public:
-  typedef HelloParams Pipelines;
+  typedef QueryParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4849,9 +4920,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PeerGate::HelloResults::Reader {
+class Peer::QueryResults::Reader {
 public:
-  typedef HelloResults Reads;
+  typedef QueryResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4866,10 +4937,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPeer() const;
-#if !CAPNP_LITE
-  inline  ::Hemlockhill::Wire::Peer::Client getPeer() const;
-#endif  // !CAPNP_LITE
+  inline bool hasReply() const;
+  inline  ::Hemlockhill::Wire::QueryReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4883,9 +4952,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PeerGate::HelloResults::Builder {
+class Peer::QueryResults::Builder {
 public:
-  typedef HelloResults Builds;
+  typedef QueryResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4899,14 +4968,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPeer();
-#if !CAPNP_LITE
-  inline  ::Hemlockhill::Wire::Peer::Client getPeer();
-  inline void setPeer( ::Hemlockhill::Wire::Peer::Client&& value);
-  inline void setPeer( ::Hemlockhill::Wire::Peer::Client& value);
-  inline void adoptPeer(::capnp::Orphan< ::Hemlockhill::Wire::Peer>&& value);
-  inline ::capnp::Orphan< ::Hemlockhill::Wire::Peer> disownPeer();
-#endif  // !CAPNP_LITE
+  inline bool hasReply();
+  inline  ::Hemlockhill::Wire::QueryReply::Builder getReply();
+  inline void setReply( ::Hemlockhill::Wire::QueryReply::Reader value);
+  inline  ::Hemlockhill::Wire::QueryReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::QueryReply>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::QueryReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4918,15 +4985,15 @@
 };
 
 #if !CAPNP_LITE
-class PeerGate::HelloResults::Pipeline {
+class Peer::QueryResults::Pipeline {
 public:
-  typedef HelloResults Pipelines;
+  typedef QueryResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Hemlockhill::Wire::Peer::Client getPeer();
+  inline  ::Hemlockhill::Wire::QueryReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4935,170 +5002,568 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::LeaveParams::Reader {
+public:
+  typedef LeaveParams Reads;
 
-inline  ::uint64_t LogEntry::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t LogEntry::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LogEntry::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t LogEntry::Reader::getIndex() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t LogEntry::Builder::getIndex() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void LogEntry::Builder::setIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasVoter() const;
+  inline  ::capnp::Text::Reader getVoter() const;
 
-inline  ::uint8_t LogEntry::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint8_t LogEntry::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-inline void LogEntry::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
-}
+class Peer::LeaveParams::Builder {
+public:
+  typedef LeaveParams Builds;
 
-inline bool LogEntry::Reader::hasPayload() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool LogEntry::Builder::hasPayload() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader LogEntry::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder LogEntry::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LogEntry::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder LogEntry::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void LogEntry::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> LogEntry::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline bool VoterMembership::Reader::hasVoters() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool VoterMembership::Builder::hasVoters() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader VoterMembership::Reader::getVoters() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder VoterMembership::Builder::getVoters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void VoterMembership::Builder::setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void VoterMembership::Builder::setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder VoterMembership::Builder::initVoters(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void VoterMembership::Builder::adoptVoters(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> VoterMembership::Builder::disownVoters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline bool VoterMembership::Reader::hasLearners() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool VoterMembership::Builder::hasLearners() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader VoterMembership::Reader::getLearners() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder VoterMembership::Builder::getLearners() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void VoterMembership::Builder::setLearners( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void VoterMembership::Builder::setLearners(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder VoterMembership::Builder::initLearners(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void VoterMembership::Builder::adoptLearners(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> VoterMembership::Builder::disownLearners() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline bool hasVoter();
+  inline  ::capnp::Text::Builder getVoter();
+  inline void setVoter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVoter(unsigned int size);
+  inline void adoptVoter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVoter();
 
-inline  ::uint64_t PreVoteRequest::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-inline  ::uint64_t PreVoteRequest::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void PreVoteRequest::Builder::setTerm( ::uint64_t value) {
+#if !CAPNP_LITE
+class Peer::LeaveParams::Pipeline {
+public:
+  typedef LeaveParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::LeaveResults::Reader {
+public:
+  typedef LeaveResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::Hemlockhill::Wire::LeaveReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::LeaveResults::Builder {
+public:
+  typedef LeaveResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::Hemlockhill::Wire::LeaveReply::Builder getReply();
+  inline void setReply( ::Hemlockhill::Wire::LeaveReply::Reader value);
+  inline  ::Hemlockhill::Wire::LeaveReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Hemlockhill::Wire::LeaveReply>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::LeaveReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::LeaveResults::Pipeline {
+public:
+  typedef LeaveResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Hemlockhill::Wire::LeaveReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class PeerGate::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef PeerGate Calls;
+  typedef PeerGate Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::Hemlockhill::Wire::PeerGate::HelloParams,  ::Hemlockhill::Wire::PeerGate::HelloResults> helloRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class PeerGate::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef PeerGate Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::Hemlockhill::Wire::PeerGate::HelloParams HelloParams;
+  typedef  ::Hemlockhill::Wire::PeerGate::HelloResults HelloResults;
+  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
+  virtual ::kj::Promise<void> hello(HelloContext context);
+
+  inline  ::Hemlockhill::Wire::PeerGate::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::Hemlockhill::Wire::PeerGate>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class PeerGate::HelloParams::Reader {
+public:
+  typedef HelloParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCluster() const;
+  inline  ::capnp::Text::Reader getCluster() const;
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline  ::uint32_t getProtocol() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerGate::HelloParams::Builder {
+public:
+  typedef HelloParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCluster();
+  inline  ::capnp::Text::Builder getCluster();
+  inline void setCluster( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCluster(unsigned int size);
+  inline void adoptCluster(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCluster();
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline  ::uint32_t getProtocol();
+  inline void setProtocol( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerGate::HelloParams::Pipeline {
+public:
+  typedef HelloParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerGate::HelloResults::Reader {
+public:
+  typedef HelloResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPeer() const;
+#if !CAPNP_LITE
+  inline  ::Hemlockhill::Wire::Peer::Client getPeer() const;
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerGate::HelloResults::Builder {
+public:
+  typedef HelloResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPeer();
+#if !CAPNP_LITE
+  inline  ::Hemlockhill::Wire::Peer::Client getPeer();
+  inline void setPeer( ::Hemlockhill::Wire::Peer::Client&& value);
+  inline void setPeer( ::Hemlockhill::Wire::Peer::Client& value);
+  inline void adoptPeer(::capnp::Orphan< ::Hemlockhill::Wire::Peer>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::Peer> disownPeer();
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerGate::HelloResults::Pipeline {
+public:
+  typedef HelloResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Hemlockhill::Wire::Peer::Client getPeer();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t LogEntry::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LogEntry::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LogEntry::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LogEntry::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t LogEntry::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t LogEntry::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LogEntry::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LogEntry::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader LogEntry::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder LogEntry::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LogEntry::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder LogEntry::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LogEntry::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> LogEntry::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool VoterMembership::Reader::hasVoters() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VoterMembership::Builder::hasVoters() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader VoterMembership::Reader::getVoters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder VoterMembership::Builder::getVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VoterMembership::Builder::setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void VoterMembership::Builder::setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder VoterMembership::Builder::initVoters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void VoterMembership::Builder::adoptVoters(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> VoterMembership::Builder::disownVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool VoterMembership::Reader::hasLearners() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool VoterMembership::Builder::hasLearners() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader VoterMembership::Reader::getLearners() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder VoterMembership::Builder::getLearners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void VoterMembership::Builder::setLearners( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void VoterMembership::Builder::setLearners(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder VoterMembership::Builder::initLearners(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void VoterMembership::Builder::adoptLearners(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> VoterMembership::Builder::disownLearners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PreVoteRequest::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PreVoteRequest::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PreVoteRequest::Builder::setTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
