Spread messages to all nodes over time

Notices of crash suspects, rate limits and requests to brittle endpoints still go to every node, 290 datagrams in one turn of the event loop. That is the same cause as of the refusals on the large site: a burst of 38 kB and more is longer than the queue of a link, so that the nodes at the end of the list miss each message, and a request that follows waits up to 46 ms behind it.

--- a/src/include/hemlockhill/peer_datagrams.h
+++ b/src/include/hemlockhill/peer_datagrams.h
@@ -3,6 +3,7 @@
 // forward through.
 #pragma once
 
+#include "hemlockhill/broadcast_queue.h"
 #include "hemlockhill/crash_suspects.h"
 #include "hemlockhill/declared_capacity.h"
 #include "hemlockhill/dispatch_notices.h"
@@ -10,6 +11,7 @@
 #include "hemlockhill/load_queries.h"
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/stream_origins.h"
+#include "hemlockhill/timer_service.h"
 #include "hemlockhill/world.h"
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +22,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -52,15 +55,18 @@
 public:
     using Received = std::function<void(const VmId &from, const PeerDatagram &message)>;
 
-    // All nodes must use the same port. Throws EnvironmentError when the address cannot be bound.
-    PeerDatagrams(boost::asio::io_context &loop, const Address &listen, Metrics &metrics, Received received);
+    // All nodes must use the same port. What goes to many nodes takes no more than `limit` of the link; zero does not limit it. Throws
+    // EnvironmentError when the address cannot be bound.
+    PeerDatagrams(
+        boost::asio::io_context &loop, TimerService &timers, const Address &listen, Bandwidth limit, Metrics &metrics, Received received);
 
     // Sets the nodes to which sendToAll() sends. VM ids must be IP addresses; other ids and this node's own address are skipped.
     void setNodes(const std::vector<VmId> &nodes);
-    // Failures are counted as "datagram_unsent".
+    // Failures are counted as "datagram_unsent", messages that found no room among those to be sent as "broadcast_dropped".
     void sendToAll(const PeerDatagram &message);
-    void send(const VmId &node, const PeerDatagram &message);
     void send(const std::vector<VmId> &nodes, const PeerDatagram &message);
+    // Sends at once.
+    void send(const VmId &node, const PeerDatagram &message);
     // Sends to one of the nodes, each in its turn.
     void sendToNext(const PeerDatagram &message);
     // Number of nodes to which sendToAll() sends.
@@ -70,15 +76,23 @@
     const DatagramCounts &received() const { return m_receivedCounts; }
 
 private:
+    // Returns where the node receives; empty if its id is no IP address.
+    std::optional<boost::asio::ip::udp::endpoint> endpointOf(const VmId &node) const;
+    void broadcast(Broadcast message);
+    void sendPending();
     void send(std::string_view kind, const std::string &datagram, const boost::asio::ip::udp::endpoint &node);
     void receive();
 
+    boost::asio::io_context &m_loop;
+    TimerService &m_timers;
     boost::asio::ip::udp::socket m_socket;
     Address m_listen;
     Metrics &m_metrics;
     Received m_received;
     std::vector<boost::asio::ip::udp::endpoint> m_nodes;
     std::size_t m_next = 0;
+    BroadcastQueue m_broadcasts;
+    bool m_broadcastScheduled = false;
     DatagramCounts m_sent;
     DatagramCounts m_receivedCounts;
     boost::asio::ip::udp::endpoint m_sender;
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -21,6 +21,10 @@
 
 using boost::asio::ip::udp;
 
+// A message to this number of nodes or fewer is no burden on a link, and is sent at once.
+constexpr std::size_t ImmediateReceivers = 12;
+// Interval at which broadcasts are sent on that had to wait.
+constexpr Duration BroadcastPeriod = std::chrono::milliseconds(5);
 // Ages beyond a month are not distinguished.
 constexpr std::int64_t AgeLimitMs = 31LL * 24 * 3'600 * 1'000;
 
@@ -349,11 +353,15 @@
     return message;
 }
 
-PeerDatagrams::PeerDatagrams(boost::asio::io_context &loop, const Address &listen, Metrics &metrics, Received received)
-    : m_socket(loop)
+PeerDatagrams::PeerDatagrams(
+    boost::asio::io_context &loop, TimerService &timers, const Address &listen, Bandwidth limit, Metrics &metrics, Received received)
+    : m_loop(loop)
+    , m_timers(timers)
+    , m_socket(loop)
     , m_listen(listen)
     , m_metrics(metrics)
     , m_received(std::move(received))
+    , m_broadcasts(limit)
 {
     try {
         const udp::endpoint local(boost::asio::ip::make_address(listen.host), listen.port);
@@ -366,40 +374,72 @@
     receive();
 }
 
+std::optional<udp::endpoint> PeerDatagrams::endpointOf(const VmId &node) const
+{
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(node.value, error);
+    return error ? std::nullopt : std::optional(udp::endpoint(ip, m_listen.port));
+}
+
 void PeerDatagrams::setNodes(const std::vector<VmId> &nodes)
 {
     m_nodes.clear();
     for (const VmId &node : nodes) {
-        boost::system::error_code error;
-        const auto ip = boost::asio::ip::make_address(node.value, error);
-        if (!error && node.value != m_listen.host) {
-            m_nodes.emplace_back(ip, m_listen.port);
+        const auto endpoint = endpointOf(node);
+        if (endpoint && node.value != m_listen.host) {
+            m_nodes.push_back(*endpoint);
         }
     }
 }
 
 void PeerDatagrams::sendToAll(const PeerDatagram &message)
 {
-    const std::string datagram = encode(message);
-    for (const udp::endpoint &node : m_nodes) {
-        send(kindOf(message), datagram, node);
-    }
+    broadcast({kindOf(message), encode(message), m_nodes});
 }
 
-void PeerDatagrams::send(const VmId &node, const PeerDatagram &message)
+void PeerDatagrams::send(const std::vector<VmId> &nodes, const PeerDatagram &message)
 {
-    send(std::vector<VmId>{node}, message);
+    Broadcast addressed{kindOf(message), encode(message), {}};
+    for (const VmId &node : nodes) {
+        if (const auto endpoint = endpointOf(node)) {
+            addressed.nodes.push_back(*endpoint);
+        }
+    }
+    broadcast(std::move(addressed));
 }
 
-void PeerDatagrams::send(const std::vector<VmId> &nodes, const PeerDatagram &message)
+void PeerDatagrams::broadcast(Broadcast message)
 {
-    const std::string datagram = encode(message);
-    for (const VmId &node : nodes) {
-        boost::system::error_code error;
-        const auto ip = boost::asio::ip::make_address(node.value, error);
-        if (!error) {
-            send(kindOf(message), datagram, udp::endpoint(ip, m_listen.port));
+    if (message.nodes.size() <= ImmediateReceivers) {
+        for (const udp::endpoint &node : message.nodes) {
+            send(message.kind, message.datagram, node);
         }
+        return;
+    }
+    if (!m_broadcasts.add(std::move(message))) {
+        m_metrics.countEvent("broadcast_dropped");
+        return;
+    }
+    if (!m_broadcastScheduled) {
+        sendPending();
+    }
+}
+
+void PeerDatagrams::sendPending()
+{
+    for (const OutgoingDatagram &due : m_broadcasts.take(currentTime())) {
+        send(due.kind, due.datagram, due.node);
+    }
+    m_broadcastScheduled = m_broadcasts.hasPending();
+    if (m_broadcastScheduled) {
+        m_timers.after(BroadcastPeriod, m_loop, [this] { sendPending(); });
+    }
+}
+
+void PeerDatagrams::send(const VmId &node, const PeerDatagram &message)
+{
+    if (const auto endpoint = endpointOf(node)) {
+        send(kindOf(message), encode(message), *endpoint);
     }
 }
 
