A test's endpoints do not outlive their event loop

gateway_repeated_refusal_test aborted in malloc() or hung until its timeout, three times of three, once other tests' headers had changed the layout of the heap. The address sanitizer: the vector of endpoints of connection_of_a_refusal_without_an_id_is_reused is destroyed after the fixture whose loop their sockets use. It is cleared first now; the checks are as they were. With the sanitizer: no error.

--- a/src/libhemlockhill/node/gateway_repeated_refusal_test.cpp
+++ b/src/libhemlockhill/node/gateway_repeated_refusal_test.cpp
@@ -124,6 +124,8 @@
         fixture.runFor(std::chrono::milliseconds(40));
         const std::size_t open = endpoints[0]->openConnections() + endpoints[1]->openConnections();
         BOOST_CHECK_EQUAL(open, isNamed ? 3 : 1);
+        // Their sockets must not outlive the event loop of the fixture.
+        endpoints.clear();
     }
 }
 
