--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -74,6 +74,9 @@
     Duration delay{0};
     // With endpoints that limit the rate of requests: the rate that they accept from this node, all of them together.
     RequestRate acceptedRate;
+
+    // Whether other loads of the endpoints could lead to another choice.
+    bool dependsOnLoad() const { return endpoint || reason == NoEndpointReason::Full || reason == NoEndpointReason::RateLimited; }
 };
 
 // What a node takes for the load of one endpoint, for logs.
@@ -125,8 +128,8 @@
     LoadReport answerLoadQuery(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, TimePoint now);
     // An owner of the service has answered this node's query.
     void onLoadReport(const LoadReport &report, TimePoint now);
-    // Returns this node's requests in progress at the endpoints of a service.
-    std::vector<EndpointRequests> ownCounts(const ServiceId &service, const EndpointsById &endpoints) const;
+    // Returns the question about endpoints that a request can go to: of many, those that suit it best, but for their load, mixed at random.
+    LoadQuery loadQuery(const EndpointRequirements &need, const EndpointsById &endpoints, TimePoint now);
     // An exchange with the endpoint ended, successfully or not.
     void onEnded(const EndpointId &endpoint);
     // The endpoint returned a valid response.
@@ -137,8 +140,10 @@
     void onUnreachable(const EndpointId &endpoint, TimePoint now);
     // Discards the records of endpoints that are no longer listed and have no requests in flight from this node.
     void onDirectory(const EndpointsById &endpoints, TimePoint now);
+    // Returns what this node takes for the load of an endpoint.
+    EndpointLoad loadOf(const LiveEndpoint &endpoint, TimePoint now);
     // Returns what this node takes for the load of the endpoints that hold what the request needs.
-    std::vector<EndpointLoad> loads(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now) const;
+    std::vector<EndpointLoad> loads(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now);
     // Number of this node's requests in flight at the endpoint.
     std::uint32_t inFlight(const EndpointId &endpoint) const;
     // The limits that endpoints declare for the requests of all nodes.
@@ -159,8 +164,10 @@
 
     void backOff(Record &record, TimePoint now) const;
     bool isInBackoff(const EndpointId &endpoint, TimePoint now) const;
+    // Cost of the way to the endpoint's data centre, in requests per slot.
+    double dataCentreCost(const LiveEndpoint &endpoint) const;
     // What the other nodes have in progress at the endpoint, as far as this node knows.
-    OthersLoad othersLoad(const LiveEndpoint &endpoint, TimePoint now) const;
+    OthersLoad othersLoad(const LiveEndpoint &endpoint, TimePoint now);
     bool isFull(const LiveEndpoint &endpoint, const OthersLoad &others, TimePoint now);
 
     DataCentreId m_dataCentre;
--- a/src/include/hemlockhill/endpoint_loads.h
+++ b/src/include/hemlockhill/endpoint_loads.h
@@ -8,7 +8,8 @@
 #include "hemlockhill/world.h"
 
 #include <cstdint>
-#include <map>
+#include <functional>
+#include <unordered_map>
 #include <vector>
 
 namespace Hemlockhill
@@ -25,7 +26,7 @@
 // The requests of all other nodes at one endpoint.
 struct OthersLoad {
     std::uint32_t requests = 0;
-    // Age of the report, or of the oldest notice that counts.
+    // Age of the report; zero if notices tell the load.
     Duration age{0};
     // False if nothing is known of the endpoint's load, or only what was known some time ago.
     bool isCurrent = false;
@@ -36,14 +37,17 @@
 public:
     // Another node has this many requests in progress at the endpoint.
     void onNotice(const VmId &node, const EndpointRequests &count, TimePoint now);
-    // Another node has no requests in progress at these endpoints but the given ones.
-    void onCounts(const VmId &node, const std::vector<EndpointId> &endpoints, const std::vector<EndpointRequests> &counts, TimePoint now);
+    // Of the endpoints for which `isConcerned` holds, another node has requests in progress at the given ones only.
+    void onCounts(const VmId &node,
+                  const std::function<bool(const EndpointId &endpoint)> &isConcerned,
+                  const std::vector<EndpointRequests> &counts,
+                  TimePoint now);
     // An owner has reported the requests of all nodes but this one.
     void onReport(const EndpointRequests &others, TimePoint now);
     // Returns the load of an endpoint. Where this node hears of all requests, notices tell it; elsewhere reports.
-    OthersLoad others(const EndpointId &endpoint, bool hearsAll, TimePoint now) const;
+    OthersLoad others(const EndpointId &endpoint, bool hearsAll, TimePoint now);
     // Returns the sum of the notices of all nodes but the given one.
-    std::uint32_t sumWithout(const VmId &node, const EndpointId &endpoint, TimePoint now) const;
+    std::uint32_t sumWithout(const VmId &node, const EndpointId &endpoint, TimePoint now);
     // Forgets endpoints that are not listed any more.
     void onDirectory(const EndpointsById &endpoints);
 
@@ -54,13 +58,21 @@
     };
 
     struct Record {
-        std::map<VmId, NodeCount> nodes;
+        // Sum of the counts of all nodes.
+        std::uint32_t total = 0;
         std::uint32_t reported = 0;
         // Empty time point if there was no report.
         TimePoint reportedAt;
     };
 
-    std::map<EndpointId, Record> m_records;
+    using Counts = std::unordered_map<EndpointId, NodeCount>;
+
+    void drop(const EndpointId &endpoint, const NodeCount &count);
+    void dropExpired(TimePoint now);
+
+    std::unordered_map<VmId, Counts> m_nodes;
+    std::unordered_map<EndpointId, Record> m_records;
+    TimePoint m_expiredAt;
 };
 
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -170,8 +170,8 @@
     void notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt, bool rejected = false);
     // The nodes that must learn of requests to the endpoint.
     const std::vector<VmId> &nodesToNotify(const EndpointId &endpoint);
-    // Whether a request for the model must wait until the load of the endpoints is known. Asks for it if that is due.
-    bool awaitsLoad(const ServiceId &service, const ModelId &model);
+    // Whether a request must wait until the load of the endpoints is known. Asks for it if that is due.
+    bool awaitsLoad(const EndpointRequirements &need, LoadPurpose purpose);
     // Takes what an endpoint has said of its capacity in the answer to a request that was sent at the given time.
     void onDeclaredCapacity(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint sentAt);
     void logAvailability(const EndpointId &endpoint, const DeclaredCapacity &declared);
--- a/src/include/hemlockhill/load_queries.h
+++ b/src/include/hemlockhill/load_queries.h
@@ -20,10 +20,20 @@
 namespace Hemlockhill
 {
 
-// Asks for the load of the endpoints of a service that hold a model; of all its endpoints if the model is empty.
-struct LoadQuery {
+// What requests need of the endpoints whose load they ask for.
+struct LoadSubject {
     ServiceId service;
-    ModelId model;
+    // Empty for a service without models.
+    RoutingTarget target;
+
+    auto operator<=>(const LoadSubject &) const = default;
+};
+
+// Asks for the load of some endpoints. They are named, since there may be more than fit in a datagram, and the directories of two nodes may
+// differ.
+struct LoadQuery {
+    LoadSubject subject;
+    std::vector<EndpointId> endpoints;
     // The sender's requests in progress at all endpoints of the service: what the owner has missed of them is corrected by this.
     std::vector<EndpointRequests> own;
 
@@ -39,37 +49,52 @@
     bool operator==(const ReportedLoad &) const = default;
 };
 
-// Answers a query. Names the endpoints with the lowest load if there are too many for a datagram.
+// Answers a query.
 struct LoadReport {
-    ServiceId service;
-    ModelId model;
+    LoadSubject subject;
     std::vector<ReportedLoad> loads;
 
     bool operator==(const LoadReport &) const = default;
 };
 
-// Maximum number of endpoints named by a query or a report, so that it fits in a datagram.
-inline constexpr std::size_t LoadEntryLimit = 40;
+// Number of endpoints that a query asks for: the best of a dozen is hardly worse than the best of all, and owners have little to do.
+inline constexpr std::size_t LoadCandidateLimit = 12;
+// Maximum number of endpoints with requests of its sender that a query names, so that it fits in a datagram.
+inline constexpr std::size_t LoadEntryLimit = 30;
 
 struct LoadQueryLimits {
     // How long a node waits for an answer.
-    Duration answerTimeout = std::chrono::milliseconds(20);
+    Duration answerTimeout = std::chrono::milliseconds(40);
     // How long an owner that has not answered is not asked.
-    Duration silencePeriod = std::chrono::seconds(2);
+    Duration silencePeriod = std::chrono::milliseconds(500);
     // A report is not asked for again within this time.
     Duration reuse = std::chrono::milliseconds(8);
     // Queries a second of all nodes together, and how many of its share a node may send at once.
-    double fleetRate = 4'000;
+    double fleetRate = 2'000;
     double burst = 8;
-    // From this number of services and models on, those that were not asked for lately are forgotten.
+    // Part of the burst that is kept for new requests, when others wait for capacity.
+    double newRequestShare = 0.5;
+    // How long a new request waits for its turn to ask.
+    Duration turnTimeout = std::chrono::milliseconds(60);
+    // For how long a subject counts as waited for.
+    Duration recheckMemory = std::chrono::milliseconds(100);
+    // From this number of subjects on, those that were not asked for lately are forgotten.
     std::size_t subjects = 1'000;
 };
 
+// What a request needs knowledge of the load for.
+enum class LoadPurpose {
+    // It has just arrived, or goes to another endpoint.
+    Dispatch,
+    // By the last report there was no room for it: it looks for room again.
+    Recheck
+};
+
 // Whether a request can be dispatched by what is known of the load.
 enum class LoadKnowledge {
     // The load is known as well as it can be now.
     Ready,
-    // An answer is awaited.
+    // An answer is awaited, or the turn to ask.
     Awaited,
     // The caller must send a query to the node named by the plan.
     QueryDue
@@ -86,34 +111,37 @@
 public:
     LoadQueries(LoadQueryLimits limits, Metrics &metrics, std::uint64_t seed);
 
-    // Decides whether a request for the model needs a query. If one is due, it counts as sent.
-    LoadQueryPlan plan(const ServiceId &service, const ModelId &model, LoadOwners &owners, TimePoint now);
+    // Decides whether a request needs a query. If one is due, it counts as sent.
+    LoadQueryPlan plan(const LoadSubject &subject, LoadPurpose purpose, LoadOwners &owners, TimePoint now);
     // An owner has answered.
     void onReport(const VmId &owner, const LoadReport &report, TimePoint now);
 
 private:
-    struct Subject {
-        ServiceId service;
-        ModelId model;
-        auto operator<=>(const Subject &) const = default;
-    };
-
     struct State {
         // The owner that was asked last; empty once it has answered.
         VmId asked;
         TimePoint askedAt;
         TimePoint answeredAt;
+        // When a request looked for room again.
+        TimePoint recheckedAt;
+        // Since when a new request has had no turn to ask.
+        std::optional<TimePoint> turnAwaitedSince;
     };
 
+    // Takes the turn of a request to ask, if it has one.
+    bool takeTurn(State &state, LoadPurpose purpose, std::size_t nodes, TimePoint now);
+    // Time between two queries for a subject that requests wait for: all of these have turns alike.
+    Duration recheckInterval(double rate, TimePoint now) const;
+
     // Returns an owner that answers, as far as is known; empty if there is none.
     VmId chooseOwner(const std::vector<VmId> &owners, TimePoint now);
-    bool takeAllowance(std::size_t nodes, TimePoint now);
+    void refill(double rate, TimePoint now);
     void dropOutdated(TimePoint now);
 
     LoadQueryLimits m_limits;
     Metrics &m_metrics;
     boost::random::mt19937_64 m_random;
-    std::map<Subject, State> m_states;
+    std::map<LoadSubject, State> m_states;
     std::map<VmId, TimePoint> m_silentUntil;
     double m_allowance;
     TimePoint m_filledAt;
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -125,7 +125,7 @@
     , m_paths(std::make_unique<EndpointPaths>(
           loop, EndpointPathSettings{m_settings.dataCentre, m_settings.forwardingListen}, m_pool, metrics, randomSeed(m_settings.listen)))
     , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen), VmId{m_settings.listen.host})
-    , m_loadOwners(VmId{m_settings.listen.host}, {})
+    , m_loadOwners(VmId{m_settings.listen.host}, {}, m_settings.isFirstStart)
     , m_loadQueries({}, metrics, randomSeed(m_settings.listen))
     , m_arrivalClock(std::make_shared<ArrivalClock>(loop))
     , m_directory(m_settings.directoryAge)
@@ -133,7 +133,7 @@
     , m_versions(StreamOriginLimits().retention)
     , m_randomEngine(randomSeed(m_settings.listen))
 {
-    m_chooser.hearsAll = [this](const ServiceId &service) { return m_loadOwners.isOwner(service); };
+    m_chooser.hearsAll = [this](const ServiceId &service) { return m_loadOwners.isOwner(service, currentTime()); };
     if (m_settings.isFirstStart) {
         m_versions.onFirstStart();
     }
@@ -251,7 +251,7 @@
     m_nodes = std::set<VmId>(nodes.begin(), nodes.end());
     m_otherNodes = nodes;
     std::erase(m_otherNodes, self);
-    m_loadOwners.setNodes(nodes);
+    m_loadOwners.setNodes(nodes, currentTime());
     // In a large fleet this node does not hear from the others.
     m_chooser.brittleEndpoints().setActiveNodes(m_loadOwners.areAllOwners() ? std::set<VmId>{} : m_nodes);
     m_crashGuard.setNodes(self, nodes);
@@ -444,34 +444,37 @@
 // A brittle endpoint's quotas rest on what each node knows of the others, without a question before each dispatch.
 const std::vector<VmId> &Gateway::nodesToNotify(const EndpointId &endpoint)
 {
+    const TimePoint now = currentTime();
     const auto listed = m_directory.endpoints().find(endpoint);
     const bool isListed = listed != m_directory.endpoints().end();
-    if (!isListed || m_chooser.brittleEndpoints().isBrittle(listed->second, currentTime())) {
+    if (!isListed || m_chooser.brittleEndpoints().isBrittle(listed->second, now)) {
         return m_otherNodes;
     }
-    return m_loadOwners.others(listed->second.service);
+    return m_loadOwners.listeners(listed->second.service, now);
 }
 
-bool Gateway::awaitsLoad(const ServiceId &service, const ModelId &model)
+bool Gateway::awaitsLoad(const EndpointRequirements &need, LoadPurpose purpose)
 {
     if (!sendLoadQuery) {
         return false;
     }
-    const LoadQueryPlan plan = m_loadQueries.plan(service, model, m_loadOwners, currentTime());
+    const TimePoint now = currentTime();
+    const LoadQueryPlan plan = m_loadQueries.plan({need.service, need.target}, purpose, m_loadOwners, now);
     if (plan.knowledge == LoadKnowledge::QueryDue) {
-        sendLoadQuery(plan.owner, {service, model, m_chooser.ownCounts(service, m_directory.endpoints())});
+        sendLoadQuery(plan.owner, m_chooser.loadQuery(need, m_directory.endpoints(), now));
     }
     return plan.knowledge != LoadKnowledge::Ready;
 }
 
 std::optional<LoadReport> Gateway::onLoadQuery(const VmId &node, const LoadQuery &query)
 {
-    if (!hasEndpoints() || !m_loadOwners.isOwner(query.service)) {
+    const TimePoint now = currentTime();
+    if (!m_loadOwners.isOwner(query.subject.service, now)) {
         m_metrics.countEvent("load_query_refused");
         return std::nullopt;
     }
     m_metrics.countEvent("load_query_answered");
-    return m_chooser.answerLoadQuery(node, query, m_directory.endpoints(), currentTime());
+    return m_chooser.answerLoadQuery(node, query, m_directory.endpoints(), now);
 }
 
 void Gateway::onLoadReport(const VmId &owner, const LoadReport &report)
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -210,11 +210,12 @@
         wait(EndpointChoice{std::nullopt, NoEndpointReason::DirectoryOutdated});
         return;
     }
-    if (m_gateway.awaitsLoad(service(), m_head.target.model)) {
+    const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_directory.endpoints(), m_requirements, now);
+    const auto purpose = waitsForCapacity() ? LoadPurpose::Recheck : LoadPurpose::Dispatch;
+    if (choice.dependsOnLoad() && m_gateway.awaitsLoad(m_requirements, purpose)) {
         waitForLoad();
         return;
     }
-    const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_directory.endpoints(), m_requirements, now);
     if (choice.endpoint) {
         endWaiting(now);
         send(*choice.endpoint);
@@ -231,6 +232,7 @@
     m_endpointIncarnation = live.incarnation;
     m_endpointVersion = live.softwareVersion;
     m_endpointLoss = lossIdOf(live.id, live.incarnation);
+    m_endpointLoad = m_gateway.m_chooser.loadOf(live, now);
     m_sentAt = now;
     m_listingAge = now - m_gateway.m_directory.listedAt();
     m_requirements.avoided.insert(endpoint);
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -186,6 +186,8 @@
     // Identifies the loss of the endpoint's incarnation, if it is lost.
     LossId m_endpointLoss;
     TimePoint m_sentAt;
+    // What the last dispatch took for the load of its endpoint.
+    EndpointLoad m_endpointLoad;
     // Age of the endpoint list that the last dispatch relied on.
     Duration m_listingAge{0};
     // The answer of the current exchange.
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -55,6 +55,16 @@
 // Maximum number of endpoints whose load is logged with a request.
 constexpr std::size_t LoggedLoads = 8;
 
+boost::json::object describe(const EndpointLoad &load)
+{
+    return {{"endpoint", load.endpoint.value},
+            {"slots", load.slots},
+            {"own", load.own},
+            {"others", load.others.requests},
+            {"age_ms", milliseconds(load.others.age)},
+            {"current", load.others.isCurrent}};
+}
+
 boost::json::array describe(const std::vector<EndpointLoad> &loads)
 {
     boost::json::array list;
@@ -62,12 +72,7 @@
         if (list.size() == LoggedLoads) {
             break;
         }
-        list.push_back(boost::json::object{{"endpoint", load.endpoint.value},
-                                           {"slots", load.slots},
-                                           {"own", load.own},
-                                           {"others", load.others.requests},
-                                           {"age_ms", milliseconds(load.others.age)},
-                                           {"current", load.others.isCurrent}});
+        list.push_back(describe(load));
     }
     return list;
 }
@@ -263,6 +268,9 @@
         fields["adapter"] = m_head.target.adapter.value;
         fields["prompt_parts"] = describe(m_head.promptParts);
     }
+    if (m_history.exchanges > 0) {
+        fields["load_at_dispatch"] = describe(m_endpointLoad);
+    }
     if (m_status != 0) {
         fields["framing"] = toText(bodyFraming(m_headers));
         fields["answer_bytes"] = m_answerBytes;
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -192,10 +192,13 @@
 
 struct LoadQuery {
   service @0 :Text;
-  # Empty for all endpoints of the service.
+  # Empty for a service without models.
   model @1 :Text;
   # The sender's requests in progress at all endpoints of the service.
   own @2 :List(EndpointRequests);
+  # The endpoints in question.
+  endpoints @3 :List(Text);
+  adapter @4 :Text;
 }
 
 struct ReportedLoad {
@@ -210,6 +213,7 @@
   service @0 :Text;
   model @1 :Text;
   loads @2 :List(ReportedLoad);
+  adapter @3 :Text;
 }
 
 struct ForwardingMessage {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -387,7 +387,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ad8754158fc6749, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8ad8754158fc6749, 0, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -417,7 +417,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce499cfe647ffd6a, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ce499cfe647ffd6a, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2822,6 +2822,12 @@
   inline bool hasOwn() const;
   inline  ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>::Reader getOwn() const;
 
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEndpoints() const;
+
+  inline bool hasAdapter() const;
+  inline  ::capnp::Text::Reader getAdapter() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2871,6 +2877,21 @@
   inline void adoptOwn(::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>> disownOwn();
 
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEndpoints();
+
+  inline bool hasAdapter();
+  inline  ::capnp::Text::Builder getAdapter();
+  inline void setAdapter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAdapter(unsigned int size);
+  inline void adoptAdapter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAdapter();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3014,6 +3035,9 @@
   inline bool hasLoads() const;
   inline  ::capnp::List< ::Hemlockhill::Wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
+  inline bool hasAdapter() const;
+  inline  ::capnp::Text::Reader getAdapter() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3063,6 +3087,13 @@
   inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::ReportedLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Hemlockhill::Wire::ReportedLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
+  inline bool hasAdapter();
+  inline  ::capnp::Text::Builder getAdapter();
+  inline void setAdapter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAdapter(unsigned int size);
+  inline void adoptAdapter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAdapter();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7781,6 +7812,78 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool LoadQuery::Reader::hasEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadQuery::Builder::hasEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader LoadQuery::Reader::getEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder LoadQuery::Builder::getEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LoadQuery::Builder::setEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void LoadQuery::Builder::setEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder LoadQuery::Builder::initEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void LoadQuery::Builder::adoptEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> LoadQuery::Builder::disownEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool LoadQuery::Reader::hasAdapter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadQuery::Builder::hasAdapter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LoadQuery::Reader::getAdapter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LoadQuery::Builder::getAdapter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void LoadQuery::Builder::setAdapter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadQuery::Builder::initAdapter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void LoadQuery::Builder::adoptAdapter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadQuery::Builder::disownAdapter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool ReportedLoad::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7945,6 +8048,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool LoadReport::Reader::hasAdapter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasAdapter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LoadReport::Reader::getAdapter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::getAdapter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setAdapter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::initAdapter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptAdapter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadReport::Builder::disownAdapter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool ForwardingMessage::Reader::getIsQuery() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -187,11 +187,30 @@
     return {reader.getIsQuery(), DataCentreId{std::string(reader.getDataCentre().cStr())}, reader.getCapacity()};
 }
 
+// Writes the subject of a load query or report.
+template<typename Builder>
+void write(Builder message, const LoadSubject &subject)
+{
+    message.setService(subject.service.value);
+    message.setModel(subject.target.model.value);
+    message.setAdapter(subject.target.adapter.value);
+}
+
+template<typename Reader>
+LoadSubject readSubject(const Reader &reader)
+{
+    const RoutingTarget target{ModelId{std::string(reader.getModel().cStr())}, AdapterId{std::string(reader.getAdapter().cStr())}};
+    return {ServiceId{std::string(reader.getService().cStr())}, target};
+}
+
 void write(Wire::PeerDatagram::Builder builder, const LoadQuery &query)
 {
     auto message = builder.initLoadQuery();
-    message.setService(query.service.value);
-    message.setModel(query.model.value);
+    write(message, query.subject);
+    auto endpoints = message.initEndpoints(static_cast<unsigned>(query.endpoints.size()));
+    for (unsigned index = 0; index < query.endpoints.size(); ++index) {
+        endpoints.set(index, query.endpoints[index].value);
+    }
     auto own = message.initOwn(static_cast<unsigned>(query.own.size()));
     for (unsigned index = 0; index < query.own.size(); ++index) {
         own[index].setEndpoint(query.own[index].endpoint.value);
@@ -201,7 +220,10 @@
 
 LoadQuery read(Wire::LoadQuery::Reader reader)
 {
-    LoadQuery query{ServiceId{std::string(reader.getService().cStr())}, ModelId{std::string(reader.getModel().cStr())}, {}};
+    LoadQuery query{readSubject(reader), {}, {}};
+    for (const auto &endpoint : reader.getEndpoints()) {
+        query.endpoints.push_back(EndpointId{std::string(endpoint.cStr())});
+    }
     for (const auto &count : reader.getOwn()) {
         query.own.push_back({EndpointId{std::string(count.getEndpoint().cStr())}, count.getRequests()});
     }
@@ -211,8 +233,7 @@
 void write(Wire::PeerDatagram::Builder builder, const LoadReport &report)
 {
     auto message = builder.initLoadReport();
-    message.setService(report.service.value);
-    message.setModel(report.model.value);
+    write(message, report.subject);
     auto loads = message.initLoads(static_cast<unsigned>(report.loads.size()));
     for (unsigned index = 0; index < report.loads.size(); ++index) {
         loads[index].setEndpoint(report.loads[index].others.endpoint.value);
@@ -223,7 +244,7 @@
 
 LoadReport read(Wire::LoadReport::Reader reader)
 {
-    LoadReport report{ServiceId{std::string(reader.getService().cStr())}, ModelId{std::string(reader.getModel().cStr())}, {}};
+    LoadReport report{readSubject(reader), {}};
     for (const auto &load : reader.getLoads()) {
         const EndpointRequests others{EndpointId{std::string(load.getEndpoint().cStr())}, load.getRequests()};
         report.loads.push_back({others, load.getPromptAllowance()});
@@ -231,7 +252,7 @@
     return report;
 }
 
-CrashSuspectSubject readSubject(Wire::CrashSuspectNotice::Subject subject)
+CrashSuspectSubject readCrashSubject(Wire::CrashSuspectNotice::Subject subject)
 {
     switch (subject) {
     case Wire::CrashSuspectNotice::Subject::REQUEST:
@@ -264,7 +285,7 @@
     notice.answeredBefore = readList<Fingerprint>(reader.getAnsweredBefore());
     notice.tried = readTrials(reader);
     notice.isRequest = reader.getIsRequest();
-    notice.subject = readSubject(reader.getSubject());
+    notice.subject = readCrashSubject(reader.getSubject());
     return notice;
 }
 
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -19,6 +19,9 @@
 constexpr double TieBreakRange = 0.5;
 // Cost of another data centre, in requests per slot: an endpoint there is preferred when its load per slot is lower by this much.
 constexpr double OtherDataCentreCost = 0.1;
+// Upper bound of the random number added to the cost of an endpoint when some of many are selected to ask for their load, in requests per
+// slot: without it all nodes would ask for the same ones.
+constexpr double CandidateRange = 0.5;
 // Number of uncached prompt tokens with the same cost as one request in flight.
 constexpr double TokensPerRequest = 1500;
 // Upper bound of that number where the load of the others is not known, in requests per slot. Above the cost of another data centre, so
@@ -91,6 +94,7 @@
     bool anyUsable = false;
     bool anyFull = false;
     bool anyRateLimited = false;
+    bool anyCurrent = false;
     Duration requestDelay = Duration::max();
     for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
         if (m_availability.isLeaving(*endpoint)) {
@@ -115,6 +119,14 @@
         }
         anyUsable = true;
         const OthersLoad others = othersLoad(*endpoint, now);
+        if (others.isCurrent && !anyCurrent) {
+            // An endpoint of unknown load is no better than those that are known to be full.
+            anyCurrent = true;
+            choice.endpoint.reset();
+        }
+        if (anyCurrent && !others.isCurrent) {
+            continue;
+        }
         if (isFull(*endpoint, others, now)) {
             anyFull = true;
             continue;
@@ -137,9 +149,8 @@
         }
         const double load = inFlight(endpoint->id) + others.requests;
         boost::random::uniform_real_distribution<double> draw(0, others.isCurrent ? TieBreakRange : UnknownLoadRange * endpoint->slots);
-        const double dataCentreCost = endpoint->dataCentre == m_dataCentre ? 0 : OtherDataCentreCost;
         const double work = load + static_cast<double>(uncached.value) / TokensPerRequest;
-        const double cost = (work + draw(m_random)) / endpoint->slots + dataCentreCost + *path;
+        const double cost = (work + draw(m_random)) / endpoint->slots + dataCentreCost(*endpoint) + *path;
         if (!choice.endpoint || cost < best) {
             choice.endpoint = endpoint->id;
             best = cost;
@@ -173,23 +184,33 @@
     return known >= endpoint.slots * (1 + m_limits.queueRatio) || !m_availability.accepts(endpoint, own);
 }
 
+double EndpointChooser::dataCentreCost(const LiveEndpoint &endpoint) const
+{
+    return endpoint.dataCentre == m_dataCentre ? 0 : OtherDataCentreCost;
+}
+
 bool EndpointChooser::isInBackoff(const EndpointId &endpoint, TimePoint now) const
 {
     const auto found = m_records.find(endpoint);
     return found != m_records.end() && now < found->second.backoffUntil;
 }
 
-OthersLoad EndpointChooser::othersLoad(const LiveEndpoint &endpoint, TimePoint now) const
+OthersLoad EndpointChooser::othersLoad(const LiveEndpoint &endpoint, TimePoint now)
 {
     return m_loads.others(endpoint.id, !hearsAll || hearsAll(endpoint.service), now);
 }
 
-std::vector<EndpointLoad> EndpointChooser::loads(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now) const
+EndpointLoad EndpointChooser::loadOf(const LiveEndpoint &endpoint, TimePoint now)
+{
+    return {endpoint.id, endpoint.slots, inFlight(endpoint.id), othersLoad(endpoint, now)};
+}
+
+std::vector<EndpointLoad> EndpointChooser::loads(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now)
 {
     std::vector<EndpointLoad> list;
     for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
         if (need.target.model.empty() || endpoint->holds(need.target)) {
-            list.push_back({endpoint->id, endpoint->slots, inFlight(endpoint->id), othersLoad(*endpoint, now)});
+            list.push_back(loadOf(*endpoint, now));
         }
     }
     return list;
@@ -197,26 +218,15 @@
 
 LoadReport EndpointChooser::answerLoadQuery(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, TimePoint now)
 {
-    LoadReport report{query.service, query.model, {}};
-    std::vector<EndpointId> ofService;
-    for (const auto &[id, endpoint] : endpoints) {
-        if (endpoint.service == query.service) {
-            ofService.push_back(id);
-        }
-    }
-    m_loads.onCounts(node, ofService, query.own, now);
-    const RoutingTarget target{query.model, {}};
-    for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, query.service)) {
-        if (query.model.empty() || endpoint->holds(target)) {
-            const EndpointRequests others{endpoint->id, inFlight(endpoint->id) + m_loads.sumWithout(node, endpoint->id, now)};
-            report.loads.push_back({others, static_cast<std::int32_t>(m_rateLimiter.level(endpoint->id, now))});
-        }
-    }
-    if (report.loads.size() > LoadEntryLimit) {
-        std::sort(report.loads.begin(), report.loads.end(), [](const ReportedLoad &left, const ReportedLoad &right) {
-            return left.others.requests < right.others.requests;
-        });
-        report.loads.resize(LoadEntryLimit);
+    LoadReport report{query.subject, {}};
+    const auto isOfService = [&](const EndpointId &endpoint) {
+        const auto listed = endpoints.find(endpoint);
+        return listed != endpoints.end() && listed->second.service == query.subject.service;
+    };
+    m_loads.onCounts(node, isOfService, query.own, now);
+    for (const EndpointId &endpoint : query.endpoints) {
+        const EndpointRequests others{endpoint, inFlight(endpoint) + m_loads.sumWithout(node, endpoint, now)};
+        report.loads.push_back({others, static_cast<std::int32_t>(m_rateLimiter.level(endpoint, now))});
     }
     return report;
 }
@@ -229,17 +239,32 @@
     }
 }
 
-std::vector<EndpointRequests> EndpointChooser::ownCounts(const ServiceId &service, const EndpointsById &endpoints) const
+LoadQuery EndpointChooser::loadQuery(const EndpointRequirements &need, const EndpointsById &endpoints, TimePoint now)
 {
-    std::vector<EndpointRequests> counts;
-    for (const auto &[id, record] : m_records) {
-        const auto listed = endpoints.find(id);
-        const bool isOfService = listed != endpoints.end() && listed->second.service == service;
-        if (record.inFlight > 0 && isOfService && counts.size() < LoadEntryLimit) {
-            counts.push_back({id, record.inFlight});
+    LoadQuery query{{need.service, need.target}, {}, {}};
+    std::vector<std::pair<double, EndpointId>> candidates;
+    for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
+        const std::uint32_t own = inFlight(endpoint->id);
+        if (query.own.size() < LoadEntryLimit && own > 0) {
+            query.own.push_back({endpoint->id, own});
         }
+        const bool isSuitable = need.target.model.empty() || endpoint->holds(need.target);
+        if (!isSuitable || need.avoided.contains(endpoint->id) || isInBackoff(endpoint->id, now)) {
+            continue;
+        }
+        boost::random::uniform_real_distribution<double> draw(0, CandidateRange);
+        const double unread = need.target.model.empty() ? 0 : static_cast<double>(uncachedTokens(endpoint->id, need).value);
+        const double cost = (own + unread / TokensPerRequest) / endpoint->slots + dataCentreCost(*endpoint) + draw(m_random);
+        candidates.emplace_back(cost, endpoint->id);
+    }
+    if (candidates.size() > LoadCandidateLimit) {
+        std::sort(candidates.begin(), candidates.end());
+        candidates.resize(LoadCandidateLimit);
+    }
+    for (const auto &[cost, endpoint] : candidates) {
+        query.endpoints.push_back(endpoint);
     }
-    return counts;
+    return query;
 }
 
 std::uint32_t EndpointChooser::inFlight(const EndpointId &endpoint) const
--- a/src/libhemlockhill/routing/endpoint_loads.cpp
+++ b/src/libhemlockhill/routing/endpoint_loads.cpp
@@ -11,6 +11,8 @@
 
 // Time after which a notice expires: that of the end may have been lost, or the node may have stopped. Longer than most streams.
 constexpr Duration NoticeExpiry = std::chrono::seconds(6);
+// Interval at which expired notices are looked for.
+constexpr Duration ExpiryPeriod = std::chrono::milliseconds(250);
 // For how long a report tells the present load.
 constexpr Duration ReportValidity = std::chrono::milliseconds(150);
 // For how long a report is a better guess than none.
@@ -23,25 +25,59 @@
 
 } // namespace
 
+void EndpointLoads::drop(const EndpointId &endpoint, const NodeCount &count)
+{
+    const auto found = m_records.find(endpoint);
+    if (found != m_records.end()) {
+        found->second.total -= std::min(found->second.total, count.requests);
+    }
+}
+
+void EndpointLoads::dropExpired(TimePoint now)
+{
+    if (now - m_expiredAt < ExpiryPeriod) {
+        return;
+    }
+    m_expiredAt = now;
+    for (auto &[node, counts] : m_nodes) {
+        std::erase_if(counts, [&](const auto &entry) {
+            const bool isExpired = now - entry.second.at >= NoticeExpiry;
+            if (isExpired) {
+                drop(entry.first, entry.second);
+            }
+            return isExpired;
+        });
+    }
+    std::erase_if(m_nodes, [](const auto &entry) { return entry.second.empty(); });
+}
+
 void EndpointLoads::onNotice(const VmId &node, const EndpointRequests &count, TimePoint now)
 {
-    auto &nodes = m_records[count.endpoint].nodes;
+    dropExpired(now);
+    Counts &counts = m_nodes[node];
+    if (const auto known = counts.find(count.endpoint); known != counts.end()) {
+        drop(count.endpoint, known->second);
+        counts.erase(known);
+    }
     if (count.requests > 0) {
-        nodes[node] = {count.requests, now};
-    } else {
-        nodes.erase(node);
+        counts[count.endpoint] = {count.requests, now};
+        m_records[count.endpoint].total += count.requests;
     }
 }
 
 void EndpointLoads::onCounts(const VmId &node,
-                             const std::vector<EndpointId> &endpoints,
+                             const std::function<bool(const EndpointId &endpoint)> &isConcerned,
                              const std::vector<EndpointRequests> &counts,
                              TimePoint now)
 {
-    for (const EndpointId &endpoint : endpoints) {
-        if (const auto found = m_records.find(endpoint); found != m_records.end()) {
-            found->second.nodes.erase(node);
-        }
+    if (const auto known = m_nodes.find(node); known != m_nodes.end()) {
+        std::erase_if(known->second, [&](const auto &entry) {
+            const bool isOutdated = isConcerned(entry.first);
+            if (isOutdated) {
+                drop(entry.first, entry.second);
+            }
+            return isOutdated;
+        });
     }
     for (const EndpointRequests &count : counts) {
         onNotice(node, count, now);
@@ -55,8 +91,9 @@
     record.reportedAt = now;
 }
 
-OthersLoad EndpointLoads::others(const EndpointId &endpoint, bool hearsAll, TimePoint now) const
+OthersLoad EndpointLoads::others(const EndpointId &endpoint, bool hearsAll, TimePoint now)
 {
+    dropExpired(now);
     const auto found = m_records.find(endpoint);
     if (found == m_records.end()) {
         return {0, Duration(0), hearsAll};
@@ -66,33 +103,30 @@
     if (!hearsAll && record.reportedAt != TimePoint{} && reportAge < ReportExpiry) {
         return {record.reported, reportAge, reportAge < ReportValidity};
     }
-    OthersLoad load{0, Duration(0), hearsAll};
-    for (const auto &[node, count] : record.nodes) {
-        const Duration age = ageOf(count.at, now);
-        if (age < NoticeExpiry) {
-            load.requests += count.requests;
-            load.age = std::max(load.age, age);
-        }
-    }
-    return load;
+    return {record.total, Duration(0), hearsAll};
 }
 
-std::uint32_t EndpointLoads::sumWithout(const VmId &node, const EndpointId &endpoint, TimePoint now) const
+std::uint32_t EndpointLoads::sumWithout(const VmId &node, const EndpointId &endpoint, TimePoint now)
 {
-    const auto found = m_records.find(endpoint);
-    if (found == m_records.end()) {
+    dropExpired(now);
+    const auto record = m_records.find(endpoint);
+    if (record == m_records.end()) {
         return 0;
     }
-    std::uint32_t sum = 0;
-    for (const auto &[other, count] : found->second.nodes) {
-        sum += other != node && ageOf(count.at, now) < NoticeExpiry ? count.requests : 0;
+    std::uint32_t own = 0;
+    if (const auto counts = m_nodes.find(node); counts != m_nodes.end()) {
+        const auto found = counts->second.find(endpoint);
+        own = found == counts->second.end() ? 0 : found->second.requests;
     }
-    return sum;
+    return record->second.total - std::min(own, record->second.total);
 }
 
 void EndpointLoads::onDirectory(const EndpointsById &endpoints)
 {
     std::erase_if(m_records, [&](const auto &entry) { return !endpoints.contains(entry.first); });
+    for (auto &[node, counts] : m_nodes) {
+        std::erase_if(counts, [&](const auto &entry) { return !endpoints.contains(entry.first); });
+    }
 }
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/routing/fleet_dispatch_testing.h
+++ b/src/libhemlockhill/routing/fleet_dispatch_testing.h
@@ -85,6 +85,8 @@
         // When the last byte of what was sent leaves the node.
         TimePoint linkFreeAt;
         std::deque<PendingRequest> waiting;
+        // Whether there was no room for the first of them.
+        bool waitsForCapacity = false;
     };
 
     struct Endpoint {
@@ -158,9 +160,9 @@
         const DataCentreId dataCentre{std::to_string(index * DataCentres / m_scenario.nodes)};
         node.chooser = std::make_unique<EndpointChooser>(dataCentre, EndpointChooserLimits{}, m_scenario.seed * 10'000 + index, node.id);
         node.notices = DispatchNoticePacer(Bandwidth{NoticeLinkRatio * m_scenario.link.value});
-        node.owners = std::make_unique<LoadOwners>(node.id, LoadOwnerLimits{});
+        node.owners = std::make_unique<LoadOwners>(node.id, LoadOwnerLimits{}, true);
         node.queries = std::make_unique<LoadQueries>(LoadQueryLimits{}, m_metrics, m_scenario.seed * 20'000 + index);
-        node.chooser->hearsAll = [owners = node.owners.get()](const ServiceId &service) { return owners->isOwner(service); };
+        node.chooser->hearsAll = [this, owners = node.owners.get()](const ServiceId &service) { return owners->isOwner(service, m_now); };
         m_indexes[node.id] = index;
         m_nodes.push_back(std::move(node));
     }
@@ -169,7 +171,7 @@
         ids.push_back(node.id);
     }
     for (Node &node : m_nodes) {
-        node.owners->setNodes(ids);
+        node.owners->setNodes(ids, m_now);
     }
 }
 
@@ -216,7 +218,7 @@
         boost::random::uniform_int_distribution<std::uint32_t> drawEndpoint(0, OtherEndpoints - 1);
         const std::uint32_t node = drawNode(m_random);
         const EndpointId endpoint{"other" + std::to_string(drawEndpoint(m_random))};
-        m_nodes[node].notices.add({endpoint, TokenCount{0}, 1}, m_nodes[node].owners->others(ServiceId{"other"}));
+        m_nodes[node].notices.add({endpoint, TokenCount{0}, 1}, m_nodes[node].owners->listeners(ServiceId{"other"}, m_now));
         sendNotices(node);
         notifyOfOther();
     });
@@ -233,12 +235,10 @@
             waiting.pop_front();
             continue;
         }
-        if (awaitsLoad(node)) {
-            at(m_now + RetryPeriod, [this, node] { dispatchWaiting(node); });
-            return;
-        }
         const EndpointChoice choice = m_nodes[node].chooser->choose(m_directory, m_need, m_now);
-        if (!choice.endpoint) {
+        const bool awaits = choice.dependsOnLoad() && awaitsLoad(node);
+        m_nodes[node].waitsForCapacity = awaits ? m_nodes[node].waitsForCapacity : !choice.endpoint;
+        if (awaits || !choice.endpoint) {
             at(m_now + RetryPeriod, [this, node] { dispatchWaiting(node); });
             return;
         }
@@ -251,9 +251,10 @@
 {
     constexpr double QueryBytes = 200;
     Node &asker = m_nodes[node];
-    const LoadQueryPlan plan = asker.queries->plan(m_need.service, {}, *asker.owners, m_now);
+    const auto purpose = asker.waitsForCapacity ? LoadPurpose::Recheck : LoadPurpose::Dispatch;
+    const LoadQueryPlan plan = asker.queries->plan({m_need.service, {}}, purpose, *asker.owners, m_now);
     if (plan.knowledge == LoadKnowledge::QueryDue) {
-        const LoadQuery query{m_need.service, {}, asker.chooser->ownCounts(m_need.service, m_directory)};
+        const LoadQuery query = asker.chooser->loadQuery(m_need, m_directory, m_now);
         sendDatagram(node, QueryBytes, [this, owner = m_indexes.at(plan.owner), node, query] { answerLoadQuery(owner, node, query); });
     }
     return plan.knowledge != LoadKnowledge::Ready;
@@ -328,7 +329,7 @@
 inline void FleetSimulation::notify(std::uint32_t node, const EndpointId &endpoint)
 {
     Node &sender = m_nodes[node];
-    sender.notices.add({endpoint, TokenCount{0}, sender.chooser->inFlight(endpoint)}, sender.owners->others(m_need.service));
+    sender.notices.add({endpoint, TokenCount{0}, sender.chooser->inFlight(endpoint)}, sender.owners->listeners(m_need.service, m_now));
     sendNotices(node);
 }
 
--- a/src/libhemlockhill/routing/load_owners.cpp
+++ b/src/libhemlockhill/routing/load_owners.cpp
@@ -4,50 +4,123 @@
 #include "hemlockhill/rendezvous.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Hemlockhill
 {
 
-LoadOwners::LoadOwners(VmId self, LoadOwnerLimits limits)
+namespace
+{
+
+// Interval at which owners are selected anew, as nodes become warm or are forgotten.
+constexpr Duration SelectionPeriod = std::chrono::milliseconds(500);
+
+} // namespace
+
+LoadOwners::LoadOwners(VmId self, LoadOwnerLimits limits, bool isFirstStart)
     : m_self(std::move(self))
     , m_limits(limits)
-    , m_nodes{m_self}
 {
+    // Unless the whole group starts, this node begins to listen when it learns of the others.
+    if (isFirstStart) {
+        m_members.emplace(m_self, Member{});
+    }
 }
 
-void LoadOwners::setNodes(const std::vector<VmId> &nodes)
+void LoadOwners::setNodes(const std::vector<VmId> &nodes, TimePoint now)
 {
-    m_nodes = nodes;
-    if (std::find(m_nodes.begin(), m_nodes.end(), m_self) == m_nodes.end()) {
-        m_nodes.push_back(m_self);
+    const bool knowsNobody = m_members.size() <= 1;
+    m_members.try_emplace(m_self, Member{now, {}});
+    const std::set<VmId> listed(nodes.begin(), nodes.end());
+    for (auto &[node, member] : m_members) {
+        if (node == m_self || listed.contains(node)) {
+            member.missingSince.reset();
+        } else {
+            member.missingSince = member.missingSince.value_or(now);
+        }
     }
+    for (const VmId &node : listed) {
+        // The nodes of the first list were there before this one.
+        m_members.try_emplace(node, Member{knowsNobody ? TimePoint{} : now, {}});
+    }
+    forgetMissing(now);
     m_owners.clear();
 }
 
-const LoadOwners::Owners &LoadOwners::ownersOf(const ServiceId &service)
+void LoadOwners::forgetMissing(TimePoint now)
 {
-    const auto [found, isNew] = m_owners.try_emplace(service);
-    if (!isNew) {
+    std::erase_if(m_members, [&](const auto &entry) {
+        const Member &member = entry.second;
+        return member.missingSince && now - *member.missingSince >= m_limits.retention;
+    });
+}
+
+const LoadOwners::Owners &LoadOwners::ownersOf(const ServiceId &service, TimePoint now)
+{
+    const auto found = m_owners.find(service);
+    if (found != m_owners.end() && now - found->second.selectedAt < SelectionPeriod) {
         return found->second;
     }
-    std::vector<VmId> owners = areAllOwners() ? m_nodes : rankNodes(service.value, m_nodes);
-    if (!areAllOwners()) {
-        owners.resize(std::min(owners.size(), m_limits.owners));
+    forgetMissing(now);
+    return m_owners[service] = areAllOwners() ? allNodes(now) : selectOwners(service, now);
+}
+
+LoadOwners::Owners LoadOwners::allNodes(TimePoint now) const
+{
+    Owners owners;
+    owners.selectedAt = now;
+    owners.isOwn = true;
+    for (const auto &[node, member] : m_members) {
+        if (node != m_self && !member.missingSince) {
+            owners.others.push_back(node);
+        }
+    }
+    owners.listeners = owners.others;
+    return owners;
+}
+
+LoadOwners::Owners LoadOwners::selectOwners(const ServiceId &service, TimePoint now) const
+{
+    std::vector<VmId> members;
+    for (const auto &[node, member] : m_members) {
+        members.push_back(node);
+    }
+    const auto isWarm = [&](const VmId &node) { return now - m_members.at(node).since >= m_limits.warmUp; };
+    Owners owners;
+    owners.selectedAt = now;
+    std::size_t selected = 0;
+    // Nodes that are not warm listen in addition to the owners whose places they will take.
+    for (const VmId &node : rankNodes(service.value, members)) {
+        if (selected == m_limits.owners) {
+            break;
+        }
+        selected += isWarm(node) ? 1 : 0;
+        if (node == m_self) {
+            owners.isOwn = isWarm(node);
+            continue;
+        }
+        owners.listeners.push_back(node);
+        if (isWarm(node)) {
+            owners.others.push_back(node);
+        }
     }
-    found->second.isOwn = std::erase(owners, m_self) > 0;
-    found->second.others = std::move(owners);
-    return found->second;
+    return owners;
+}
+
+const std::vector<VmId> &LoadOwners::listeners(const ServiceId &service, TimePoint now)
+{
+    return ownersOf(service, now).listeners;
 }
 
-const std::vector<VmId> &LoadOwners::others(const ServiceId &service)
+const std::vector<VmId> &LoadOwners::others(const ServiceId &service, TimePoint now)
 {
-    return ownersOf(service).others;
+    return ownersOf(service, now).others;
 }
 
-bool LoadOwners::isOwner(const ServiceId &service)
+bool LoadOwners::isOwner(const ServiceId &service, TimePoint now)
 {
-    return ownersOf(service).isOwn;
+    return ownersOf(service, now).isOwn;
 }
 
 } // namespace Hemlockhill
--- a/src/libhemlockhill/routing/load_queries.cpp
+++ b/src/libhemlockhill/routing/load_queries.cpp
@@ -16,13 +16,13 @@
 {
 }
 
-LoadQueryPlan LoadQueries::plan(const ServiceId &service, const ModelId &model, LoadOwners &owners, TimePoint now)
+LoadQueryPlan LoadQueries::plan(const LoadSubject &subject, LoadPurpose purpose, LoadOwners &owners, TimePoint now)
 {
-    if (owners.isOwner(service)) {
+    if (owners.isOwner(subject.service, now)) {
         return {};
     }
     dropOutdated(now);
-    State &state = m_states[{service, model}];
+    State &state = m_states[subject];
     if (!state.asked.empty()) {
         if (now - state.askedAt < m_limits.answerTimeout) {
             return {LoadKnowledge::Awaited, {}};
@@ -34,13 +34,18 @@
     if (state.answeredAt != TimePoint{} && now - state.answeredAt < m_limits.reuse) {
         return {};
     }
-    const VmId owner = chooseOwner(owners.others(service), now);
+    const VmId owner = chooseOwner(owners.others(subject.service, now), now);
     if (owner.empty()) {
         m_metrics.countEvent("load_query_without_owner");
         return {};
     }
-    if (!takeAllowance(owners.nodes(), now)) {
+    if (!takeTurn(state, purpose, owners.nodes(), now)) {
+        return {LoadKnowledge::Awaited, {}};
+    }
+    if (state.turnAwaitedSince) {
+        // It has waited for its turn in vain.
         m_metrics.countEvent("load_query_paced");
+        state.turnAwaitedSince.reset();
         return {};
     }
     m_metrics.countEvent("load_query_sent");
@@ -52,14 +57,14 @@
 void LoadQueries::onReport(const VmId &owner, const LoadReport &report, TimePoint now)
 {
     m_silentUntil.erase(owner);
-    const auto found = m_states.find({report.service, report.model});
+    const auto found = m_states.find(report.subject);
     if (found != m_states.end()) {
         found->second.asked = {};
         found->second.answeredAt = now;
     }
 }
 
-// Callers name the models of their requests, so that there may be any number.
+// Callers name models and adapters of their requests, so that there may be any number.
 void LoadQueries::dropOutdated(TimePoint now)
 {
     if (m_states.size() >= m_limits.subjects) {
@@ -83,17 +88,36 @@
     return answering[draw(m_random)];
 }
 
-bool LoadQueries::takeAllowance(std::size_t nodes, TimePoint now)
+bool LoadQueries::takeTurn(State &state, LoadPurpose purpose, std::size_t nodes, TimePoint now)
 {
     const double rate = m_limits.fleetRate / static_cast<double>(std::max<std::size_t>(nodes, 1));
-    const double elapsed = std::chrono::duration<double>(now - m_filledAt).count();
-    m_allowance = std::min(m_limits.burst, m_allowance + rate * elapsed);
-    m_filledAt = now;
-    if (m_allowance < 1) {
-        return false;
+    refill(rate, now);
+    if (purpose == LoadPurpose::Recheck) {
+        state.recheckedAt = now;
+        if (now - state.answeredAt < recheckInterval(rate, now) || m_allowance < 1 + m_limits.newRequestShare * m_limits.burst) {
+            return false;
+        }
+    } else if (m_allowance < 1) {
+        state.turnAwaitedSince = state.turnAwaitedSince.value_or(now);
+        return now - *state.turnAwaitedSince >= m_limits.turnTimeout;
     }
+    state.turnAwaitedSince.reset();
     m_allowance -= 1;
     return true;
 }
 
+Duration LoadQueries::recheckInterval(double rate, TimePoint now) const
+{
+    const auto subjects = std::count_if(
+        m_states.begin(), m_states.end(), [&](const auto &entry) { return now - entry.second.recheckedAt < m_limits.recheckMemory; });
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(subjects) / rate));
+}
+
+void LoadQueries::refill(double rate, TimePoint now)
+{
+    const double elapsed = std::chrono::duration<double>(now - m_filledAt).count();
+    m_allowance = std::min(m_limits.burst, m_allowance + rate * elapsed);
+    m_filledAt = now;
+}
+
 } // namespace Hemlockhill
