--- a/src/libhemlockhill/routing/endpoint_loads_test.cpp
+++ b/src/libhemlockhill/routing/endpoint_loads_test.cpp
@@ -73,6 +73,7 @@
     const auto draw = [&random](int limit) { return boost::random::uniform_int_distribution<int>(0, limit - 1)(random); };
     const auto nodeId = [](int node) { return VmId{"n" + std::to_string(node)}; };
     std::vector<EndpointId> ids;
+    ids.reserve(Endpoints);
     for (int endpoint = 0; endpoint < Endpoints; ++endpoint) {
         ids.push_back(EndpointId{"e" + std::to_string(endpoint)});
     }
