An owner keeps what a query does not name of a busy node

A query names requests at 30 endpoints at most, and the owner took all others of that node for ended. Seen by reading, not by a caller: it takes a node with requests at more than 30 endpoints at a time, which no node of the sites in force was seen to have. Such a query now adds to what the owner knows. The test fails without the change: 30 of 40 requests known.

--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -219,11 +219,13 @@
 LoadReport EndpointChooser::answerLoadQuery(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, TimePoint now)
 {
     LoadReport report{query.subject, {}};
-    const auto isOfService = [&](const EndpointId &endpoint) {
+    // A node with requests at more endpoints than a query names has not said that it has none at the others.
+    const bool namesAll = query.own.size() < LoadEntryLimit;
+    const auto isConcerned = [&](const EndpointId &endpoint) {
         const auto listed = endpoints.find(endpoint);
-        return listed != endpoints.end() && listed->second.service == query.subject.service;
+        return namesAll && listed != endpoints.end() && listed->second.service == query.subject.service;
     };
-    m_loads.onCounts(node, isOfService, query.own, now);
+    m_loads.onCounts(node, isConcerned, query.own, now);
     for (const EndpointId &endpoint : query.endpoints) {
         const EndpointRequests others{endpoint, inFlight(endpoint) + m_loads.sumWithout(node, endpoint, now)};
         report.loads.push_back({others, static_cast<std::int32_t>(m_rateLimiter.level(endpoint, now))});
--- a/src/libhemlockhill/routing/endpoint_choice_test.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice_test.cpp
@@ -312,3 +312,26 @@
     // Other nodes ask for others.
     BOOST_CHECK(chooser.loadQuery(need(), endpoints, Start).endpoints != query.endpoints);
 }
+
+// A node with requests at more endpoints than its query names would lose the others.
+BOOST_AUTO_TEST_CASE(requests_beyond_those_that_a_query_names_are_forgotten)
+{
+    constexpr std::size_t Busy = LoadEntryLimit + 10;
+    EndpointsById endpoints;
+    EndpointChooser node = makeAskingChooser();
+    EndpointChooser owner = makeChooser();
+    for (std::size_t index = 0; index < Busy; ++index) {
+        const LiveEndpoint endpoint = runner("r" + std::to_string(index), {{Drafter, {}}});
+        endpoints.emplace(endpoint.id, endpoint);
+        node.onDispatched(endpoint.id, shortPrompt(), Start);
+        owner.onDispatchNotice(VmId{"n1"}, {endpoint.id, TokenCount{1}, 1}, Start);
+    }
+    const LoadQuery query = node.loadQuery(need(), endpoints, Start);
+    BOOST_REQUIRE_EQUAL(query.own.size(), LoadEntryLimit);
+    owner.answerLoadQuery(VmId{"n1"}, query, endpoints, Start);
+    std::uint32_t known = 0;
+    for (const EndpointLoad &load : owner.loads(endpoints, need(), Start)) {
+        known += load.others.requests;
+    }
+    BOOST_CHECK_EQUAL(known, Busy);
+}
