A request that asks for the load of a recovered endpoint is not refused

A request that has waited 400 ms for an endpoint to recover is refused as no_endpoint. When one recovers late in that wait and the owners of the load are silent, the request waits up to 80 ms for them, and was refused then, though the endpoint stood ready.

Cause: the reason of the earlier wait, and its limit, stayed in force. Now the wait for the load is a reason of its own, bounded by the deadline; a request that waits for capacity keeps its place.

--- a/src/libhemlockhill/node/gateway_load_query_test.cpp
+++ b/src/libhemlockhill/node/gateway_load_query_test.cpp
@@ -73,3 +73,17 @@
     const auto fleet = largeFleet();
     BOOST_CHECK(!fleet->gateway().onLoadQuery(VmId{"10.0.0.1"}, {{Register, {}}, {}, {}}));
 }
+
+// The limit on waiting for an endpoint that refused must not end a request that asks for the load of one that has recovered.
+BOOST_AUTO_TEST_CASE(a_request_is_refused_while_it_asks_for_the_load_of_a_recovered_endpoint)
+{
+    const auto fleet = largeFleet();
+    const auto endpoints = fleet->takeEndpoints();
+    std::vector<VmId> asked;
+    fleet->gateway().sendLoadQuery = [&asked](const VmId &owner, const LoadQuery &) { asked.push_back(owner); };
+    fleet->after(std::chrono::milliseconds(370), [&] { fleet->gateway().onLeaderDirectory(endpoints, currentTime()); });
+    const auto answer = fleet->exchange("/x/1");
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->status, 200);
+    BOOST_CHECK_EQUAL(asked.size(), 2);
+}
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -158,6 +158,7 @@
             endpoint.slots = 4;
             endpoints.emplace(endpoint.id, endpoint);
         }
+        m_directory = endpoints;
         m_gateway.onLeaderDirectory(std::move(endpoints), currentTime() - scenario.listingAge);
     }
 
@@ -222,6 +223,13 @@
 
     void reportListUnavailable() { m_gateway.onListUnavailable(); }
     void removeEndpoints() { m_gateway.onLeaderDirectory({}, currentTime()); }
+    // Removes the endpoints from the directory and returns them.
+    EndpointsById takeEndpoints()
+    {
+        removeEndpoints();
+        return m_directory;
+    }
+    void after(Duration delay, std::function<void()> action) { m_timers.after(delay, m_loop, std::move(action)); }
 
     void stopAfter(Duration delay)
     {
@@ -292,6 +300,7 @@
     }
 
     Address m_address;
+    EndpointsById m_directory;
 
     boost::asio::io_context m_loop{1};
     TimerService m_timers;
--- a/src/libhemlockhill/node/gateway_waiting.cpp
+++ b/src/libhemlockhill/node/gateway_waiting.cpp
@@ -66,9 +66,9 @@
         return;
     }
     const TimePoint now = currentTime();
-    // A request that waits for capacity keeps its place among those that do.
-    if (!m_waitingSince) {
-        m_waitingSince = now;
+    m_waitingSince = m_waitingSince.value_or(now);
+    // A request that waits for capacity keeps its place among those that do. One that waited for an endpoint has found it.
+    if (!waitsForCapacity()) {
         m_waitingFor = NoEndpointReason::LoadAwaited;
     }
     if (isWaitExpired(now)) {
