--- a/src/include/hemlockhill/endpoint_loads.h
+++ b/src/include/hemlockhill/endpoint_loads.h
@@ -32,6 +32,7 @@
     bool isCurrent = false;
 };
 
+// Counts of requests by node and endpoint, and what owners have reported.
 class EndpointLoads
 {
 public:
@@ -48,6 +49,8 @@
     OthersLoad others(const EndpointId &endpoint, bool hearsAll, TimePoint now);
     // Returns the sum of the notices of all nodes but the given one.
     std::uint32_t sumWithout(const VmId &node, const EndpointId &endpoint, TimePoint now);
+    // Returns the age of the oldest notice that counts for the endpoint; zero if there is none.
+    Duration oldestNotice(const EndpointId &endpoint, TimePoint now) const;
     // Forgets endpoints that are not listed any more.
     void onDirectory(const EndpointsById &endpoints);
 
--- a/src/include/hemlockhill/load_queries.h
+++ b/src/include/hemlockhill/load_queries.h
@@ -14,7 +14,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <string_view>
 #include <vector>
 
 namespace Hemlockhill
@@ -106,6 +105,7 @@
     VmId owner;
 };
 
+// Decides when to ask, and whom.
 class LoadQueries
 {
 public:
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -202,7 +202,11 @@
 
 EndpointLoad EndpointChooser::loadOf(const LiveEndpoint &endpoint, TimePoint now)
 {
-    return {endpoint.id, endpoint.slots, inFlight(endpoint.id), othersLoad(endpoint, now)};
+    EndpointLoad load{endpoint.id, endpoint.slots, inFlight(endpoint.id), othersLoad(endpoint, now)};
+    if (!hearsAll || hearsAll(endpoint.service)) {
+        load.others.age = m_loads.oldestNotice(endpoint.id, now);
+    }
+    return load;
 }
 
 std::vector<EndpointLoad> EndpointChooser::loads(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now)
--- a/src/libhemlockhill/routing/endpoint_choice_test.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice_test.cpp
@@ -268,7 +268,7 @@
     BOOST_CHECK_EQUAL(other.loads.front().others.requests, 2);
 }
 
-// malgeun-hq-grown, scale-1: an owner with an older directory left out the endpoints that had loaded the model since.
+// An owner with an older directory left out the endpoints that had loaded the model since.
 BOOST_AUTO_TEST_CASE(an_owner_with_another_directory_leaves_endpoints_out)
 {
     EndpointChooser node = makeAskingChooser();
@@ -284,7 +284,7 @@
     BOOST_CHECK_EQUAL(report.loads.back().others.requests, 3);
 }
 
-// malgeun-hq-grown, scale-1: of a model on many endpoints those beyond the reported ones seemed idle, and got all requests.
+// Of a model on many endpoints those beyond the reported ones seemed idle, and got all requests.
 BOOST_AUTO_TEST_CASE(endpoints_of_unknown_load_seem_idle)
 {
     constexpr std::size_t Copies = 100;
--- a/src/libhemlockhill/routing/endpoint_loads.cpp
+++ b/src/libhemlockhill/routing/endpoint_loads.cpp
@@ -121,6 +121,17 @@
     return record->second.total - std::min(own, record->second.total);
 }
 
+Duration EndpointLoads::oldestNotice(const EndpointId &endpoint, TimePoint now) const
+{
+    Duration oldest{0};
+    for (const auto &[node, counts] : m_nodes) {
+        if (const auto found = counts.find(endpoint); found != counts.end()) {
+            oldest = std::max(oldest, ageOf(found->second.at, now));
+        }
+    }
+    return oldest;
+}
+
 void EndpointLoads::onDirectory(const EndpointsById &endpoints)
 {
     std::erase_if(m_records, [&](const auto &entry) { return !endpoints.contains(entry.first); });
--- a/src/libhemlockhill/routing/endpoint_loads_test.cpp
+++ b/src/libhemlockhill/routing/endpoint_loads_test.cpp
@@ -30,6 +30,7 @@
     loads.onNotice(Other, {First, 1}, Start);
     BOOST_CHECK_EQUAL(loads.others(First, true, Start).requests, 3);
     BOOST_CHECK_EQUAL(loads.sumWithout(Node, First, Start), 1);
+    BOOST_CHECK(loads.oldestNotice(First, Start + std::chrono::seconds(2)) == std::chrono::seconds(2));
     loads.onNotice(Node, {First, 0}, Start);
     BOOST_CHECK_EQUAL(loads.others(First, true, Start).requests, 1);
     BOOST_CHECK_EQUAL(loads.others(First, true, Start + std::chrono::seconds(6)).requests, 0);
--- a/src/libhemlockhill/routing/load_owners_test.cpp
+++ b/src/libhemlockhill/routing/load_owners_test.cpp
@@ -68,7 +68,7 @@
     BOOST_CHECK_EQUAL(owners.others(Register, Start).size(), 11);
 }
 
-// malgeun-hq-grown, scale-1: after each change of leader nodes had other owners, who knew nothing, and full endpoints got more requests.
+// After each change of leader nodes had other owners, who knew nothing, and full endpoints got more requests.
 BOOST_AUTO_TEST_CASE(owners_change_with_every_change_of_leader)
 {
     const auto group = nodes(67);
--- a/src/libhemlockhill/routing/load_queries_test.cpp
+++ b/src/libhemlockhill/routing/load_queries_test.cpp
@@ -110,7 +110,7 @@
     BOOST_CHECK_GE(sent, 20);
 }
 
-// malgeun-hq-grown, scale-1: nodes had used up their queries for the models that requests waited for, and sent requests without knowledge
+// Nodes had used up their queries for the models that requests waited for, and sent requests without knowledge
 // of the load to endpoints that were full.
 BOOST_AUTO_TEST_CASE(requests_that_wait_for_many_models_are_sent_without_knowledge)
 {
--- a/src/libhemlockhill/routing/sound_endpoints_taken_for_full_test.cpp
+++ b/src/libhemlockhill/routing/sound_endpoints_taken_for_full_test.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-// hrw-registers-large, title-transfer: requests were refused as queue_full by nodes that took sound endpoints for full.
+// Requests were refused as queue_full by nodes that took sound endpoints for full.
 BOOST_AUTO_TEST_CASE(sound_endpoints_are_not_taken_for_full_by_a_large_fleet)
 {
     checkServed(FleetSimulation(FleetScenario{}).run());
