Tell whether a connection has carried the request before

The line of an exchange told the connection's number of responses, and not whether one of them was to the same request: a late copy of a refusal and the answer look alike. The line 'request forwarded for another node' has `answer` too, since only that node sees the endpoint's connection.

--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -58,6 +58,8 @@
     std::uint32_t earlierResponses = 0;
     // Whether its first bytes had arrived before the request was written.
     bool precedesRequest = false;
+    // Whether the connection has carried a request with the same id before: a response that names it may be the answer to that one.
+    bool hasCarriedRequest = false;
 
     // Whether no other request can have been sent over the connection: a response that names none is certainly the answer only then.
     bool isOnly() const { return earlierResponses == 0 && !precedesRequest; }
@@ -94,13 +96,15 @@
     Stray
 };
 
-// Callbacks of an exchange, called on the pool's event loop. None is called after onEnd or onFailed.
+// Callbacks of an exchange, called on the pool's event loop, and the id of its request. None is called after onEnd or onFailed.
 struct ExchangeHooks {
     // Called immediately before the first byte of the request may leave this VM. If it cancels the exchange, nothing is sent.
     std::function<void()> onSending;
     // Tells the awaited response from strays, which are read and dropped. Without it, the first response counts as the awaited one, which
     // is certain only if the connection is not reused.
     std::function<ResponseMatch(const ResponseHead &head)> match;
+    // The id by which `match` knows the awaited response. Empty if it uses none, or one that no other exchange has.
+    RequestId id;
     std::function<void(const ResponseHead &head)> onHead;
     std::function<void(std::string bytes)> onBody;
     std::function<void()> onEnd;
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -144,6 +144,8 @@
     bool m_sending = false;
     // Whether bytes of the endpoint had arrived before the request was written.
     bool m_hasEarlyBytes = false;
+    // Whether the connection had carried a request with the same id.
+    bool m_hasCarriedRequest = false;
     // Whether the response being read is a stray, and how many were.
     bool m_isStray = false;
     std::uint32_t m_strays = 0;
@@ -254,6 +256,8 @@
         return;
     }
     m_hasEarlyBytes = hasUnreadBytes(*m_connection);
+    m_hasCarriedRequest = m_connection->carried.contains(m_hooks.id);
+    m_connection->carried.add(m_hooks.id);
     m_sending = true;
     expireAfter(firstByteTimeout());
     http::async_write(m_connection->stream, m_request, [self = shared_from_this()](error_code error, std::size_t) {
@@ -382,7 +386,7 @@
     for (const auto &field : m_parser->get()) {
         head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    head.position = {m_connection->responses, m_hasEarlyBytes};
+    head.position = {m_connection->responses, m_hasEarlyBytes, m_hasCarriedRequest};
     return head;
 }
 
--- a/src/libhemlockhill/net/idle_connections.h
+++ b/src/libhemlockhill/net/idle_connections.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "hemlockhill/world.h"
+#include "net/carried_requests.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -38,6 +39,7 @@
     bool idle = false;
     // Number of responses read completely.
     std::uint32_t responses = 0;
+    CarriedRequests carried;
     // After this time the endpoint may close the idle connection; a request sent then could be lost.
     TimePoint reusableUntil;
     Duration idleTimeout = DefaultIdleTimeout;
--- a/src/libhemlockhill/node/direct_exchange.cpp
+++ b/src/libhemlockhill/node/direct_exchange.cpp
@@ -92,6 +92,7 @@
     ExchangeHooks observed;
     observed.onSending = std::move(hooks.onSending);
     observed.match = std::move(hooks.match);
+    observed.id = std::move(hooks.id);
     observed.onHead = [inFlight, onHead = std::move(hooks.onHead)](const ResponseHead &head) {
         inFlight->onHeard();
         if (onHead) {
--- a/src/libhemlockhill/node/gateway_answer.cpp
+++ b/src/libhemlockhill/node/gateway_answer.cpp
@@ -62,7 +62,7 @@
         return;
     }
     const EndpointAnswerHead answer = readAnswerHead(head);
-    m_answerTrace = AnswerTrace{status, answer.id, answer.isSigned, answer.notRun, head.position};
+    m_answerTrace = traceOf(head, answer);
     m_gateway.onDeclaredCapacity(m_endpoint, m_endpointIncarnation, answer.capacity, m_sentAt);
     if (const auto proof = NotRunProof::fromAnswer(status, answer, m_match)) {
         onRefusedByEndpoint(status, *proof);
--- a/src/libhemlockhill/node/gateway_forwarded_request.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_request.cpp
@@ -115,6 +115,7 @@
         const auto self = weak.lock();
         return self && !self->m_done ? self->match(head) : ResponseMatch::Stray;
     };
+    hooks.id = m_head.id;
     hooks.onHead = guarded([](ForwardedRequest &self, const ResponseHead &head) { self.onHead(head); });
     hooks.onBody = guarded([](ForwardedRequest &self, std::string bytes) { self.onBody(std::move(bytes)); });
     hooks.onEnd = guarded([](ForwardedRequest &self) { self.onEnd(); });
@@ -147,6 +148,7 @@
 void Gateway::ForwardedRequest::onHead(const ResponseHead &head)
 {
     const EndpointAnswerHead answer = m_gateway.m_dialect.readAnswer(head.status, head.headers);
+    m_answerTrace = traceOf(head, answer);
     m_gateway.onDeclaredCapacity(m_endpoint, m_incarnation, answer.capacity, m_startedAt);
     if (answer.isSigned) {
         m_gateway.m_crashGuard.onEndpointAnswered({lossIdOf(m_endpoint, m_incarnation), m_exchange->connectedAt(), m_startedAt},
@@ -253,13 +255,15 @@
     }
     const auto self = shared_from_this();
     const auto total = std::chrono::duration_cast<std::chrono::milliseconds>(currentTime() - m_startedAt);
-    logEvent(Severity::Info,
-             "request forwarded for another node",
-             {{"request", m_head.id.value},
-              {"endpoint", m_endpoint.value},
-              {"outcome", outcome},
-              {"strays", m_strays},
-              {"total_ms", total.count()}});
+    boost::json::object fields{{"request", m_head.id.value},
+                               {"endpoint", m_endpoint.value},
+                               {"outcome", outcome},
+                               {"strays", m_strays},
+                               {"total_ms", total.count()}};
+    if (m_answerTrace) {
+        fields["answer"] = describe(*m_answerTrace);
+    }
+    logEvent(Severity::Info, "request forwarded for another node", std::move(fields));
     m_gateway.m_forwardedRequests.erase(m_number);
 }
 
--- a/src/libhemlockhill/node/gateway_forwarded_request.h
+++ b/src/libhemlockhill/node/gateway_forwarded_request.h
@@ -1,10 +1,12 @@
 // A request that this gateway forwards to an endpoint for another node, which took it from its caller.
 #pragma once
 
+#include "answer_trace.h"
 #include "hemlockhill/answer_match.h"
 #include "hemlockhill/forwarded_request.h"
 #include "hemlockhill/gateway.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +54,8 @@
     AnswerMatch m_match = AnswerMatch::Unnamed;
     // Number of responses that were dropped.
     std::uint32_t m_strays = 0;
+    // The head of the endpoint's answer; empty without one.
+    std::optional<AnswerTrace> m_answerTrace;
     HttpResponse m_answer;
     // Whether the head of the answer has been sent.
     bool m_begun = false;
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -294,6 +294,7 @@
         const bool isCurrent = self && !self->m_done && self->m_currentExchange == current && self->m_exchange;
         return isCurrent ? self->match(head) : ResponseMatch::Stray;
     };
+    hooks.id = m_head.id;
     hooks.onHead = guarded([](Request &self, const ResponseHead &head) { self.onHead(head); });
     hooks.onBody = guarded([](Request &self, std::string bytes) { self.onBody(std::move(bytes)); });
     hooks.onEnd = guarded([](Request &self) { self.onEnd(); });
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -1,6 +1,7 @@
 // A request in progress in the gateway.
 #pragma once
 
+#include "answer_trace.h"
 #include "hemlockhill/answer_match.h"
 #include "hemlockhill/forwarded_request.h"
 #include "hemlockhill/gateway.h"
@@ -33,16 +34,6 @@
     bool isCallerConnected = false;
 };
 
-// The head of an endpoint's answer, for logs.
-struct AnswerTrace {
-    unsigned status = 0;
-    // The request that the answer names; empty if it names none.
-    RequestId id;
-    bool isSigned = false;
-    bool statesNotRun = false;
-    ResponsePosition position;
-};
-
 // What an exchange that failed before anything was sent shows about its endpoint.
 enum class EndpointLoss { Unlikely, Possible, Confirmed };
 
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -62,16 +62,6 @@
     return list;
 }
 
-boost::json::object describe(const AnswerTrace &answer)
-{
-    return {{"status", answer.status},
-            {"id", answer.id.value},
-            {"signed", answer.isSigned},
-            {"states_not_run", answer.statesNotRun},
-            {"earlier_responses", answer.position.earlierResponses},
-            {"precedes_request", answer.position.precedesRequest}};
-}
-
 // Maximum number of endpoints whose load is logged with a request.
 constexpr std::size_t LoggedLoads = 8;
 
