Tests, red: the copy of a refusal names a request that is under way again

The soak's endpoints refuse 2 in 100 requests although there is room, and write a refusal once more when its request returns over the connection; some of its callers send a refused request again under its id.

--- a/src/libhemlockhill/net/http_exchange_stray_test.cpp
+++ b/src/libhemlockhill/net/http_exchange_stray_test.cpp
@@ -2,6 +2,7 @@
 #include "hemlockhill/http_exchange.h"
 
 #include "hemlockhill/timer_service.h"
+#include "net/carried_requests.h"
 #include "net/raw_endpoint_testing.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -43,13 +44,14 @@
     {
     }
 
-    Outcome exchange()
+    Outcome exchange(const std::string &id = {})
     {
         Outcome outcome;
         ExchangeHooks hooks;
         hooks.match = [](const ResponseHead &head) {
             return findHeader(head.headers, "Id") == "own" ? ResponseMatch::Own : ResponseMatch::Stray;
         };
+        hooks.id = RequestId{id};
         hooks.onHead = [&outcome](const ResponseHead &head) { outcome.heads.push_back(head); };
         hooks.onBody = [&outcome](const std::string &bytes) { outcome.body += bytes; };
         hooks.onEnd = [&outcome] { outcome.ended = true; };
@@ -128,6 +130,33 @@
     BOOST_CHECK_EQUAL(second.heads[0].position.earlierResponses, 1);
 }
 
+// Guards against a late copy of an earlier answer that cannot be told from the answer to the same request.
+BOOST_AUTO_TEST_CASE(connection_carries_the_same_request_twice)
+{
+    Fixture fixture({{Own, ConnectionEnd::KeepOpen, {}}});
+    BOOST_CHECK(fixture.exchange("request-1").ended);
+    const Outcome again = fixture.exchange("request-1");
+    BOOST_REQUIRE_EQUAL(again.heads.size(), 1);
+    BOOST_CHECK_EQUAL(again.heads[0].position.earlierResponses, 0);
+    BOOST_CHECK(!again.heads[0].position.hasCarriedRequest);
+    BOOST_CHECK_EQUAL(fixture.idleConnections(), 2);
+    const Outcome other = fixture.exchange("request-2");
+    BOOST_REQUIRE_EQUAL(other.heads.size(), 1);
+    BOOST_CHECK_EQUAL(other.heads[0].position.earlierResponses, 1);
+}
+
+// Guards against a connection whose memory of the requests that it has carried grows without end.
+BOOST_AUTO_TEST_CASE(connection_carries_requests_without_limit)
+{
+    Fixture fixture({{Own, ConnectionEnd::KeepOpen, {}}});
+    for (std::size_t request = 0; request < CarriedRequestLimit; ++request) {
+        const Outcome outcome = fixture.exchange("request-" + std::to_string(request));
+        BOOST_REQUIRE_EQUAL(outcome.heads.size(), 1);
+        BOOST_CHECK_EQUAL(outcome.heads[0].position.earlierResponses, request);
+    }
+    BOOST_CHECK_EQUAL(fixture.idleConnections(), 0);
+}
+
 // Guards against sending a request over a connection on which a response to no request has arrived.
 BOOST_AUTO_TEST_CASE(request_is_sent_over_a_connection_with_unread_bytes)
 {
--- a/src/libhemlockhill/node/gateway_forwarded_stray_test.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_stray_test.cpp
@@ -137,6 +137,37 @@
     }
 }
 
+// Guards against a copy of a refusal that passes for the answer when its request comes to the forwarding node again, which the node that
+// sends it does not know.
+BOOST_AUTO_TEST_CASE(repeated_refusal_is_taken_for_the_answer_to_a_request_that_is_forwarded_again)
+{
+    int runs = 0;
+    bool isBusy = true;
+    std::vector<std::shared_ptr<RawEndpoint>> endpoints;
+    ForwardingFleet fleet({{true, false}, RouteKind::Unsafe, false, FirstPort}, [&](boost::asio::io_context &loop, const Address &address) {
+        endpoints.push_back(std::make_shared<RawEndpoint>(loop, address, [&](const RawEndpoint::Request &request) {
+            const std::string refusal =
+                "HTTP/1.1 503 Busy\r\nId: " + std::string(request["Id"]) + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            if (isBusy) {
+                return RawAnswer{refusal, ConnectionEnd::KeepOpen, {}};
+            }
+            ++runs;
+            const bool isKept = endpoints.front()->earlierRequests() > 0;
+            return RawAnswer{(isKept ? refusal : "") + ownAnswer(request), ConnectionEnd::KeepOpen, {}};
+        }));
+        return endpoints.back();
+    });
+    const auto refused = fleet.exchange(0, "/x/1");
+    BOOST_REQUIRE(refused);
+    BOOST_CHECK_EQUAL(refused->status, 503);
+    isBusy = false;
+    const auto answer = fleet.exchange(0, "/x/1");
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->status, 200);
+    BOOST_CHECK_EQUAL(runs, 1);
+    endpoints.clear();
+}
+
 // Guards against distrust of a refusal that the forwarding node could tell, on a kept connection between the nodes, and against a name that
 // reaches the caller though only nodes may see it.
 BOOST_AUTO_TEST_CASE(unnamed_answer_on_a_fresh_connection_is_not_known_through_another_node)
--- a/src/libhemlockhill/node/gateway_repeated_refusal_test.cpp
+++ b/src/libhemlockhill/node/gateway_repeated_refusal_test.cpp
@@ -105,6 +105,35 @@
     BOOST_CHECK_EQUAL(runs, 1);
 }
 
+// The caller sends its request again under the same id, over a connection that has carried it before.
+BOOST_AUTO_TEST_CASE(repeated_refusal_is_taken_for_the_answer_to_a_request_that_returns_under_its_id)
+{
+    int runs = 0;
+    bool isBusy = true;
+    std::vector<std::shared_ptr<RawEndpoint>> endpoints;
+    GatewayScenario scenario;
+    scenario.kind = RouteKind::Unsafe;
+    scenario.firstPort = FirstPort;
+    GatewayFixture fixture(scenario, [&](boost::asio::io_context &loop, const Address &address) {
+        const std::size_t number = endpoints.size();
+        endpoints.push_back(std::make_shared<RawEndpoint>(loop, address, [&, number](const RawEndpoint::Request &) {
+            if (isBusy) {
+                return RawAnswer{FirstRefusal, ConnectionEnd::KeepOpen, {}};
+            }
+            ++runs;
+            const bool isKept = endpoints[number]->earlierRequests() > 0;
+            return RawAnswer{(isKept ? FirstRefusal : "") + Answer, ConnectionEnd::KeepOpen, {}};
+        }));
+        return endpoints.back();
+    });
+    BOOST_CHECK_EQUAL(fixture.exchange("/x/1").value().status, 503);
+    isBusy = false;
+    BOOST_CHECK_EQUAL(fixture.exchange("/x/1").value().status, 200);
+    BOOST_CHECK_EQUAL(runs, 1);
+    // Their sockets must not outlive the event loop of the fixture.
+    endpoints.clear();
+}
+
 // A refusal that names no request could not be told from the answer to the next request, if it came once more.
 BOOST_AUTO_TEST_CASE(connection_of_a_refusal_without_an_id_is_reused)
 {
--- a/src/libhemlockhill/request/not_run_proof_test.cpp
+++ b/src/libhemlockhill/request/not_run_proof_test.cpp
@@ -12,6 +12,7 @@
 constexpr ResponsePosition First{0, false};
 constexpr ResponsePosition Second{1, false};
 constexpr ResponsePosition Early{0, true};
+constexpr ResponsePosition SameRequestBefore{1, false, true};
 
 EndpointAnswerHead refusal(const std::string &id)
 {
@@ -48,6 +49,13 @@
     BOOST_CHECK(!proves(refusal(""), Early));
 }
 
+// A copy of the refusal of an earlier exchange names the request too.
+BOOST_AUTO_TEST_CASE(statement_that_may_mean_an_earlier_exchange_of_the_request_proves_not_run)
+{
+    BOOST_CHECK(!proves(refusal("request-1"), SameRequestBefore));
+    BOOST_CHECK(!proves(refusal(""), SameRequestBefore));
+}
+
 BOOST_AUTO_TEST_CASE(answer_without_a_statement_proves_not_run)
 {
     EndpointAnswerHead silent = refusal("request-1");
