A connection carries each request at most once

Callers saw: told 503 or 429, which state that a request has not run and will not, for a request that ran; or one that may run once ran twice.

Cause: an answer was matched to a request by the id that it repeats, and the id names the request, not the exchange. A copy of a refusal names the request also when that is under way again on the same connection, and passed for the proof that it had not run. Only the node that sent a request again asked for a new connection; a caller that returned under its id, and a node that another one had forward the request again without saying so, met the old one.

Why it works: a connection remembers hashes of the ids that it has carried, and the pool passes it over for a request with one of them. A late response stays on its connection, so a response that names the request is the answer to the only exchange of that request there. Matching checks the same by itself: a response on a connection that has carried the request before is no proof.

--- a/src/include/hemlockhill/answer_match.h
+++ b/src/include/hemlockhill/answer_match.h
@@ -12,10 +12,12 @@
 
 // How a response relates to the request of the exchange that reads it.
 enum class AnswerMatch {
-    // It names the request.
+    // It names the request, which its connection has carried once.
     Named,
     // It names no request, and its connection has carried no other exchange.
     OnlyOnConnection,
+    // It names the request, and may answer an earlier exchange of it: its connection has carried the request before.
+    EarlierExchange,
     // It names another request, or several.
     OtherRequest,
     // It names no request, and may answer an earlier request on its connection, or none.
--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -103,7 +103,8 @@
     // Tells the awaited response from strays, which are read and dropped. Without it, the first response counts as the awaited one, which
     // is certain only if the connection is not reused.
     std::function<ResponseMatch(const ResponseHead &head)> match;
-    // The id by which `match` knows the awaited response. Empty if it uses none, or one that no other exchange has.
+    // The id by which `match` knows the awaited response. The exchange takes no connection that has carried it before, since a late copy of
+    // the earlier response could not be told from the awaited one. Empty if no id is used, or one that no other exchange has.
     RequestId id;
     std::function<void(const ResponseHead &head)> onHead;
     std::function<void(std::string bytes)> onBody;
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -177,7 +177,7 @@
     m_request.body() = request.body;
     m_request.prepare_payload();
     if (choice == ConnectionChoice::PreferIdle) {
-        m_connection = m_idle->acquire(m_address);
+        m_connection = m_idle->acquire(m_address, m_hooks.id);
     }
     if (m_connection) {
         boost::asio::post(m_idle->loop(), [self = shared_from_this()] { self->send(); });
--- a/src/libhemlockhill/net/idle_connections.cpp
+++ b/src/libhemlockhill/net/idle_connections.cpp
@@ -46,12 +46,16 @@
 {
 }
 
-std::shared_ptr<Connection> IdleConnections::acquire(const Address &address)
+std::shared_ptr<Connection> IdleConnections::acquire(const Address &address, const RequestId &request)
 {
     auto &idle = m_connections[address];
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+    for (auto next = idle.end(); next != idle.begin();) {
+        --next;
+        if ((*next)->carried.contains(request)) {
+            continue;
+        }
+        auto connection = std::move(*next);
+        next = idle.erase(next);
         connection->idle = false;
         error_code ignored;
         connection->stream.socket().cancel(ignored);
@@ -64,6 +68,10 @@
 
 void IdleConnections::release(const Address &address, std::shared_ptr<Connection> connection)
 {
+    if (connection->carried.isFull()) {
+        connection->stream.close();
+        return;
+    }
     auto &idle = m_connections[address];
     connection->reused = true;
     connection->idle = true;
--- a/src/libhemlockhill/net/idle_connections.h
+++ b/src/libhemlockhill/net/idle_connections.h
@@ -56,9 +56,9 @@
     // Keeps at most `limit` connections to each address.
     IdleConnections(boost::asio::io_context &loop, std::size_t limit);
 
-    // Returns the most recently used connection to the address that can still be reused, or nullptr.
-    std::shared_ptr<Connection> acquire(const Address &address);
-    // Keeps a connection whose exchange has ended.
+    // Returns the most recently used connection to the address that can still be reused and has not carried the request, or nullptr.
+    std::shared_ptr<Connection> acquire(const Address &address, const RequestId &request);
+    // Keeps a connection whose exchange has ended, unless it has carried as many requests as it may.
     void release(const Address &address, std::shared_ptr<Connection> connection);
     // Closes all connections to the address.
     void drop(const Address &address);
--- a/src/libhemlockhill/node/gateway_stray_answer_test.cpp
+++ b/src/libhemlockhill/node/gateway_stray_answer_test.cpp
@@ -16,13 +16,24 @@
 const std::string UnnamedRefusal = "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const std::string OtherRefusal = "HTTP/1.1 503 Busy\r\nId: request-0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const std::string OtherAnswer = "HTTP/1.1 200 OK\r\nId: request-0\r\nSignature: s\r\nContent-Length: 8\r\n\r\nsomebody";
-const std::string TwoNames = "HTTP/1.1 200 OK\r\nId: request-1\r\nId: request-0\r\nSignature: s\r\nContent-Length: 8\r\n\r\nsomebody";
+// Stands for the id of the request that a stray precedes.
+const std::string OwnId = "{own}";
+const std::string TwoNames = "HTTP/1.1 200 OK\r\nId: {own}\r\nId: request-0\r\nSignature: s\r\nContent-Length: 8\r\n\r\nsomebody";
 
 std::string ownHead(const RawEndpoint::Request &request, const std::string &status)
 {
     return "HTTP/1.1 " + status + "\r\nId: " + std::string(request["Id"]) + "\r\n";
 }
 
+// The stray as it precedes the answer to the request.
+std::string strayBefore(const RawEndpoint::Request &request, std::string stray)
+{
+    if (const std::size_t at = stray.find(OwnId); at != std::string::npos) {
+        stray.replace(at, OwnId.size(), std::string(request["Id"]));
+    }
+    return stray;
+}
+
 std::string ownAnswer(const RawEndpoint::Request &request)
 {
     return ownHead(request, "200 OK") + "Signature: s\r\nContent-Length: 6\r\n\r\nserved";
@@ -51,6 +62,13 @@
     // Their sockets must not outlive the event loop.
     ~StrayFixture() { m_state->endpoints.clear(); }
 
+    // Sends a request under an id of its own, as callers do. A connection carries each id once.
+    std::optional<HttpResponse> exchangeNext()
+    {
+        extraHeaders = {{"Id", "request-" + std::to_string(++m_requests)}};
+        return exchange("/x/1");
+    }
+
     int received() const { return m_state->received; }
     std::size_t acceptedConnections() const
     {
@@ -82,6 +100,7 @@
     }
 
     std::shared_ptr<State> m_state;
+    int m_requests = 0;
 };
 
 // The answer, with the stray before it on connections that have carried a request. Such a connection is closed afterwards, so each second
@@ -89,7 +108,7 @@
 StrayFixture::Answer behindStray(const std::string &stray)
 {
     return [stray](const RawEndpoint::Request &request, int number) {
-        return RawAnswer{(number % 2 == 0 ? stray : "") + ownAnswer(request), ConnectionEnd::KeepOpen, {}};
+        return RawAnswer{(number % 2 == 0 ? strayBefore(request, stray) : "") + ownAnswer(request), ConnectionEnd::KeepOpen, {}};
     };
 }
 
@@ -101,7 +120,7 @@
     for (const std::string &stray : {UnnamedRefusal, OtherRefusal, OtherAnswer, TwoNames}) {
         StrayFixture fixture(RouteKind::Unsafe, behindStray(stray));
         for (int request = 0; request < RequestCount; ++request) {
-            const auto answer = fixture.exchange("/x/1");
+            const auto answer = fixture.exchangeNext();
             BOOST_REQUIRE(answer);
             BOOST_CHECK_EQUAL(answer->status, 200);
             BOOST_CHECK_EQUAL(answer->body, "served");
@@ -117,11 +136,12 @@
 {
     for (const std::string &stray : {UnnamedRefusal, OtherRefusal, OtherAnswer, TwoNames}) {
         StrayFixture fixture(RouteKind::Unsafe, [stray](const RawEndpoint::Request &request, int number) {
-            return number == 2 ? RawAnswer{stray, ConnectionEnd::Close, {}} : RawAnswer{ownAnswer(request), ConnectionEnd::KeepOpen, {}};
+            return number == 2 ? RawAnswer{strayBefore(request, stray), ConnectionEnd::Close, {}}
+                               : RawAnswer{ownAnswer(request), ConnectionEnd::KeepOpen, {}};
         });
         int failed = 0;
         for (int request = 0; request < RequestCount; ++request) {
-            const unsigned status = fixture.exchange("/x/1").value().status;
+            const unsigned status = fixture.exchangeNext().value().status;
             BOOST_CHECK(status == 200 || status == 502);
             failed += status == 502 ? 1 : 0;
         }
@@ -170,7 +190,7 @@
         return RawAnswer{"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 6\r\n\r\nserved", ConnectionEnd::KeepOpen, {}};
     });
     for (int request = 0; request < RequestCount; ++request) {
-        BOOST_CHECK_EQUAL(fixture.exchange("/x/1").value().status, 200);
+        BOOST_CHECK_EQUAL(fixture.exchangeNext().value().status, 200);
     }
     BOOST_CHECK_EQUAL(fixture.acceptedConnections(), RequestCount);
 }
@@ -183,7 +203,7 @@
         return RawAnswer{request["Id"].empty() ? unnamed : ownAnswer(request), ConnectionEnd::KeepOpen, {}};
     });
     for (int request = 0; request < RequestCount; ++request) {
-        BOOST_CHECK_EQUAL(fixture.exchange("/x/1").value().status, 200);
+        BOOST_CHECK_EQUAL(fixture.exchangeNext().value().status, 200);
     }
     const std::size_t kept = fixture.acceptedConnections();
     fixture.extraHeaders = {{"Id", ""}};
@@ -217,7 +237,7 @@
                 });
                 int replaced = 0;
                 for (int request = 0; request < RequestCount; ++request) {
-                    const auto answer = fixture.exchange("/x/1");
+                    const auto answer = fixture.exchangeNext();
                     BOOST_REQUIRE(answer);
                     BOOST_CHECK(answer->status == 200 || answer->status == 502);
                     BOOST_CHECK_EQUAL(findHeader(answer->headers, "Signature").empty(), answer->status == 502);
@@ -252,7 +272,7 @@
     const std::string cutOff = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nNote: ";
     StrayFixture fixture(RouteKind::Unsafe, behindStray(cutOff));
     for (int request = 0; request < RequestCount; ++request) {
-        const auto answer = fixture.exchange("/x/1");
+        const auto answer = fixture.exchangeNext();
         BOOST_REQUIRE(answer);
         BOOST_CHECK(answer->status == 200 || answer->status == 502);
     }
@@ -270,7 +290,7 @@
         });
         for (int request = 0; request < RequestCount; ++request) {
             const TimePoint start = currentTime();
-            const auto answer = fixture.exchange("/x/1");
+            const auto answer = fixture.exchangeNext();
             BOOST_REQUIRE(answer);
             BOOST_CHECK_EQUAL(answer->status, 200);
             BOOST_CHECK_LT(std::chrono::duration_cast<std::chrono::milliseconds>(currentTime() - start).count(), 300);
@@ -286,7 +306,7 @@
         "HTTP/1.1 200 OK\r\nId: request-0\r\nSignature: s\r\nContent-Length: 70000\r\n\r\n" + std::string(70'000, 'x');
     StrayFixture fixture(RouteKind::Unsafe, behindStray(large));
     for (int request = 0; request < RequestCount; ++request) {
-        BOOST_REQUIRE(fixture.exchange("/x/1"));
+        BOOST_REQUIRE(fixture.exchangeNext());
     }
     BOOST_CHECK_EQUAL(fixture.counted("request_broken_off"), 0);
 }
--- a/src/libhemlockhill/request/answer_match.cpp
+++ b/src/libhemlockhill/request/answer_match.cpp
@@ -9,8 +9,11 @@
     if (answer.namesSeveral) {
         return AnswerMatch::OtherRequest;
     }
+    if (!answer.id.empty() && answer.id != request) {
+        return AnswerMatch::OtherRequest;
+    }
     if (!answer.id.empty()) {
-        return answer.id == request ? AnswerMatch::Named : AnswerMatch::OtherRequest;
+        return position.hasCarriedRequest ? AnswerMatch::EarlierExchange : AnswerMatch::Named;
     }
     return position.isOnly() ? AnswerMatch::OnlyOnConnection : AnswerMatch::Unnamed;
 }
@@ -27,6 +30,7 @@
         return ResponseMatch::Own;
     case AnswerMatch::OnlyOnConnection:
         return ResponseMatch::OwnUnnamed;
+    case AnswerMatch::EarlierExchange:
     case AnswerMatch::OtherRequest:
     case AnswerMatch::Unnamed:
         break;
@@ -41,7 +45,14 @@
 
 std::string_view strayEvent(AnswerMatch match)
 {
-    return match == AnswerMatch::OtherRequest ? "stray_answer_to_other_request" : "stray_answer_unnamed";
+    switch (match) {
+    case AnswerMatch::EarlierExchange:
+        return "stray_answer_to_earlier_exchange";
+    case AnswerMatch::OtherRequest:
+        return "stray_answer_to_other_request";
+    default:
+        return "stray_answer_unnamed";
+    }
 }
 
 } // namespace Hemlockhill
