--- a/testsuite/both-leader-and-runner/run.py
+++ b/testsuite/both-leader-and-runner/run.py
@@ -2,12 +2,10 @@
 runner without operator action."""
 
 from placement_callers import (
-    VM_LOCATIONS,
-    declare_models,
-    declare_runners,
     find_single_copy,
     print_overcommitted,
     send_request,
+    start_region,
     wait_for_answers,
     wait_for_loaded_copies,
 )
@@ -16,10 +14,7 @@
 MODELS = ("scribe", "clerk")
 
 with Session() as session:
-    runners = [session.engine(f"runner-{number}", "--memory", "20GB", "--load-time", "300ms") for number in (1, 2, 3)]
-    nodes = session.region(VM_LOCATIONS)
-    declare_runners(session, nodes[0], runners)
-    declare_models(session, nodes[0], MODELS)
+    runners, nodes = start_region(session, MODELS)
     wait_for_answers(session, nodes, MODELS)
     _, endpoint = find_single_copy(wait_for_loaded_copies(session, nodes[1], 3))
     killed = next(runner for runner in runners if runner.name == endpoint)
--- a/testsuite/placement-drain/run.py
+++ b/testsuite/placement-drain/run.py
@@ -2,13 +2,11 @@
 
 from placement_callers import (
     PLACEMENT_S,
-    VM_LOCATIONS,
     BackgroundRequests,
-    declare_models,
-    declare_runners,
     find_single_copy,
     placement,
     print_overcommitted,
+    start_region,
     wait_for_answers,
     wait_for_loaded_copies,
 )
@@ -17,10 +15,7 @@
 MODELS = ("scribe", "clerk")
 
 with Session() as session:
-    runners = [session.engine(f"runner-{number}", "--memory", "20GB", "--load-time", "500ms") for number in (1, 2, 3)]
-    nodes = session.region(VM_LOCATIONS)
-    declare_runners(session, nodes[0], runners)
-    declare_models(session, nodes[0], MODELS)
+    runners, nodes = start_region(session, MODELS, load_time="500ms")
     wait_for_answers(session, nodes, MODELS)
     _, endpoint = find_single_copy(wait_for_loaded_copies(session, nodes[1], 3))
     session.print("three copies of two models are loaded; the endpoint with an only copy is drained")
--- a/testsuite/placement-refused/run.py
+++ b/testsuite/placement-refused/run.py
@@ -1,15 +1,12 @@
 """Declarations that do not fit must be refused with the missing amount, and must change nothing."""
 
-from placement_callers import VM_LOCATIONS, declare_models, declare_runners, print_overcommitted, wait_for_answers
+from placement_callers import print_overcommitted, start_region, wait_for_answers
 from session import Session
 
 MODELS = ("scribe", "clerk")
 
 with Session() as session:
-    runners = [session.engine(f"runner-{number}", "--memory", "20GB", "--load-time", "100ms") for number in (1, 2)]
-    nodes = session.region(VM_LOCATIONS)
-    declare_runners(session, nodes[0], runners)
-    declare_models(session, nodes[0], MODELS)
+    runners, nodes = start_region(session, MODELS, runners=2, load_time="100ms")
     wait_for_answers(session, nodes, MODELS)
     revision = session.revision(nodes[0])
     session.ctl(nodes[1], "declare model archive version v1 weights 30GB kv 2GB service drafts")
--- a/testsuite/placement-runner-killed/run.py
+++ b/testsuite/placement-runner-killed/run.py
@@ -1,12 +1,10 @@
 """Kills the runner with the only copy of a model. Memory must be freed on another runner and the model served again automatically."""
 
 from placement_callers import (
-    VM_LOCATIONS,
-    declare_models,
-    declare_runners,
     find_single_copy,
     print_overcommitted,
     send_request,
+    start_region,
     wait_for_answers,
     wait_for_loaded_copies,
 )
@@ -15,10 +13,7 @@
 MODELS = ("scribe", "clerk")
 
 with Session() as session:
-    runners = [session.engine(f"runner-{number}", "--memory", "20GB", "--load-time", "300ms") for number in (1, 2, 3)]
-    nodes = session.region(VM_LOCATIONS)
-    declare_runners(session, nodes[0], runners)
-    declare_models(session, nodes[0], MODELS)
+    runners, nodes = start_region(session, MODELS)
     wait_for_answers(session, nodes, MODELS)
     model, endpoint = find_single_copy(wait_for_loaded_copies(session, nodes[1], 3))
     session.print("three copies of two models are loaded; the runner with an only copy is killed")
--- a/testsuite/placement_callers.py
+++ b/testsuite/placement_callers.py
@@ -4,7 +4,7 @@
 import threading
 
 from request_callers import classify_answer
-from session import wait_until
+from session import leader_of, wait_until
 
 VM_LOCATIONS = {"vm-a": "ktm-1", "vm-b": "ktm-2", "vm-c": "ktm-3"}
 PLACEMENT_S = 120
@@ -25,6 +25,16 @@
         session.send_until_accepted(node, f"declare model {model} version v1 weights 12GB kv 2GB copies 1 service drafts")
 
 
+def start_region(session, models, runners=3, memory="20GB", load_time="300ms", fencing="checked"):
+    """Starts runners and nodes, and declares the runners and the models. Returns the runners and the nodes."""
+    options = ("--memory", memory, "--load-time", load_time, "--fencing", fencing)
+    engines = [session.engine(f"runner-{number}", *options) for number in range(1, runners + 1)]
+    nodes = session.region(VM_LOCATIONS)
+    declare_runners(session, nodes[0], engines, memory, fencing)
+    declare_models(session, nodes[0], models)
+    return engines, nodes
+
+
 def send_request(session, node, model, prompt):
     return classify_answer(prompt, TOKENS, session.chat(node, model, prompt, max_tokens=TOKENS))
 
@@ -61,6 +71,24 @@
             return model, endpoint
     raise SystemExit(f"no model has a single copy: {rows}")
 
+def kill_leaders_during_loads(session, models, fencing):
+    """Kills the leading controller, twice, while loads are in flight, and checks that every model is served afterwards."""
+    runners, nodes = start_region(session, models, memory="30GB", load_time="1500ms", fencing=fencing)
+    for time in ("first", "second"):
+        leader = leader_of(nodes)
+        wait_until(lambda: "loading" in session.ctl(leader, "show placement", quiet=True)[1], "loads to be in flight")
+        leader.kill()
+        session.print(f"the leader is killed while loads are in flight, the {time} time")
+        node = next(node for node in nodes if node.running())
+        command = f"change model folio version {time} operation {time}-change"
+        wait_until(lambda: session.ctl(node, command, quiet=True)[0] == 0, "a new version to be accepted")
+        session.print("a new version is accepted by the controllers that are left")
+        leader.start()
+        wait_until(leader.ready, "the killed controller to serve again")
+    wait_for_answers(session, nodes, models)
+    session.print(f"every model at every node: {sorted({send_request(session, node, model, 'dues') for node in nodes for model in models})}")
+    print_overcommitted(session, runners)
+
 
 class BackgroundRequests:
     """Sends short requests for every model at every node in turn, with one thread per model, until stopped. Use as a context manager."""
