--- a/src/include/hemlockhill/deployment.h
+++ b/src/include/hemlockhill/deployment.h
@@ -21,6 +21,8 @@
 // Accelerator memory in megabytes, the unit that engines and operators use for the size of weights.
 using Megabytes = Quantity<struct MegabytesTag, double>;
 
+using WorkspaceId = Id<struct WorkspaceTag>;
+
 // Whether a route's requests have side effects on the endpoint. Only Safe requests may be repeated from the beginning.
 enum class RouteKind { Safe, Unsafe, Streaming };
 
@@ -101,6 +103,33 @@
     bool operator==(const RoutedService &) const = default;
 };
 
+// What a workspace's quota counts.
+enum class QuotaUnit { Requests, Tokens };
+
+// Limit on what a workspace may use, over all nodes together: a token bucket.
+struct WorkspaceQuota {
+    QuotaUnit unit = QuotaUnit::Requests;
+    // Refill rate in units per second; always above 0.
+    double ratePerSecond = 0;
+    // Capacity of the bucket in units.
+    double burst = 0;
+
+    bool operator==(const WorkspaceQuota &) const = default;
+};
+
+// A customer of the deployment. Its callers prove with a key that they belong to it.
+struct Workspace {
+    WorkspaceId id;
+    // Precedes the priority of the route; 0 is the highest. Empty if the workspace has none.
+    std::optional<std::uint32_t> priority;
+    // Empty if the workspace is not limited.
+    std::optional<WorkspaceQuota> quota;
+    // What a request costs that does not declare its tokens, where the quota counts tokens.
+    TokenCount undeclaredTokens;
+
+    bool operator==(const Workspace &) const = default;
+};
+
 // Limits on the size and duration of caller requests.
 struct CallerLimits {
     Bytes header{16'384};
@@ -115,6 +144,8 @@
     DeploymentVersion version;
     std::vector<Route> routes;
     std::map<ServiceId, RoutedService> services;
+    // Empty if the deployment has no workspaces: then requests need no key.
+    std::map<WorkspaceId, Workspace> workspaces;
     CallerLimits limits;
 
     // Returns the route of the host with the longest matching path prefix, or null when none matches.
