Workspaces: keys, their revocation, and the name that endpoints get

A deployment may declare workspaces, whose callers prove with a key that they belong to it. The node keeps digests of keys, removes the credential from what it forwards and names the workspace in its place. A key counts only while the node knows from the leader that its document was the newest one a short time ago, on a clock that counts suspensions; otherwise the request is refused as not run. What has waited is looked at again before it leaves. Deployments without workspaces are served as before.

--- a/src/include/hemlockhill/deployment.h
+++ b/src/include/hemlockhill/deployment.h
@@ -3,6 +3,7 @@
 // A document replaces the previous one as a whole. The highest version takes effect. The content of a version never changes.
 #pragma once
 
+#include "hemlockhill/workspace_keys.h"
 #include "hemlockhill/world.h"
 
 #include <cstdint>
@@ -21,8 +22,6 @@
 // Accelerator memory in megabytes, the unit that engines and operators use for the size of weights.
 using Megabytes = Quantity<struct MegabytesTag, double>;
 
-using WorkspaceId = Id<struct WorkspaceTag>;
-
 // Whether a route's requests have side effects on the endpoint. Only Safe requests may be repeated from the beginning.
 enum class RouteKind { Safe, Unsafe, Streaming };
 
@@ -55,6 +54,8 @@
     std::uint32_t priority = 0;
     // Maximum number of endpoints that may run one request.
     std::uint32_t attemptLimit = 1;
+    // Whether requests need no key, in a deployment with workspaces.
+    bool isPublic = false;
     std::vector<WeightedService> weightedServices;
 
     // True when a request may run more than once.
@@ -146,6 +147,7 @@
     std::map<ServiceId, RoutedService> services;
     // Empty if the deployment has no workspaces: then requests need no key.
     std::map<WorkspaceId, Workspace> workspaces;
+    WorkspaceKeys keys;
     CallerLimits limits;
 
     // Returns the route of the host with the longest matching path prefix, or null when none matches.
--- a/src/include/hemlockhill/failure.h
+++ b/src/include/hemlockhill/failure.h
@@ -61,6 +61,10 @@
     LearnerBehind,
     KeyRequired,
     RegisterFull,
+    Unauthenticated,
+    ConfigurationOutdated,
+    QuotaExceeded,
+    QuotaUnknown,
     Internal,
 };
 
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -18,6 +18,7 @@
 #include "hemlockhill/stream_origins.h"
 #include "hemlockhill/timer_service.h"
 #include "hemlockhill/version_history.h"
+#include "hemlockhill/workspace_admission.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -49,6 +50,7 @@
     RetryBudgetLimits retries;
     DirectoryAgeLimits directoryAge;
     CrashGuardLimits crashes;
+    KeyLimits keys;
     // Whether the whole group starts for the first time, so that no stream has begun before.
     bool isFirstStart = false;
 };
@@ -120,6 +122,8 @@
     void start();
     // Replaces the routes and limits. Requests in progress keep the deployment with which they started. Call after start().
     void setDeployment(std::shared_ptr<const Deployment> deployment);
+    // The leader has confirmed that no document was newer at the given time than the one in force now.
+    void onDeploymentConfirmed(BootTimePoint at) { m_documentAge.onConfirmed(at); }
     // The leader's directory has changed. It agrees with an endpoint list that was requested at listedAt.
     void onLeaderDirectory(EndpointsById endpoints, TimePoint listedAt);
     // The leader's directory has not changed, but agrees with a list that was requested at listedAt.
@@ -159,6 +163,8 @@
     void reviewPaths();
     void onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
     void refuse(HttpResponder &responder, Reason reason, const RoutedRequestHead &head, std::string detail);
+    // Decides by the credential whether a request may run, by the document in force now.
+    WorkspaceAdmission admitByCredential(const Route &route, const Credential &credential) const;
     void dispatchWaiting();
     // Evaluates the waiting requests again after a while, for as long as there are any.
     void scheduleDispatch();
@@ -205,6 +211,7 @@
     // The same without this node.
     std::vector<VmId> m_otherNodes;
     std::shared_ptr<const Deployment> m_deployment;
+    DocumentAge m_documentAge;
     DirectoryView m_directory;
     CrashGuard m_crashGuard;
     bool m_suspectNoticesScheduled = false;
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -31,6 +31,8 @@
 struct GroupMemberHooks {
     // A document with a higher version than any earlier one was committed.
     std::function<void(const DeploymentDocument &document)> deploymentCommitted;
+    // The leader has confirmed that no document was newer at the given time than the last one passed to deploymentCommitted.
+    std::function<void(BootTimePoint at)> deploymentConfirmed;
     // A follower received changes to the leader's endpoint directory. The directory agrees with the endpoint list that was requested at
     // listedAt.
     std::function<void(const EndpointsById &endpoints, TimePoint listedAt)> directoryChanged;
@@ -86,6 +88,7 @@
     struct PendingFollowCall {
         VmId to;
         TimePoint sentAt;
+        BootTimePoint sentAtBoot;
     };
 
     ControllerHooks controllerHooks();
@@ -97,8 +100,9 @@
     void onFailed(const PeerCallFailed &failure);
     // Handles follow calls as failed whose outcome must have been lost, so that no lost event leaves this node without a leader.
     void failOverdueFollowCalls();
-    void onFollowReply(const VmId &from, const FollowReply &reply, TimePoint sentAt);
-    void applyDocument(const FollowReply &reply);
+    void onFollowReply(const VmId &from, const FollowReply &reply, const PendingFollowCall &call);
+    // Returns whether no document in the reply is left out.
+    bool applyDocument(const FollowReply &reply);
     void applyDirectoryChanges(const FollowReply &reply, TimePoint sentAt);
     // Sends a follow request and records it.
     CallId startFollowCall(const VmId &to, FollowRequest request);
--- a/src/include/hemlockhill/request_dialect.h
+++ b/src/include/hemlockhill/request_dialect.h
@@ -49,6 +49,15 @@
     std::vector<Fingerprint> promptParts;
     // Identifies what is asked: the same each time that a caller sends the request again.
     Fingerprint fingerprint;
+    // Prompt and output tokens together; empty if the request does not declare them.
+    std::optional<TokenCount> declaredTokens;
+    Credential credential;
+};
+
+// How a deployment with workspaces hands a request on.
+struct WorkspaceIdentity {
+    // Empty if the request belongs to none.
+    WorkspaceId workspace;
 };
 
 // Parameters for forwarding a request to one endpoint.
@@ -62,6 +71,8 @@
     // Whether the endpoint may have answered this request before. A late or repeated answer on a connection that carried it then could not
     // be told from the answer that is awaited now.
     bool isRepeated = false;
+    // Set if this node has checked the caller's credential: it is removed, and the endpoint gets the name of the workspace in its place.
+    std::optional<WorkspaceIdentity> identity;
 };
 
 // The properties of an answer that the endpoint's headers declare.
--- a/src/include/hemlockhill/world.h
+++ b/src/include/hemlockhill/world.h
@@ -37,6 +37,18 @@
 using Duration = std::chrono::microseconds;
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+// A monotonic clock that also counts the time for which the machine is suspended, which std::chrono::steady_clock does not.
+struct BootClock {
+    using rep = Duration::rep;
+    using period = Duration::period;
+    using duration = Duration;
+    using time_point = std::chrono::time_point<BootClock, Duration>;
+    static constexpr bool is_steady = true;
+
+    static time_point now();
+};
+using BootTimePoint = BootClock::time_point;
+
 // An IP address and a port.
 struct Address {
     std::string host;
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -252,7 +252,7 @@
         if (m_followCall == answer.call) {
             m_followCall.reset();
         }
-        onFollowReply(answer.from, *follow, pending.mapped().sentAt);
+        onFollowReply(answer.from, *follow, pending.mapped());
         if (!m_leader.empty() && !m_followCall) {
             m_followCall = startFollowCall(m_leader, requestToLeader());
         }
@@ -291,7 +291,7 @@
     }
 }
 
-void GroupMember::onFollowReply(const VmId &from, const FollowReply &reply, TimePoint sentAt)
+void GroupMember::onFollowReply(const VmId &from, const FollowReply &reply, const PendingFollowCall &call)
 {
     if (!reply.leading) {
         if (m_leader == from) {
@@ -322,19 +322,25 @@
         m_search.setFollowers(m_followers);
         m_hooks.followersChanged(m_followers);
     }
-    if (!reply.deployment.empty()) {
-        applyDocument(reply);
+    // The reply was written after the request had been sent, and before any newer document was acknowledged.
+    if (applyDocument(reply)) {
+        m_hooks.deploymentConfirmed(call.sentAtBoot);
     }
-    applyDirectoryChanges(reply, sentAt);
+    applyDirectoryChanges(reply, call.sentAt);
 }
 
-void GroupMember::applyDocument(const FollowReply &reply)
+bool GroupMember::applyDocument(const FollowReply &reply)
 {
+    if (reply.deployment.empty()) {
+        return m_deploymentVersion > DeploymentVersion{};
+    }
     try {
         applyDocument(decodeDeploymentDocument(reply.deployment));
+        return true;
     } catch (const DecodeError &error) {
         // Requested again with the next follow request.
         logEvent(Severity::Warning, "cannot decode deployment", {{"problem", error.what()}});
+        return false;
     }
 }
 
@@ -356,7 +362,7 @@
 CallId GroupMember::startFollowCall(const VmId &to, FollowRequest request)
 {
     const CallId id = startCall(to, std::move(request));
-    m_followCalls[id] = PendingFollowCall{to, currentTime()};
+    m_followCalls[id] = PendingFollowCall{to, currentTime(), BootClock::now()};
     return id;
 }
 
--- a/src/libhemlockhill/control/group_member_test.cpp
+++ b/src/libhemlockhill/control/group_member_test.cpp
@@ -97,6 +97,7 @@
         GroupMemberHooks hooks;
         hooks.collectFigures = [] { return std::string(); };
         hooks.followersChanged = [](const std::vector<VmId> &) {};
+        hooks.deploymentConfirmed = [](BootTimePoint) {};
         return hooks;
     }
 
--- a/src/libhemlockhill/net/refusal_answer.cpp
+++ b/src/libhemlockhill/net/refusal_answer.cpp
@@ -41,6 +41,9 @@
     if (refusal.retryAfter) {
         response.headers.push_back({"Retry-After", std::to_string(refusal.retryAfter->count())});
     }
+    if (refusal.reason == Reason::Unauthenticated) {
+        response.headers.push_back({"WWW-Authenticate", "Bearer"});
+    }
     if (!request.empty()) {
         response.headers.push_back({"Hemlockhill-Request", request.value});
     }
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -567,6 +567,11 @@
         refuse(*responder, Reason::Draining, head, "this node is shutting down");
         return;
     }
+    const WorkspaceAdmission admission = admitByCredential(*route, head.credential);
+    if (admission.verdict != KeyVerdict::Accepted) {
+        refuse(*responder, refusalReason(admission.verdict), head, std::string(refusalDetail(admission.verdict)));
+        return;
+    }
     double total = 0;
     for (const WeightedService &share : route->weightedServices) {
         total += share.weight;
@@ -579,11 +584,17 @@
     const std::uint64_t number = ++m_lastRequestNumber;
     const auto started =
         std::make_shared<Request>(*this, number, std::move(request), std::move(head), m_deployment, *route, service, responder);
+    started->setWorkspace(admission.workspace);
     m_requests.emplace(number, started);
     started->start();
     schedulePathReview();
 }
 
+WorkspaceAdmission Gateway::admitByCredential(const Route &route, const Credential &credential) const
+{
+    return admitByKey(*m_deployment, route, credential, m_documentAge.at(BootClock::now()), m_settings.keys);
+}
+
 void Gateway::refuse(HttpResponder &responder, Reason reason, const RoutedRequestHead &head, std::string detail)
 {
     Refusal refusal;
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -50,6 +50,11 @@
     m_requirements.sharedParts = m_head.sharedParts;
 }
 
+void Gateway::Request::setWorkspace(const Workspace *workspace)
+{
+    m_workspace = workspace;
+}
+
 void Gateway::Request::start()
 {
     const auto weak = weak_from_this();
@@ -185,9 +190,37 @@
     m_gateway.scheduleSuspectNotices();
 }
 
+// The route is that of the document with which the request arrived; its credential is judged by the document in force.
+bool Gateway::Request::refuseIfKeyRevoked()
+{
+    if (m_workspace == nullptr || m_route.isPublic) {
+        return false;
+    }
+    const WorkspaceAdmission admission = m_gateway.admitByCredential(m_route, m_head.credential);
+    const bool isSame = admission.workspace != nullptr && admission.workspace->id == m_workspace->id;
+    if (admission.verdict == KeyVerdict::Accepted && isSame) {
+        return false;
+    }
+    const KeyVerdict verdict = admission.verdict == KeyVerdict::Accepted ? KeyVerdict::Rejected : admission.verdict;
+    if (hasResponseStarted()) {
+        performStep(RetryDecision::Abort, refusalReason(verdict));
+    } else {
+        refuseOrFail(refusalReason(verdict), std::string(refusalDetail(verdict)), m_lastFailure.value_or(Reason::EndpointLost));
+    }
+    return true;
+}
+
+std::optional<WorkspaceIdentity> Gateway::Request::workspaceIdentity() const
+{
+    if (m_deployment->workspaces.empty()) {
+        return std::nullopt;
+    }
+    return WorkspaceIdentity{m_workspace == nullptr ? WorkspaceId{} : m_workspace->id};
+}
+
 void Gateway::Request::tryDispatch()
 {
-    if (m_done || m_exchange || refuseIfSuspect()) {
+    if (m_done || m_exchange || refuseIfSuspect() || refuseIfKeyRevoked()) {
         return;
     }
     const TimePoint now = currentTime();
@@ -246,6 +279,7 @@
     options.timeLeft = timeLeft();
     options.isRepeated = !m_triedEndpoints.insert(endpoint).second;
     options.resumeAfter = m_events.lastEventId().empty() ? m_head.lastEventId : m_events.lastEventId();
+    options.identity = workspaceIdentity();
     HttpRequest forwarded = m_gateway.m_dialect.forward(m_request, options);
     m_nothingSent = false;
     // Other nodes refuse what is suspected.
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -50,6 +50,8 @@
             ServiceId service,
             std::shared_ptr<HttpResponder> responder);
 
+    // Sets the workspace that the request belongs to; null for none. Call before start().
+    void setWorkspace(const Workspace *workspace);
     void start();
     // Dispatches the request if an endpoint can accept it now. Otherwise lets it wait, or refuses it if it has waited too long.
     void tryDispatch();
@@ -61,6 +63,8 @@
     const QueueForecast &forecast() const { return m_forecast; }
     // Ends the request if it crashes the endpoints that run it. Returns whether it has ended.
     bool refuseIfSuspect();
+    // Ends the request if its key has been taken away since it arrived. Returns whether it has ended.
+    bool refuseIfKeyRevoked();
     // True if the request waits for capacity, for which other requests for its model compete.
     bool waitsForCapacity() const
     {
@@ -103,6 +107,8 @@
     void send(const EndpointId &endpoint);
     ExchangeHooks exchangeHooks();
     ExchangeLimits exchangeLimits() const;
+    // What the endpoint learns of the workspace; empty if the deployment has none.
+    std::optional<WorkspaceIdentity> workspaceIdentity() const;
     // Ends the request before anything is sent if its caller has left or has no time left.
     void onSending();
     // Tells whether a response of the current exchange is the answer to this request.
@@ -166,6 +172,8 @@
     // Owns the route.
     std::shared_ptr<const Deployment> m_deployment;
     const Route &m_route;
+    // Null if the request belongs to no workspace.
+    const Workspace *m_workspace = nullptr;
     EndpointRequirements m_requirements;
     std::shared_ptr<HttpResponder> m_responder;
     // When the bytes of the request arrived, and when the node has read them.
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -222,8 +222,11 @@
     refusal.ran = Ran::No;
     refusal.detail = std::move(detail);
     HttpResponse response = refusalAnswer(refusal, m_head.id);
-    response.headers.push_back({"Retry-After", fractionalSeconds(retryAfter)});
-    if (response.status != StatusTooManyRequests) {
+    const bool isFinal = reason == Reason::Unauthenticated;
+    if (!isFinal) {
+        response.headers.push_back({"Retry-After", fractionalSeconds(retryAfter)});
+    }
+    if (!isFinal && response.status != StatusTooManyRequests) {
         response.status = StatusServiceUnavailable;
     }
     const unsigned status = response.status;
@@ -287,6 +290,7 @@
     boost::json::object fields{{"request", m_head.id.value},
                                {"route", m_route.id.value},
                                {"service", m_requirements.service.value},
+                               {"workspace", m_workspace == nullptr ? std::string() : m_workspace->id.value},
                                {"outcome", outcome},
                                {"status", status},
                                {"endpoint", m_endpoint.value},
--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -37,6 +37,9 @@
             head.promptParts.push_back(Fingerprint{std::hash<std::string>()(part)});
         }
         head.fingerprint = Fingerprint{std::hash<std::string>()(request.target + ' ' + request.body)};
+        if (const std::string_view key = request.header("Key"); !key.empty()) {
+            head.credential = {Credential::Kind::Key, digestOfKey(key)};
+        }
         return head;
     };
     dialect.forward = [](const HttpRequest &request, const ForwardOptions &options) {
@@ -45,6 +48,9 @@
         forwarded.headers.push_back({"Instance", options.endpoint.value});
         forwarded.headers.push_back(
             {"Time-Left-Ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(options.timeLeft).count())});
+        if (options.identity) {
+            forwarded.headers.push_back({"Workspace", options.identity->workspace.value});
+        }
         return forwarded;
     };
     dialect.readAnswer = [](unsigned, const std::vector<HttpHeader> &headers) {
@@ -138,6 +144,7 @@
     std::array<SoftwareVersion, 2> versions{SoftwareVersion{"v1"}, SoftwareVersion{"v1"}};
     // Whether the gateway and all others have started for the first time.
     bool isFirstStart = true;
+    KeyLimits keys = {};
 };
 
 class GatewayFixture
@@ -152,9 +159,14 @@
     {
     }
 
+    GatewayFixture(const GatewayScenario &scenario, Handler handler)
+        : GatewayFixture(scenario, serverFactory(std::move(handler)))
+    {
+    }
+
     GatewayFixture(const GatewayScenario &scenario, const EndpointFactory &startEndpoint)
         : m_address{"127.0.0.1", scenario.firstPort}
-        , m_gateway(m_loop, gatewaySettings(m_address, scenario.isFirstStart), m_timers, m_metrics, plainDialect())
+        , m_gateway(m_loop, gatewaySettings(m_address, scenario), m_timers, m_metrics, plainDialect())
         , m_pool(m_loop, 4)
     {
         m_gateway.start();
@@ -280,6 +292,8 @@
     std::size_t inProgress() const { return m_gateway.requestsInProgress(); }
 
     Gateway &gateway() { return m_gateway; }
+    const Address &address() const { return m_address; }
+    const EndpointsById &directory() const { return m_directory; }
     double counted(const std::string &event) const { return countedEvents(m_metrics, event); }
 
     // Sent with each request.
@@ -289,11 +303,12 @@
     std::string partial;
 
 private:
-    static GatewaySettings gatewaySettings(const Address &listen, bool isFirstStart)
+    static GatewaySettings gatewaySettings(const Address &listen, const GatewayScenario &scenario)
     {
         GatewaySettings settings;
         settings.listen = listen;
-        settings.isFirstStart = isFirstStart;
+        settings.isFirstStart = scenario.isFirstStart;
+        settings.keys = scenario.keys;
         return settings;
     }
 
--- a/src/libhemlockhill/runtime/timer_service.cpp
+++ b/src/libhemlockhill/runtime/timer_service.cpp
@@ -4,10 +4,18 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <ctime>
 
 namespace Hemlockhill
 {
 
+BootTimePoint BootClock::now()
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return BootTimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 TimePoint currentTime()
 {
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
--- a/src/libhemlockhill/world/failure.cpp
+++ b/src/libhemlockhill/world/failure.cpp
@@ -68,6 +68,10 @@
         {Reason::LearnerBehind, "learner_behind", 409, true},
         {Reason::KeyRequired, "key_required", 400, false},
         {Reason::RegisterFull, "register_full", 503, true},
+        {Reason::Unauthenticated, "unauthenticated", 401, false},
+        {Reason::ConfigurationOutdated, "configuration_outdated", 503, true},
+        {Reason::QuotaExceeded, "quota_exceeded", 429, true},
+        {Reason::QuotaUnknown, "quota_unknown", 503, true},
         {Reason::Internal, "internal", 500, true},
     };
     return table;
