Placement: the leader measures how fast each runner produces events

Runners of one service may differ in speed and do not declare it. Reports show the events of each running request; the progress between two reports gives the interval between events, which the directory tells the nodes, rounded so that it changes rarely. Nothing uses it yet.

--- a/src/include/hemlockhill/deployment.h
+++ b/src/include/hemlockhill/deployment.h
@@ -83,6 +83,8 @@
     // Maximum number of requests in one batch.
     std::uint32_t slots = 1;
     TokenCount cacheCapacity;
+    // Tokens in one event of a stream.
+    std::uint32_t tokensPerEvent = 1;
     // For the weights of models and adapters together.
     Megabytes weightCapacity;
     std::uint32_t adapterSlots = 0;
--- a/src/include/hemlockhill/endpoint_directory.h
+++ b/src/include/hemlockhill/endpoint_directory.h
@@ -36,6 +36,8 @@
     // The model that is being loaded, if any, and the remaining load time when the directory was built.
     ModelId loading;
     Duration loadingLeft{0};
+    // Time between two events of a stream here; zero if it is not known.
+    Duration eventInterval{0};
 
     bool holds(const RoutingTarget &target) const { return held.contains(target); }
     // Whether the endpoint can continue a stream that an endpoint of the given version began.
--- a/src/include/hemlockhill/fleet_placement.h
+++ b/src/include/hemlockhill/fleet_placement.h
@@ -10,6 +10,7 @@
 #include "hemlockhill/deployment.h"
 #include "hemlockhill/endpoint_directory.h"
 #include "hemlockhill/gateway.h"
+#include "hemlockhill/runner_paces.h"
 #include "hemlockhill/world.h"
 
 #include <cstdint>
@@ -39,6 +40,7 @@
     std::set<RoutingTarget> pending;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    EventCounts events;
     // Models whose weights can be loaded without the store.
     std::set<ModelId> inMemory;
     std::set<ModelId> onDisk;
@@ -407,6 +409,7 @@
     std::shared_ptr<const Deployment> m_deployment;
     std::map<EndpointId, Runner> m_runners;
     std::map<RoutingTarget, Demand> m_demand;
+    RunnerPaces m_paces;
     // When the first request was reported.
     std::optional<TimePoint> m_firstDemandAt;
     std::map<VmId, NodeFigures> m_figures;
--- a/src/libhemlockhill/placement/fleet_placement.cpp
+++ b/src/libhemlockhill/placement/fleet_placement.cpp
@@ -63,6 +63,7 @@
 void FleetPlacement::onListing(const EndpointsById &listing, TimePoint)
 {
     std::erase_if(m_runners, [&](const auto &entry) { return !listing.contains(entry.first); });
+    m_paces.onListing(listing);
     for (const auto &[id, listed] : listing) {
         Runner &runner = m_runners[id];
         const bool isNewIncarnation = runner.live.incarnation != listed.incarnation;
@@ -83,6 +84,7 @@
     if (found == m_runners.end() || found->second.live.incarnation != report.incarnation) {
         return;
     }
+    m_paces.onReport(endpoint, report.incarnation, report.events, now);
     Runner &runner = found->second;
     const bool isOld = runner.report && report.sequence < runner.sequence;
     runner.report = report;
@@ -253,6 +255,7 @@
                 endpoint.held.insert(target);
             }
         }
+        endpoint.eventInterval = m_paces.eventInterval(id);
         endpoint.loading = runner.loading;
         endpoint.loadingLeft = runner.loading.empty() ? Duration(0) : std::max(Duration(0), runner.loadEndsAt - now);
         endpoint.loadingLeft = std::chrono::duration_cast<std::chrono::milliseconds>(endpoint.loadingLeft);
--- a/src/libhemlockhill/routing/endpoint_directory.cpp
+++ b/src/libhemlockhill/routing/endpoint_directory.cpp
@@ -51,6 +51,9 @@
     }
     endpoint.loading = ModelId{text(object.at("loading"))};
     endpoint.loadingLeft = std::chrono::milliseconds(object.at("loading_left_ms").to_number<std::int64_t>());
+    if (const json::value *interval = object.if_contains("event_interval_ms")) {
+        endpoint.eventInterval = std::chrono::milliseconds(interval->to_number<std::int64_t>());
+    }
     return endpoint;
 }
 
@@ -71,7 +74,7 @@
 {
     json::array list;
     for (const auto &[id, endpoint] : endpoints) {
-        list.push_back({{"id", endpoint.id.value},
+        json::object encoded{{"id", endpoint.id.value},
                         {"incarnation", endpoint.incarnation.value},
                         {"service", endpoint.service.value},
                         {"address", endpoint.address.text()},
@@ -81,7 +84,11 @@
                         {"leaving", endpoint.leaving},
                         {"held", encodeHeld(endpoint.held)},
                         {"loading", endpoint.loading.value},
-                        {"loading_left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(endpoint.loadingLeft).count()}});
+                        {"loading_left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(endpoint.loadingLeft).count()}};
+        if (endpoint.eventInterval > Duration(0)) {
+            encoded["event_interval_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(endpoint.eventInterval).count();
+        }
+        list.push_back(std::move(encoded));
     }
     return list;
 }
