Endpoint choice: failure records are those of EndpointFailures

Cause: the chooser kept its own records and the former rule. Change: it passes outcomes on and asks EndpointFailures for backoffs; choose() and isFull() are unchanged. Measured: endpoint_choice_test passes.

--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -10,6 +10,7 @@
 #include "hemlockhill/dispatch_notices.h"
 #include "hemlockhill/endpoint_availability.h"
 #include "hemlockhill/endpoint_directory.h"
+#include "hemlockhill/endpoint_failures.h"
 #include "hemlockhill/endpoint_loads.h"
 #include "hemlockhill/endpoint_rate_limiter.h"
 #include "hemlockhill/load_queries.h"
@@ -93,11 +94,7 @@
     // Requests queued at an endpoint, as a fraction of its slots: enough to use a freed slot immediately. All other requests wait at
     // the nodes, where the most urgent one is dispatched first.
     double queueRatio = 0.12;
-    // Backoff after a failure. It doubles with each consecutive failure up to the maximum.
-    Duration initialBackoff = std::chrono::milliseconds(500);
-    Duration maximumBackoff = std::chrono::seconds(4);
-    // Failure rate, as a moving average, at or above which an endpoint backs off after every failure.
-    double failureRateThreshold = 0.3;
+    EndpointFailureLimits failures;
     PromptRateLimit promptRateLimit;
     EndpointRateLimits requestRateLimits;
     BrittleEndpointLimits brittleEndpoints;
@@ -135,9 +132,9 @@
     // The endpoint returned a valid response.
     void onSucceeded(const EndpointId &endpoint);
     // The endpoint was unreachable, closed the connection early, or returned an error of its own.
-    void onFailed(const EndpointId &endpoint, TimePoint now);
+    FailureAssessment onFailed(const EndpointId &endpoint, TimePoint now, EndpointFailureKind kind = EndpointFailureKind::Exchange);
     // Neither this node nor others can connect to the endpoint.
-    void onUnreachable(const EndpointId &endpoint, TimePoint now);
+    FailureAssessment onUnreachable(const EndpointId &endpoint, TimePoint now);
     // Discards the records of endpoints that are no longer listed and have no requests in flight from this node.
     void onDirectory(const EndpointsById &endpoints, TimePoint now);
     // Returns what this node takes for the load of an endpoint.
@@ -156,13 +153,8 @@
 private:
     struct Record {
         std::uint32_t inFlight = 0;
-        std::uint32_t consecutiveFailures = 0;
-        // Failed fraction of the requests, as an exponential moving average.
-        double failureRate = 0;
-        TimePoint backoffUntil;
     };
 
-    void backOff(Record &record, TimePoint now) const;
     bool isInBackoff(const EndpointId &endpoint, TimePoint now) const;
     // Cost of the way to the endpoint's data centre, in requests per slot.
     double dataCentreCost(const LiveEndpoint &endpoint) const;
@@ -177,6 +169,7 @@
     EndpointRateLimiter m_requestRates;
     BrittleEndpoints m_brittleEndpoints;
     EndpointAvailability m_availability;
+    EndpointFailures m_failures;
     PrefixIndex m_prefixes;
     EndpointLoads m_loads;
     std::map<EndpointId, Record> m_records;
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-// Weight of one request in the moving average of failures.
-constexpr double FailureRateWeight = 0.15;
 // Upper bound of the random number added to the load, in requests, so that nodes do not all select the same one of several equally
 // loaded endpoints.
 constexpr double TieBreakRange = 0.5;
@@ -77,6 +75,7 @@
     , m_requestRates(m_limits.requestRateLimits, seed)
     , m_brittleEndpoints(std::move(self), m_limits.brittleEndpoints)
     , m_availability(m_limits.availability, seed)
+    , m_failures(m_limits.failures)
     , m_prefixes(PrefixLimit)
 {
 }
@@ -191,8 +190,7 @@
 
 bool EndpointChooser::isInBackoff(const EndpointId &endpoint, TimePoint now) const
 {
-    const auto found = m_records.find(endpoint);
-    return found != m_records.end() && now < found->second.backoffUntil;
+    return m_failures.isInBackoff(endpoint, now);
 }
 
 OthersLoad EndpointChooser::othersLoad(const LiveEndpoint &endpoint, TimePoint now)
@@ -319,33 +317,18 @@
 
 void EndpointChooser::onSucceeded(const EndpointId &endpoint)
 {
-    Record &record = m_records[endpoint];
-    record.consecutiveFailures = 0;
-    record.failureRate -= record.failureRate * FailureRateWeight;
+    m_failures.onSucceeded(endpoint);
     m_availability.onServed(endpoint);
 }
 
-void EndpointChooser::onFailed(const EndpointId &endpoint, TimePoint now)
-{
-    Record &record = m_records[endpoint];
-    record.failureRate += (1 - record.failureRate) * FailureRateWeight;
-    ++record.consecutiveFailures;
-    if (record.consecutiveFailures >= 2 || record.failureRate >= m_limits.failureRateThreshold) {
-        backOff(record, now);
-    }
-}
-
-void EndpointChooser::onUnreachable(const EndpointId &endpoint, TimePoint now)
+FailureAssessment EndpointChooser::onFailed(const EndpointId &endpoint, TimePoint now, EndpointFailureKind kind)
 {
-    Record &record = m_records[endpoint];
-    record.consecutiveFailures = std::max(record.consecutiveFailures + 1, 2U);
-    backOff(record, now);
+    return m_failures.onFailed(endpoint, kind, now);
 }
 
-void EndpointChooser::backOff(Record &record, TimePoint now) const
+FailureAssessment EndpointChooser::onUnreachable(const EndpointId &endpoint, TimePoint now)
 {
-    const auto doublings = std::min<std::uint32_t>(record.consecutiveFailures, 4) - 1;
-    record.backoffUntil = now + std::min(m_limits.initialBackoff * (1U << doublings), m_limits.maximumBackoff);
+    return m_failures.onUnreachable(endpoint, now);
 }
 
 void EndpointChooser::onDirectory(const EndpointsById &endpoints, TimePoint now)
@@ -353,6 +336,7 @@
     m_requestRates.onDirectory(endpoints, now);
     m_brittleEndpoints.onDirectory(endpoints);
     m_availability.onDirectory(endpoints);
+    m_failures.onDirectory(endpoints);
     m_loads.onDirectory(endpoints);
     std::erase_if(m_records, [&](const auto &entry) { return !endpoints.contains(entry.first) && entry.second.inFlight == 0; });
 }
