--- a/src/libhemlockhill/node/gateway_forwarded_request.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_request.cpp
@@ -59,12 +59,11 @@
     const auto endpoint = endpoints.find(options.endpoint);
     if (options.timeLeft <= Duration(0)) {
         fail({Reason::DeadlineExceeded, false});
-    } else if (m_gateway.m_isDraining) {
+    } else if (m_gateway.m_isDraining || !m_gateway.m_directory.mayDispatch(m_startedAt)) {
+        // Or its list of endpoints is outdated: it takes no requests at present.
         fail({Reason::Draining, false});
     } else if (m_gateway.m_crashGuard.refusal(m_head, m_startedAt)) {
         fail({Reason::Quarantined, false});
-    } else if (!m_gateway.m_directory.mayDispatch(m_startedAt)) {
-        fail({Reason::Draining, false});
     } else if (endpoint == endpoints.end() || endpoint->second.leaving) {
         fail({Reason::NoEndpoint, false});
     } else if (m_gateway.m_chooser.availability().isLeaving(endpoint->second)
--- a/src/libhemlockhill/routing/endpoint_failures_test.cpp
+++ b/src/libhemlockhill/routing/endpoint_failures_test.cpp
@@ -241,7 +241,7 @@
 
 Comparison compare(const std::string &name, const Load &load)
 {
-    const Comparison comparison{LoadedNodes(load, formerRule).run(), LoadedNodes(load, presentRule).run()};
+    Comparison comparison{LoadedNodes(load, formerRule).run(), LoadedNodes(load, presentRule).run()};
     BOOST_TEST_MESSAGE(name << ", seed " << load.seed << ", former rule: " << describe(comparison.former)
                             << "; present rule: " << describe(comparison.present) << "; sent to e0: " << comparison.former.sentTo.at(First)
                             << " and " << comparison.present.sentTo.at(First));
