Waiting requests are ordered by workspace and by the target that they can still meet

Cause: the order knew neither workspaces nor latency targets. In a burst each request waited behind one that was late already, so that nearly all of a route with a short target were late. Change: WaitingRank is made for the present time: workspace priority, route priority, rest of a stream, then requests that can still meet their target by their target, then the late ones by their latest dispatch.

--- a/src/include/hemlockhill/queue_policy.h
+++ b/src/include/hemlockhill/queue_policy.h
@@ -1,7 +1,7 @@
 // Queueing policy of routed requests: maximum waiting times and the order of dispatch. Without I/O or state.
 //
-// Designed for bursts that exceed the capacity of the runners: the route's priority comes first, then the caller who gives up first, and a
-// request that would time out is refused early enough for its caller to retry.
+// Designed for bursts that exceed the capacity of the runners: the priorities of workspace and route come first, then the requests that can
+// still meet their latency target, and a request that would time out is refused early enough for its caller to retry.
 #pragma once
 
 #include "hemlockhill/deployment.h"
@@ -31,16 +31,33 @@
 // Returns the time within which a stream began that its caller takes up: callers come back within the route's timeout.
 Duration streamLifetime(const Route &route);
 
-// Dispatch order of queued requests. Lower values are dispatched first.
+// Returns the time until which a request must be dispatched to meet the latency target of its route; never later than latestDispatch.
+TimePoint targetDispatch(const Route &route, TimePoint arrivedAt, TimePoint latestDispatch);
+
+// Dispatch order of queued requests at one moment. Lower values are dispatched first.
 struct WaitingRank {
+    // 0 if the request belongs to no workspace, or to one without a priority.
+    std::uint32_t workspacePriority = 0;
     std::uint32_t priority = 0;
     // False for the rest of a stream: its caller has received a part already, and the endpoints that can continue it may be few.
     bool isNew = true;
-    // After this the request is of no use to its caller: who has the least time left goes first.
-    TimePoint latestDispatch;
+    // Whether the latency target cannot be met any more. Otherwise each late request that goes first makes another one late.
+    bool isLate = false;
+    // Until when the request must be dispatched: to meet its target, or if it is late, to be of any use to its caller.
+    TimePoint dispatchBy;
     TimePoint arrivedAt;
 
     auto operator<=>(const WaitingRank &) const = default;
 };
 
+// What the rank of a request is made of.
+struct WaitingRequest {
+    std::uint32_t workspacePriority = 0;
+    bool isRestOfStream = false;
+    TimePoint arrivedAt;
+    TimePoint latestDispatch;
+};
+
+WaitingRank rankAt(TimePoint now, const Route &route, const WaitingRequest &request);
+
 } // namespace Hemlockhill
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -637,7 +637,8 @@
             waiting.push_back(request);
         }
     }
-    std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) { return left->rank() < right->rank(); });
+    const TimePoint now = currentTime();
+    std::sort(waiting.begin(), waiting.end(), [now](const auto &left, const auto &right) { return left->rank(now) < right->rank(now); });
     // Requests for the same service and model are dispatched in order: while one waits for capacity, those behind it wait too.
     std::map<std::pair<ServiceId, ModelId>, QueueForecast> queues;
     for (const auto &request : waiting) {
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -72,7 +72,7 @@
                && (m_waitingFor == NoEndpointReason::Full || m_waitingFor == NoEndpointReason::RateLimited
                    || m_waitingFor == NoEndpointReason::RequestLimited);
     }
-    WaitingRank rank() const;
+    WaitingRank rank(TimePoint now) const;
     const RoutingTarget &target() const { return m_head.target; }
     // The endpoint to which the request has been sent and that has not answered it completely.
     std::optional<EndpointId> currentEndpoint() const { return m_exchange ? std::optional(m_endpoint) : std::nullopt; }
--- a/src/libhemlockhill/node/gateway_waiting.cpp
+++ b/src/libhemlockhill/node/gateway_waiting.cpp
@@ -123,9 +123,10 @@
     return Hemlockhill::latestDispatch(m_route, m_arrivedAt, silentSince, m_deadline);
 }
 
-WaitingRank Gateway::Request::rank() const
+WaitingRank Gateway::Request::rank(TimePoint now) const
 {
-    return {m_route.priority, !m_requirements.softwareVersion, latestDispatch(), m_arrivedAt};
+    const std::uint32_t workspacePriority = m_workspace == nullptr ? 0 : m_workspace->priority.value_or(0);
+    return rankAt(now, m_route, {workspacePriority, m_requirements.softwareVersion.has_value(), m_arrivedAt, latestDispatch()});
 }
 
 // Returns the limit on waiting that follows from the reason. The deadline and the usefulness to the caller limit it further.
--- a/src/libhemlockhill/request/queue_policy.cpp
+++ b/src/libhemlockhill/request/queue_policy.cpp
@@ -25,6 +25,9 @@
 constexpr double UnstreamedQueueRatio = 0.4;
 // Fraction of a long caller timeout after which a stream is refused, because a refusal is then more useful than further waiting.
 constexpr double StreamQueueRatio = 0.25;
+// Maximum fraction of a latency target that is reserved for the endpoint's answer: calls with targets of 150 ms are answered within 30 ms,
+// and would count as late on arrival if the whole minimum were reserved.
+constexpr int AnswerReserveDivisor = 4;
 
 } // namespace
 
@@ -60,4 +63,23 @@
     return std::min(deadline, silentSince + dispatchTimeout(route, std::chrono::duration_cast<Duration>(deadline - arrivedAt)));
 }
 
+TimePoint targetDispatch(const Route &route, TimePoint arrivedAt, TimePoint latestDispatch)
+{
+    const Duration reserve = std::min(MinimumFirstByteTime, route.latencyTarget / AnswerReserveDivisor);
+    return std::min(latestDispatch, arrivedAt + route.latencyTarget - reserve);
+}
+
+WaitingRank rankAt(TimePoint now, const Route &route, const WaitingRequest &request)
+{
+    const TimePoint target = targetDispatch(route, request.arrivedAt, request.latestDispatch);
+    // The target is one for the first event, which the rest of a stream has behind it.
+    const bool isLate = request.isRestOfStream || now > target;
+    return {request.workspacePriority,
+            route.priority,
+            !request.isRestOfStream,
+            isLate,
+            isLate ? request.latestDispatch : target,
+            request.arrivedAt};
+}
+
 } // namespace Hemlockhill
