Endpoints are told the urgency of requests where their memory is bounded

Cause: an endpoint that has several requests to admit takes them in the order of arrival, overnight work before interactive requests.

--- a/src/include/hemlockhill/request_dialect.h
+++ b/src/include/hemlockhill/request_dialect.h
@@ -73,6 +73,9 @@
     bool isRepeated = false;
     // Set if this node has checked the caller's credential: it is removed, and the endpoint gets the name of the workspace in its place.
     std::optional<WorkspaceIdentity> identity;
+    // Urgency for the endpoint's batch, 0 to 9, 0 first. Set only where the memory of endpoints is bounded: an endpoint that runs out of
+    // memory preempts less urgent requests, whose prompts it must read anew.
+    std::optional<std::uint32_t> urgency = {};
 };
 
 // The properties of an answer that the endpoint's headers declare.
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -2,6 +2,7 @@
 #include "gateway_request.h"
 
 #include "endpoint_paths.h"
+#include "hemlockhill/endpoint_urgency.h"
 #include "hemlockhill/log.h"
 
 #include <algorithm>
@@ -288,6 +289,9 @@
     options.isRepeated = !m_triedEndpoints.insert(endpoint).second;
     options.resumeAfter = m_events.lastEventId().empty() ? m_head.lastEventId : m_events.lastEventId();
     options.identity = workspaceIdentity();
+    if (m_gateway.m_chooser.boundsMemory(m_requirements.service)) {
+        options.urgency = endpointUrgency(rank(now), now);
+    }
     HttpRequest forwarded = m_gateway.m_dialect.forward(m_request, options);
     m_nothingSent = false;
     // Other nodes refuse what is suspected.
