--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -16,6 +16,7 @@
 #include "hemlockhill/load_queries.h"
 #include "hemlockhill/prompt_rate_limiter.h"
 #include "hemlockhill/request_dialect.h"
+#include "hemlockhill/service_line.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
@@ -79,6 +80,8 @@
     RequestRate acceptedRate;
     // Whether an owner has granted the room for this request, so that nothing need be asked.
     bool isGranted = false;
+    // Further requests that the suitable endpoints can take, if one is selected.
+    double freeSlots = 0;
 
     // Whether other loads of the endpoints could lead to another choice.
     bool dependsOnLoad() const
@@ -113,8 +116,12 @@
     BrittleEndpointLimits brittleEndpoints;
     EndpointAvailabilityLimits availability;
     EndpointMemoryLimits memory;
+    ServiceLineLimits line;
 };
 
+// How a notice changes the number of a node's requests at an endpoint.
+enum class LoadChange { None, More, Less };
+
 // Selects endpoints and tracks their load, failures and cached prefixes.
 class EndpointChooser
 {
@@ -129,10 +136,17 @@
     std::function<TokenCount(const ServiceId &service)> memoryCapacity;
     // Who decides about it. Optional: this node.
     std::function<MemoryAuthority(const ServiceId &service)> memoryAuthority;
+    // What waits at this node, for the order across nodes. Optional: nothing.
+    std::function<std::optional<WaitingAtNode>(const LoadSubject &subject)> ownWaiting;
 
     // Selects the suitable endpoint with the lowest cost: load and uncached prompt tokens per slot, and a penalty for other data centres.
     EndpointChoice choose(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now);
 
+    // Returns what waits at other nodes. An owner knows it itself; `rank` is that of this node's request.
+    WaitingElsewhere waitingElsewhere(const LoadSubject &subject, const WaitingRank &rank, TimePoint now);
+    // A request has ended at an endpoint. Returns the node and the subject of the most urgent request that can take its place.
+    std::optional<std::pair<VmId, LoadSubject>> invite(const LiveEndpoint &endpoint, TimePoint now);
+    ServiceLine &line() { return m_line; }
     // Whether a request holds more than the whole memory of an endpoint.
     bool exceedsMemory(const EndpointRequirements &need) const;
     bool boundsMemory(const ServiceId &service) const { return capacityOf(service) > TokenCount{0}; }
@@ -143,7 +157,7 @@
     void onDispatched(const EndpointId &endpoint, const EndpointRequirements &need, TimePoint now);
     // Another node dispatched a request to the endpoint, or one of its requests there ended. The prompt size is 0 when it is to be
     // disregarded.
-    void onDispatchNotice(const VmId &node, const DispatchNotice &notice, TimePoint now);
+    LoadChange onDispatchNotice(const VmId &node, const DispatchNotice &notice, TimePoint now);
     // Another node asks for the load of a service's endpoints. The report is true as far as this node hears of all requests.
     LoadReport answerLoadQuery(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, TimePoint now);
     // An owner of the service has answered this node's query.
@@ -189,7 +203,10 @@
     // Whether the endpoint has memory for a request. `authority` decides, `capacity` is not 0.
     bool
     hasMemory(const EndpointId &endpoint, const EndpointRequirements &need, TokenCount capacity, MemoryAuthority authority, TimePoint now);
-    // Grants a node that asks for it the memory for a request at the best of the reported endpoints that have it.
+    // Counts a slot as taken that the node will use by this report, unless more urgent requests of other nodes need it.
+    void promiseSlot(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, LoadReport &report, TimePoint now);
+    // Grants a node that asks for it the memory for a request at the best of the reported endpoints that have it, unless more urgent
+    // requests of other nodes need it.
     void grantMemory(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, LoadReport &report, TimePoint now);
     void backOff(Record &record, TimePoint now) const;
     bool isInBackoff(const EndpointId &endpoint, TimePoint now) const;
@@ -200,6 +217,7 @@
     bool isFull(const LiveEndpoint &endpoint, const OthersLoad &others, TimePoint now);
 
     DataCentreId m_dataCentre;
+    VmId m_self;
     EndpointChooserLimits m_limits;
     boost::random::mt19937_64 m_random;
     PromptRateLimiter m_rateLimiter;
@@ -209,6 +227,11 @@
     PrefixIndex m_prefixes;
     EndpointLoads m_loads;
     EndpointMemory m_memory;
+    // Slots that nodes have been told of and that count as taken until they have had time to dispatch, in requests. Used where requests are
+    // ordered across nodes.
+    EndpointMemory m_promisedSlots;
+    ServiceLine m_line;
+    LineReports m_lineReports;
     // When an owner of an earlier build, which grants nothing, has answered last.
     std::map<ServiceId, TimePoint> m_withoutGrants;
     std::map<EndpointId, Record> m_records;
--- a/src/include/hemlockhill/endpoint_loads.h
+++ b/src/include/hemlockhill/endpoint_loads.h
@@ -53,7 +53,8 @@
     std::uint32_t sumWithout(const VmId &node, const EndpointId &endpoint, TimePoint now);
     // Returns the tokens of these requests. Those of nodes that do not tell them are estimated.
     TokenCount tokensWithout(const VmId &node, const EndpointId &endpoint, TimePoint now);
-    // Returns the tokens of one node's requests.
+    // Returns the number of one node's requests, and their tokens.
+    std::uint32_t requestsOf(const VmId &node, const EndpointId &endpoint) const;
     TokenCount tokensOf(const VmId &node, const EndpointId &endpoint) const;
     // Returns the age of the oldest notice that counts for the endpoint; zero if there is none.
     Duration oldestNotice(const EndpointId &endpoint, TimePoint now) const;
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -92,7 +92,9 @@
     std::function<void(const VmId &owner, const LoadQuery &query)> sendLoadQuery;
     // Another node asks. Returns the answer; empty if this node does not own the loads of the service.
     std::optional<LoadReport> onLoadQuery(const VmId &node, const LoadQuery &query);
-    // An owner has answered.
+    // Called to tell another node that a slot has become free for its requests.
+    std::function<void(const VmId &node, const LoadReport &invitation)> sendInvitation;
+    // An owner has answered, or tells of a free slot.
     void onLoadReport(const VmId &owner, const LoadReport &report);
     // Called when the other nodes must learn about the rate limit of an endpoint, or about a request that was dispatched under it.
     std::function<void(const RateLimitNotice &notice)> onRateLimit;
@@ -184,6 +186,12 @@
     bool awaitsLoad(const EndpointRequirements &need, LoadPurpose purpose);
     // Sets the hooks of the chooser that bound the memory of endpoints.
     void boundEndpointMemory();
+    // Whether the requests of all nodes are dispatched in one order: where the deployment has workspaces or memory is bounded.
+    bool ordersAcrossNodes() const;
+    // What waits at this node for a subject, with the request that is to be dispatched now.
+    std::optional<WaitingAtNode> describeQueue(const LoadSubject &subject) const;
+    // A slot has become free: tells the node of the most urgent request that waits for one.
+    void inviteNext(const EndpointId &endpoint);
     MemoryAuthority memoryAuthority(const ServiceId &service);
     // Takes what an endpoint has said of its capacity in the answer to a request that was sent at the given time.
     void onDeclaredCapacity(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint sentAt);
@@ -225,6 +233,8 @@
     std::map<std::uint64_t, std::shared_ptr<ForwardedRequest>> m_forwardedRequests;
     std::uint64_t m_lastRequestNumber = 0;
     bool m_dispatchScheduled = false;
+    // The request that is being dispatched; null outside of that.
+    const Request *m_dispatched = nullptr;
     bool m_pathReviewScheduled = false;
     bool m_isDraining = false;
     bool m_isStopping = false;
--- a/src/include/hemlockhill/load_queries.h
+++ b/src/include/hemlockhill/load_queries.h
@@ -28,6 +28,33 @@
     auto operator<=>(const LoadSubject &) const = default;
 };
 
+// The requests of one node that wait for a subject: their number, and the rank of the most urgent one at the time of the message.
+struct WaitingAtNode {
+    std::uint32_t workspacePriority = 0;
+    std::uint32_t priority = 0;
+    bool isNew = true;
+    bool isLate = false;
+    // Time until which it must be dispatched, and since it has arrived.
+    Duration dispatchIn{0};
+    Duration age{0};
+    std::uint32_t requests = 0;
+    // Whether it has let others go first for long enough.
+    bool hasYielded = false;
+
+    bool operator==(const WaitingAtNode &) const = default;
+};
+
+// The requests of all other nodes that wait for a subject.
+struct WaitingElsewhere {
+    // Nodes whose most urgent request precedes that of the node which asked.
+    std::uint32_t moreUrgent = 0;
+    std::uint32_t requests = 0;
+    // Whether the owner has granted no memory because these requests need it.
+    bool isWithheld = false;
+
+    bool operator==(const WaitingElsewhere &) const = default;
+};
+
 // Asks for the load of some endpoints. They are named, since there may be more than fit in a datagram, and the directories of two nodes may
 // differ.
 struct LoadQuery {
@@ -38,6 +65,8 @@
     // Where the memory of endpoints is bounded: number of the query, and tokens of the request that needs room. 0 elsewhere.
     std::uint32_t number = 0;
     TokenCount tokens = {};
+    // What waits at the node, where requests are ordered across nodes.
+    std::optional<WaitingAtNode> waiting = {};
 
     bool operator==(const LoadQuery &) const = default;
 };
@@ -59,6 +88,10 @@
     std::vector<ReportedLoad> loads;
     // Number of the query that is answered; 0 if it has none.
     std::uint32_t number = 0;
+    // What waits at other nodes, where requests are ordered across nodes.
+    std::optional<WaitingElsewhere> elsewhere = {};
+    // Set if this answers no query, but tells of a free slot: the node should ask for it.
+    bool isInvitation = false;
 
     bool operator==(const LoadReport &) const = default;
 };
@@ -134,6 +167,8 @@
     plan(const LoadSubject &subject, LoadPurpose purpose, LoadOwners &owners, TimePoint now, OwnerChoice choice = OwnerChoice::Any);
     // Returns the owner that decides for all nodes, which may be this one; empty if none answers.
     std::optional<VmId> decider(const ServiceId &service, LoadOwners &owners, TimePoint now) const;
+    // An owner has told of a free slot: a request that looks for room asks at once.
+    void onInvitation(const LoadSubject &subject);
     // An owner has answered.
     void onReport(const VmId &owner, const LoadReport &report, TimePoint now);
 
@@ -145,6 +180,7 @@
         TimePoint answeredAt;
         // When a request looked for room again.
         TimePoint recheckedAt;
+        bool isInvited = false;
         // Since when a new request has had no turn to ask.
         std::optional<TimePoint> turnAwaitedSince;
     };
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -143,6 +143,7 @@
     if (m_settings.boundsEndpointMemory) {
         boundEndpointMemory();
     }
+    m_chooser.ownWaiting = [this](const LoadSubject &subject) { return describeQueue(subject); };
 }
 
 Gateway::~Gateway()
@@ -235,7 +236,13 @@
 
 void Gateway::onRemoteDispatch(const VmId &node, const DispatchNotice &notice)
 {
-    m_chooser.onDispatchNotice(node, notice, currentTime());
+    const LoadChange change = m_chooser.onDispatchNotice(node, notice, currentTime());
+    const auto listed = m_directory.endpoints().find(notice.endpoint);
+    if (change == LoadChange::Less) {
+        inviteNext(notice.endpoint);
+    } else if (change == LoadChange::More && listed != m_directory.endpoints().end()) {
+        m_chooser.line().onDispatched(node, listed->second);
+    }
 }
 
 std::optional<RateLimitNotice> Gateway::onRemoteRateLimit(const VmId &node, const RateLimitNotice &notice)
@@ -485,7 +492,9 @@
         return false;
     }
     const TimePoint now = currentTime();
-    const OwnerChoice choice = m_chooser.boundsMemory(need.service) ? OwnerChoice::First : OwnerChoice::Any;
+    // In a small fleet nodes do not ask for the order alone.
+    const bool asksFirst = m_chooser.boundsMemory(need.service) || (ordersAcrossNodes() && !m_loadOwners.areAllOwners());
+    const OwnerChoice choice = asksFirst ? OwnerChoice::First : OwnerChoice::Any;
     const LoadQueryPlan plan = m_loadQueries.plan({need.service, need.target}, purpose, m_loadOwners, now, choice);
     if (plan.knowledge == LoadKnowledge::QueryDue) {
         sendLoadQuery(plan.owner, m_chooser.loadQuery(need, m_directory.endpoints(), now));
@@ -506,6 +515,55 @@
     m_chooser.memoryAuthority = [this](const ServiceId &service) { return memoryAuthority(service); };
 }
 
+bool Gateway::ordersAcrossNodes() const
+{
+    return m_settings.boundsEndpointMemory || (m_deployment && !m_deployment->workspaces.empty());
+}
+
+std::optional<WaitingAtNode> Gateway::describeQueue(const LoadSubject &subject) const
+{
+    if (!ordersAcrossNodes()) {
+        return std::nullopt;
+    }
+    const TimePoint now = currentTime();
+    std::optional<WaitingRank> first;
+    bool hasYielded = false;
+    std::uint32_t count = 0;
+    for (const auto &[number, request] : m_requests) {
+        const bool isQueued = request->isWaiting() || request.get() == m_dispatched;
+        if (!isQueued || request->service() != subject.service || request->target() != subject.target) {
+            continue;
+        }
+        ++count;
+        const WaitingRank rank = request->rank(now);
+        if (!first || rank < *first) {
+            first = rank;
+            hasYielded = request->hasYielded(now);
+        }
+    }
+    return describeWaiting(first.value_or(WaitingRank{}), count, hasYielded, now);
+}
+
+void Gateway::inviteNext(const EndpointId &endpoint)
+{
+    const auto listed = m_directory.endpoints().find(endpoint);
+    if (!ordersAcrossNodes() || listed == m_directory.endpoints().end()) {
+        return;
+    }
+    const auto next = m_chooser.invite(listed->second, currentTime());
+    if (!next) {
+        return;
+    }
+    m_metrics.countEvent("line_invitation");
+    if (next->first == m_loadOwners.self()) {
+        boost::asio::post(m_loop, [this] { dispatchWaiting(); });
+    } else if (sendInvitation) {
+        LoadReport invitation{next->second, {}};
+        invitation.isInvitation = true;
+        sendInvitation(next->first, invitation);
+    }
+}
+
 MemoryAuthority Gateway::memoryAuthority(const ServiceId &service)
 {
     const TimePoint now = currentTime();
@@ -540,6 +598,11 @@
 void Gateway::onLoadReport(const VmId &owner, const LoadReport &report)
 {
     const TimePoint now = currentTime();
+    if (report.isInvitation) {
+        m_loadQueries.onInvitation(report.subject);
+        dispatchWaiting();
+        return;
+    }
     m_loadQueries.onReport(owner, report, now);
     m_chooser.onLoadReport(report, now);
     dispatchWaiting();
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -243,10 +243,17 @@
     }
     const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_directory.endpoints(), m_requirements, now);
     const auto purpose = waitsForCapacity() ? LoadPurpose::Recheck : LoadPurpose::Dispatch;
-    if (choice.dependsOnLoad() && m_gateway.awaitsLoad(m_requirements, purpose)) {
+    m_gateway.m_dispatched = this;
+    const bool awaitsLoad = choice.dependsOnLoad() && m_gateway.awaitsLoad(m_requirements, purpose);
+    m_gateway.m_dispatched = nullptr;
+    if (awaitsLoad) {
         waitForLoad();
         return;
     }
+    if (mustYield(choice, now)) {
+        wait(EndpointChoice{std::nullopt, NoEndpointReason::Full});
+        return;
+    }
     if (choice.endpoint) {
         endWaiting(now);
         send(*choice.endpoint);
@@ -458,6 +465,7 @@
     }
     m_gateway.m_chooser.onEnded(m_endpoint, m_requirements.tokens);
     m_gateway.notifyOtherNodes(m_endpoint, TokenCount{0}, rejected);
+    m_gateway.inviteNext(m_endpoint);
 }
 
 Duration Gateway::Request::timeLeft() const
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -73,6 +73,8 @@
                    || m_waitingFor == NoEndpointReason::RequestLimited);
     }
     WaitingRank rank(TimePoint now) const;
+    // Whether the request has let more urgent ones of other nodes go first for long enough.
+    bool hasYielded(TimePoint now) const { return m_yieldsSince && now - *m_yieldsSince >= ServiceLineLimits().yieldTime; }
     const RoutingTarget &target() const { return m_head.target; }
     // The endpoint to which the request has been sent and that has not answered it completely.
     std::optional<EndpointId> currentEndpoint() const { return m_exchange ? std::optional(m_endpoint) : std::nullopt; }
@@ -100,6 +102,8 @@
     TimePoint latestDispatch() const;
     // Whether the caller has given up by now, or would before an endpoint could answer.
     bool isTooLate(TimePoint now) const;
+    // Whether the request must let more urgent ones of other nodes go first, although there is room for it.
+    bool mustYield(const EndpointChoice &choice, TimePoint now);
     // Ends a request that is too late.
     void giveUp();
     // Answers a request that has waited too long.
@@ -186,6 +190,8 @@
     std::optional<TimePoint> m_waitingSince;
     NoEndpointReason m_waitingFor = NoEndpointReason::NoEndpoint;
     QueueForecast m_forecast;
+    // Since when the request lets others go first.
+    std::optional<TimePoint> m_yieldsSince;
     Duration m_waited{0};
     std::shared_ptr<HttpExchange> m_exchange;
     // Sequence number of the current exchange. Callbacks of earlier exchanges are ignored.
--- a/src/libhemlockhill/node/gateway_waiting.cpp
+++ b/src/libhemlockhill/node/gateway_waiting.cpp
@@ -129,6 +129,25 @@
     return rankAt(now, m_route, {workspacePriority, m_requirements.softwareVersion.has_value(), m_arrivedAt, latestDispatch()});
 }
 
+// In a deployment that bounds memory, an owner has let more urgent requests go first when it granted the room.
+bool Gateway::Request::mustYield(const EndpointChoice &choice, TimePoint now)
+{
+    if (choice.isGranted || !m_gateway.ordersAcrossNodes()) {
+        return false;
+    }
+    const WaitingElsewhere elsewhere = m_gateway.m_chooser.waitingElsewhere({service(), target()}, rank(now), now);
+    const bool yields = choice.endpoint ? yieldsToOthers(elsewhere, choice.freeSlots) : elsewhere.isWithheld;
+    if (!yields) {
+        m_yieldsSince.reset();
+        return false;
+    }
+    if (!m_yieldsSince) {
+        m_yieldsSince = now;
+        m_gateway.m_metrics.countEvent("request_yielded");
+    }
+    return choice.endpoint && !hasYielded(now);
+}
+
 // Returns the limit on waiting that follows from the reason. The deadline and the usefulness to the caller limit it further.
 Duration Gateway::Request::waitLimit(NoEndpointReason reason) const
 {
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -207,6 +207,27 @@
   # Where the memory of endpoints is bounded: identifies the query, and the tokens of the request that needs room.
   number @5 :UInt32;
   tokens @6 :UInt64;
+  # What waits at the sender for the subject, where requests are ordered across nodes.
+  waiting @7 :WaitingAtNode;
+}
+
+struct WaitingAtNode {
+  # Rank of the most urgent request, with times relative to the sending of the message.
+  workspacePriority @0 :UInt32;
+  priority @1 :UInt32;
+  isNew @2 :Bool;
+  isLate @3 :Bool;
+  dispatchInUs @4 :Int64;
+  ageUs @5 :Int64;
+  # Number of waiting requests.
+  requests @6 :UInt32;
+  hasYielded @7 :Bool;
+}
+
+struct WaitingElsewhere {
+  moreUrgent @0 :UInt32;
+  requests @1 :UInt32;
+  isWithheld @2 :Bool;
 }
 
 struct ReportedLoad {
@@ -228,6 +249,10 @@
   adapter @3 :Text;
   # Number of the query that is answered.
   number @4 :UInt32;
+  # What waits at other nodes, where requests are ordered across nodes.
+  elsewhere @5 :WaitingElsewhere;
+  # Answers no query: tells a node of which requests wait that a slot has become free.
+  isInvitation @6 :Bool;
 }
 
 struct ForwardingMessage {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -47,6 +47,8 @@
 CAPNP_DECLARE_SCHEMA(fd8ded1fa830a9ad);
 CAPNP_DECLARE_SCHEMA(b351302414f8c9d1);
 CAPNP_DECLARE_SCHEMA(8ad8754158fc6749);
+CAPNP_DECLARE_SCHEMA(e997fb86a878780e);
+CAPNP_DECLARE_SCHEMA(85310adc1fc7d832);
 CAPNP_DECLARE_SCHEMA(da24eefcbb721b91);
 CAPNP_DECLARE_SCHEMA(ce499cfe647ffd6a);
 CAPNP_DECLARE_SCHEMA(9eafb832f321851f);
@@ -387,7 +389,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ad8754158fc6749, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(8ad8754158fc6749, 2, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WaitingAtNode {
+  WaitingAtNode() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e997fb86a878780e, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WaitingElsewhere {
+  WaitingElsewhere() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(85310adc1fc7d832, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -417,7 +449,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce499cfe647ffd6a, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ce499cfe647ffd6a, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2842,6 +2874,9 @@
 
   inline  ::uint64_t getTokens() const;
 
+  inline bool hasWaiting() const;
+  inline  ::Hemlockhill::Wire::WaitingAtNode::Reader getWaiting() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2912,6 +2947,13 @@
   inline  ::uint64_t getTokens();
   inline void setTokens( ::uint64_t value);
 
+  inline bool hasWaiting();
+  inline  ::Hemlockhill::Wire::WaitingAtNode::Builder getWaiting();
+  inline void setWaiting( ::Hemlockhill::Wire::WaitingAtNode::Reader value);
+  inline  ::Hemlockhill::Wire::WaitingAtNode::Builder initWaiting();
+  inline void adoptWaiting(::capnp::Orphan< ::Hemlockhill::Wire::WaitingAtNode>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::WaitingAtNode> disownWaiting();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2930,6 +2972,204 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Hemlockhill::Wire::WaitingAtNode::Pipeline getWaiting();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WaitingAtNode::Reader {
+public:
+  typedef WaitingAtNode Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getWorkspacePriority() const;
+
+  inline  ::uint32_t getPriority() const;
+
+  inline bool getIsNew() const;
+
+  inline bool getIsLate() const;
+
+  inline  ::int64_t getDispatchInUs() const;
+
+  inline  ::int64_t getAgeUs() const;
+
+  inline  ::uint32_t getRequests() const;
+
+  inline bool getHasYielded() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WaitingAtNode::Builder {
+public:
+  typedef WaitingAtNode Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getWorkspacePriority();
+  inline void setWorkspacePriority( ::uint32_t value);
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline bool getIsNew();
+  inline void setIsNew(bool value);
+
+  inline bool getIsLate();
+  inline void setIsLate(bool value);
+
+  inline  ::int64_t getDispatchInUs();
+  inline void setDispatchInUs( ::int64_t value);
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
+
+  inline bool getHasYielded();
+  inline void setHasYielded(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WaitingAtNode::Pipeline {
+public:
+  typedef WaitingAtNode Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WaitingElsewhere::Reader {
+public:
+  typedef WaitingElsewhere Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getMoreUrgent() const;
+
+  inline  ::uint32_t getRequests() const;
+
+  inline bool getIsWithheld() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WaitingElsewhere::Builder {
+public:
+  typedef WaitingElsewhere Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getMoreUrgent();
+  inline void setMoreUrgent( ::uint32_t value);
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
+
+  inline bool getIsWithheld();
+  inline void setIsWithheld(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WaitingElsewhere::Pipeline {
+public:
+  typedef WaitingElsewhere Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3070,6 +3310,11 @@
 
   inline  ::uint32_t getNumber() const;
 
+  inline bool hasElsewhere() const;
+  inline  ::Hemlockhill::Wire::WaitingElsewhere::Reader getElsewhere() const;
+
+  inline bool getIsInvitation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3129,6 +3374,16 @@
   inline  ::uint32_t getNumber();
   inline void setNumber( ::uint32_t value);
 
+  inline bool hasElsewhere();
+  inline  ::Hemlockhill::Wire::WaitingElsewhere::Builder getElsewhere();
+  inline void setElsewhere( ::Hemlockhill::Wire::WaitingElsewhere::Reader value);
+  inline  ::Hemlockhill::Wire::WaitingElsewhere::Builder initElsewhere();
+  inline void adoptElsewhere(::capnp::Orphan< ::Hemlockhill::Wire::WaitingElsewhere>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::WaitingElsewhere> disownElsewhere();
+
+  inline bool getIsInvitation();
+  inline void setIsInvitation(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3147,6 +3402,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Hemlockhill::Wire::WaitingElsewhere::Pipeline getElsewhere();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7975,6 +8231,199 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadQuery::Reader::hasWaiting() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadQuery::Builder::hasWaiting() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hemlockhill::Wire::WaitingAtNode::Reader LoadQuery::Reader::getWaiting() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingAtNode>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::WaitingAtNode::Builder LoadQuery::Builder::getWaiting() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingAtNode>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::WaitingAtNode::Pipeline LoadQuery::Pipeline::getWaiting() {
+  return  ::Hemlockhill::Wire::WaitingAtNode::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void LoadQuery::Builder::setWaiting( ::Hemlockhill::Wire::WaitingAtNode::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingAtNode>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::WaitingAtNode::Builder LoadQuery::Builder::initWaiting() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingAtNode>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void LoadQuery::Builder::adoptWaiting(
+    ::capnp::Orphan< ::Hemlockhill::Wire::WaitingAtNode>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingAtNode>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::WaitingAtNode> LoadQuery::Builder::disownWaiting() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingAtNode>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t WaitingAtNode::Reader::getWorkspacePriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WaitingAtNode::Builder::getWorkspacePriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WaitingAtNode::Builder::setWorkspacePriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t WaitingAtNode::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WaitingAtNode::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WaitingAtNode::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WaitingAtNode::Reader::getIsNew() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool WaitingAtNode::Builder::getIsNew() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void WaitingAtNode::Builder::setIsNew(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WaitingAtNode::Reader::getIsLate() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool WaitingAtNode::Builder::getIsLate() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void WaitingAtNode::Builder::setIsLate(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t WaitingAtNode::Reader::getDispatchInUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t WaitingAtNode::Builder::getDispatchInUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void WaitingAtNode::Builder::setDispatchInUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t WaitingAtNode::Reader::getAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t WaitingAtNode::Builder::getAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void WaitingAtNode::Builder::setAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t WaitingAtNode::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WaitingAtNode::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void WaitingAtNode::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WaitingAtNode::Reader::getHasYielded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool WaitingAtNode::Builder::getHasYielded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void WaitingAtNode::Builder::setHasYielded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t WaitingElsewhere::Reader::getMoreUrgent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WaitingElsewhere::Builder::getMoreUrgent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WaitingElsewhere::Builder::setMoreUrgent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t WaitingElsewhere::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WaitingElsewhere::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WaitingElsewhere::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WaitingElsewhere::Reader::getIsWithheld() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool WaitingElsewhere::Builder::getIsWithheld() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void WaitingElsewhere::Builder::setIsWithheld(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ReportedLoad::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8215,6 +8664,59 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadReport::Reader::hasElsewhere() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasElsewhere() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hemlockhill::Wire::WaitingElsewhere::Reader LoadReport::Reader::getElsewhere() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingElsewhere>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::WaitingElsewhere::Builder LoadReport::Builder::getElsewhere() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingElsewhere>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::WaitingElsewhere::Pipeline LoadReport::Pipeline::getElsewhere() {
+  return  ::Hemlockhill::Wire::WaitingElsewhere::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void LoadReport::Builder::setElsewhere( ::Hemlockhill::Wire::WaitingElsewhere::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingElsewhere>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::WaitingElsewhere::Builder LoadReport::Builder::initElsewhere() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingElsewhere>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::adoptElsewhere(
+    ::capnp::Orphan< ::Hemlockhill::Wire::WaitingElsewhere>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingElsewhere>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::WaitingElsewhere> LoadReport::Builder::disownElsewhere() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::WaitingElsewhere>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool LoadReport::Reader::getIsInvitation() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadReport::Builder::getIsInvitation() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setIsInvitation(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ForwardingMessage::Reader::getIsQuery() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -26,6 +26,7 @@
 // Interval at which broadcasts are sent on that had to wait.
 constexpr Duration BroadcastPeriod = std::chrono::milliseconds(5);
 // Far above what any endpoint holds.
+constexpr std::uint32_t WaitingLimit = 1'000'000;
 constexpr std::uint64_t TokenLimit = 1'000'000'000'000;
 // Ages beyond a month are not distinguished.
 constexpr std::int64_t AgeLimitMs = 31LL * 24 * 3'600 * 1'000;
@@ -212,6 +213,44 @@
     return TokenCount{std::min(tokens, TokenLimit)};
 }
 
+std::int64_t microseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+}
+
+// Times beyond an hour are not distinguished.
+Duration readTime(std::int64_t time)
+{
+    const std::int64_t limit = microseconds(std::chrono::hours(1));
+    return std::chrono::microseconds(std::clamp(time, -limit, limit));
+}
+
+void write(Wire::WaitingAtNode::Builder builder, const WaitingAtNode &waiting)
+{
+    builder.setWorkspacePriority(waiting.workspacePriority);
+    builder.setPriority(waiting.priority);
+    builder.setIsNew(waiting.isNew);
+    builder.setIsLate(waiting.isLate);
+    builder.setDispatchInUs(microseconds(waiting.dispatchIn));
+    builder.setAgeUs(microseconds(waiting.age));
+    builder.setRequests(waiting.requests);
+    builder.setHasYielded(waiting.hasYielded);
+}
+
+WaitingAtNode read(Wire::WaitingAtNode::Reader reader)
+{
+    WaitingAtNode waiting;
+    waiting.workspacePriority = reader.getWorkspacePriority();
+    waiting.priority = reader.getPriority();
+    waiting.isNew = reader.getIsNew();
+    waiting.isLate = reader.getIsLate();
+    waiting.dispatchIn = readTime(reader.getDispatchInUs());
+    waiting.age = readTime(reader.getAgeUs());
+    waiting.requests = std::min(reader.getRequests(), WaitingLimit);
+    waiting.hasYielded = reader.getHasYielded();
+    return waiting;
+}
+
 void write(Wire::PeerDatagram::Builder builder, const LoadQuery &query)
 {
     auto message = builder.initLoadQuery();
@@ -228,6 +267,9 @@
     }
     message.setNumber(query.number);
     message.setTokens(query.tokens.value);
+    if (query.waiting) {
+        write(message.initWaiting(), *query.waiting);
+    }
 }
 
 LoadQuery read(Wire::LoadQuery::Reader reader)
@@ -241,6 +283,9 @@
     }
     query.number = reader.getNumber();
     query.tokens = readTokens(reader.getTokens());
+    if (reader.hasWaiting()) {
+        query.waiting = read(reader.getWaiting());
+    }
     return query;
 }
 
@@ -257,6 +302,13 @@
         loads[index].setGranted(report.loads[index].granted.value);
     }
     message.setNumber(report.number);
+    message.setIsInvitation(report.isInvitation);
+    if (report.elsewhere) {
+        auto elsewhere = message.initElsewhere();
+        elsewhere.setMoreUrgent(report.elsewhere->moreUrgent);
+        elsewhere.setRequests(report.elsewhere->requests);
+        elsewhere.setIsWithheld(report.elsewhere->isWithheld);
+    }
 }
 
 LoadReport read(Wire::LoadReport::Reader reader)
@@ -267,6 +319,12 @@
         report.loads.push_back({others, load.getPromptAllowance(), readTokens(load.getGranted())});
     }
     report.number = reader.getNumber();
+    report.isInvitation = reader.getIsInvitation();
+    if (reader.hasElsewhere()) {
+        const auto elsewhere = reader.getElsewhere();
+        report.elsewhere = WaitingElsewhere{
+            std::min(elsewhere.getMoreUrgent(), WaitingLimit), std::min(elsewhere.getRequests(), WaitingLimit), elsewhere.getIsWithheld()};
+    }
     return report;
 }
 
--- a/src/libhemlockhill/peers/peer_datagrams_test.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams_test.cpp
@@ -46,9 +46,13 @@
                   {EndpointId{"i-7f3a91c2"}},
                   {{EndpointId{"i-7f3a91c2"}, 2, TokenCount{9'480}}},
                   17,
-                  TokenCount{4'740}},
-        LoadReport{
-            {ServiceId{"scribe"}, {ModelId{"m"}, {}}}, {{{EndpointId{"i-7f3a91c2"}, 5, TokenCount{23'700}}, -1200, TokenCount{4'740}}}, 17},
+                  TokenCount{4'740},
+                  WaitingAtNode{1, 2, false, true, std::chrono::milliseconds(-30), std::chrono::milliseconds(700), 3, true}},
+        LoadReport{{ServiceId{"scribe"}, {ModelId{"m"}, {}}},
+                   {{{EndpointId{"i-7f3a91c2"}, 5, TokenCount{23'700}}, -1200, TokenCount{4'740}}},
+                   17,
+                   WaitingElsewhere{2, 5, true}},
+        LoadReport{{ServiceId{"scribe"}, {ModelId{"m"}, {}}}, {}, 0, {}, true},
         LoadReport{{ServiceId{"register"}, {}}, {}},
         LoadReport{{ServiceId{"scribe"}, {ModelId{"m"}, AdapterId{"a1"}}},
                    {{{EndpointId{"i-7f3a91c2"}, 5}, -1200}, {{EndpointId{"i-7f3a91c3"}, 0}, 3200}}}};
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -33,6 +33,8 @@
 constexpr double UnreadPromptsCost = 1;
 // How long after the report of an owner of an earlier build a node goes by its own requests alone.
 constexpr Duration GrantlessTime = std::chrono::milliseconds(500);
+// How long a node has to dispatch to a slot that a report shows as free, so that several nodes are not told of the same slot.
+constexpr Duration SlotPromiseTime = std::chrono::milliseconds(30);
 // Maximum number of pairs of endpoint and prefix in the prefix index.
 constexpr std::size_t PrefixLimit = 20'000;
 
@@ -77,6 +79,7 @@
 
 EndpointChooser::EndpointChooser(DataCentreId dataCentre, EndpointChooserLimits limits, std::uint64_t seed, VmId self)
     : m_dataCentre(std::move(dataCentre))
+    , m_self(self)
     , m_limits(limits)
     , m_random(seed)
     , m_rateLimiter(m_limits.promptRateLimit)
@@ -85,6 +88,9 @@
     , m_availability(m_limits.availability, seed)
     , m_prefixes(PrefixLimit)
     , m_memory(m_limits.memory)
+    , m_promisedSlots({.promiseValidity = SlotPromiseTime})
+    , m_line(m_limits.line)
+    , m_lineReports(m_limits.line)
 {
 }
 
@@ -133,6 +139,7 @@
             // An endpoint of unknown load is no better than those that are known to be full.
             anyCurrent = true;
             choice.endpoint.reset();
+            choice.freeSlots = 0;
         }
         if (anyCurrent && !others.isCurrent) {
             continue;
@@ -158,6 +165,7 @@
             continue;
         }
         const double load = inFlight(endpoint->id) + others.requests;
+        choice.freeSlots += std::max(1.0, std::floor(endpoint->slots * (1 + m_limits.queueRatio) - load));
         boost::random::uniform_real_distribution<double> draw(0, others.isCurrent ? TieBreakRange : UnknownLoadRange * endpoint->slots);
         const double work = load + static_cast<double>(uncached.value) / TokensPerRequest;
         const double cost = (work + draw(m_random)) / endpoint->slots + dataCentreCost(*endpoint) + *path;
@@ -229,6 +237,38 @@
     return m_memory.fits(m_memory.own(endpoint), need.tokens, capacity, authority);
 }
 
+void EndpointChooser::promiseSlot(
+    const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, LoadReport &report, TimePoint now)
+{
+    constexpr TokenCount OneRequest{1};
+    EndpointId best;
+    double lowest = 0;
+    double free = 0;
+    for (ReportedLoad &load : report.loads) {
+        const EndpointId &id = load.others.endpoint;
+        load.others.requests += static_cast<std::uint32_t>(m_promisedSlots.promisedWithout(node, id, now).value);
+        const auto listed = endpoints.find(id);
+        if (listed == endpoints.end()) {
+            continue;
+        }
+        const double requests = load.others.requests + m_loads.requestsOf(node, id);
+        const double limit = listed->second.slots * (1 + m_limits.queueRatio);
+        if (requests >= limit) {
+            continue;
+        }
+        free += std::max(1.0, std::floor(limit - requests));
+        const double cost = requests / listed->second.slots;
+        if (best.empty() || cost < lowest) {
+            best = id;
+            lowest = cost;
+        }
+    }
+    const bool yields = !query.waiting->hasYielded && yieldsToOthers(*report.elsewhere, free);
+    if (!best.empty() && !yields) {
+        m_promisedSlots.promise(node, best, TokenCount{0}, OneRequest, TokenCount{0}, now);
+    }
+}
+
 void EndpointChooser::grantMemory(
     const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, LoadReport &report, TimePoint now)
 {
@@ -238,6 +278,7 @@
     ReportedLoad *best = nullptr;
     double lowest = 0;
     double preference = 0;
+    double free = 0;
     for (ReportedLoad &load : report.loads) {
         const EndpointId &id = load.others.endpoint;
         const auto listed = endpoints.find(id);
@@ -249,18 +290,37 @@
         if (requests >= listed->second.slots * (1 + m_limits.queueRatio)) {
             continue;
         }
+        free += std::max(1.0, std::floor(listed->second.slots * (1 + m_limits.queueRatio) - requests));
         const double cost = requests / listed->second.slots + preference + (load.promptAllowance < 0 ? UnreadPromptsCost : 0);
         if (best == nullptr || cost < lowest) {
             best = &load;
             lowest = cost;
         }
     }
+    const bool yields = report.elsewhere && !query.waiting->hasYielded && yieldsToOthers(*report.elsewhere, free);
+    if (best != nullptr && yields) {
+        report.elsewhere->isWithheld = true;
+        return;
+    }
     if (best != nullptr) {
         const EndpointId &id = best->others.endpoint;
         best->granted = m_memory.promise(node, id, heldTokens(id, node, now), query.tokens, capacity, now);
     }
 }
 
+WaitingElsewhere EndpointChooser::waitingElsewhere(const LoadSubject &subject, const WaitingRank &rank, TimePoint now)
+{
+    // Where memory is bounded, owners ask the first of them as well.
+    const WaitingElsewhere reported = m_lineReports.elsewhere(subject, now);
+    const bool isOwner = !hearsAll || hearsAll(subject.service);
+    return isOwner && reported == WaitingElsewhere{} ? m_line.elsewhere(m_self, subject, rank, now) : reported;
+}
+
+std::optional<std::pair<VmId, LoadSubject>> EndpointChooser::invite(const LiveEndpoint &endpoint, TimePoint now)
+{
+    return m_line.invite(endpoint, now);
+}
+
 double EndpointChooser::dataCentreCost(const LiveEndpoint &endpoint) const
 {
     return endpoint.dataCentre == m_dataCentre ? 0 : OtherDataCentreCost;
@@ -322,8 +382,17 @@
         report.loads.push_back({others, static_cast<std::int32_t>(m_rateLimiter.level(endpoint, now))});
     }
     report.number = query.number;
+    if (query.waiting) {
+        if (const auto own = ownWaiting ? ownWaiting(query.subject) : std::nullopt) {
+            m_line.onWaiting(m_self, query.subject, *own, now);
+        }
+        m_line.onWaiting(node, query.subject, *query.waiting, now);
+        report.elsewhere = m_line.elsewhere(node, query.subject, rankOf(*query.waiting, now), now);
+    }
     if (query.tokens > TokenCount{0} && boundsMemory(query.subject.service)) {
         grantMemory(node, query, endpoints, report, now);
+    } else if (query.waiting && query.waiting->requests > 0) {
+        promiseSlot(node, query, endpoints, report, now);
     }
     return report;
 }
@@ -333,6 +402,9 @@
     if (report.number == 0 && boundsMemory(report.subject.service)) {
         m_withoutGrants[report.subject.service] = now;
     }
+    if (report.elsewhere) {
+        m_lineReports.onReport(report.subject, *report.elsewhere, now);
+    }
     for (const ReportedLoad &load : report.loads) {
         m_loads.onReport(load.others, now);
         if (load.granted > TokenCount{0}) {
@@ -345,6 +417,7 @@
 LoadQuery EndpointChooser::loadQuery(const EndpointRequirements &need, const EndpointsById &endpoints, TimePoint now)
 {
     LoadQuery query{{need.service, need.target}, {}, {}};
+    query.waiting = ownWaiting ? ownWaiting(query.subject) : std::nullopt;
     const bool asksForMemory = boundsMemory(need.service);
     if (asksForMemory) {
         query.number = m_memory.onQuery(now);
@@ -405,7 +478,7 @@
     m_prefixes.onPromptSent(endpoint, prefixesOf(need.sharedParts));
 }
 
-void EndpointChooser::onDispatchNotice(const VmId &node, const DispatchNotice &notice, TimePoint now)
+LoadChange EndpointChooser::onDispatchNotice(const VmId &node, const DispatchNotice &notice, TimePoint now)
 {
     if (notice.prompt > TokenCount{0}) {
         m_rateLimiter.onDispatched(notice.endpoint, notice.prompt, now);
@@ -414,9 +487,15 @@
     if (notice.rejected) {
         m_brittleEndpoints.onRejected(notice.endpoint, now);
     }
+    const std::uint32_t requests = m_loads.requestsOf(node, notice.endpoint);
     const TokenCount before = m_loads.tokensOf(node, notice.endpoint);
     m_memory.onIncreased(node, notice.endpoint, notice.tokens - std::min(notice.tokens, before));
     m_loads.onNotice(node, {notice.endpoint, notice.inFlight, notice.tokens}, now);
+    m_promisedSlots.onIncreased(node, notice.endpoint, TokenCount{notice.inFlight - std::min(notice.inFlight, requests)});
+    if (notice.inFlight == requests) {
+        return LoadChange::None;
+    }
+    return notice.inFlight > requests ? LoadChange::More : LoadChange::Less;
 }
 
 void EndpointChooser::onEnded(const EndpointId &endpoint, TokenCount tokens)
--- a/src/libhemlockhill/routing/endpoint_loads.cpp
+++ b/src/libhemlockhill/routing/endpoint_loads.cpp
@@ -145,6 +145,16 @@
     return found == counts->second.end() ? TokenCount{0} : found->second.tokens;
 }
 
+std::uint32_t EndpointLoads::requestsOf(const VmId &node, const EndpointId &endpoint) const
+{
+    const auto counts = m_nodes.find(node);
+    if (counts == m_nodes.end()) {
+        return 0;
+    }
+    const auto found = counts->second.find(endpoint);
+    return found == counts->second.end() ? 0 : found->second.requests;
+}
+
 Duration EndpointLoads::oldestNotice(const EndpointId &endpoint, TimePoint now) const
 {
     Duration oldest{0};
--- a/src/libhemlockhill/routing/fleet_dispatch_testing.h
+++ b/src/libhemlockhill/routing/fleet_dispatch_testing.h
@@ -47,6 +47,11 @@
     // Memory of an endpoint in tokens, and what a request needs of it; 0 if it is not bounded.
     TokenCount memory;
     TokenCount requestTokens;
+    // Share of urgent requests, whose route has a higher priority, and their target.
+    double urgentShare = 0;
+    Duration urgentTarget = std::chrono::milliseconds(500);
+    // Whether nodes tell each other what waits.
+    bool ordersAcrossNodes = false;
     std::uint64_t seed = 1;
 };
 
@@ -62,6 +67,11 @@
     std::uint64_t datagramsLost = 0;
     // Requests that reached an endpoint whose memory was full, and the most that an endpoint held.
     std::uint32_t overfilled = 0;
+    std::uint32_t urgentAsked = 0;
+    std::uint32_t urgentInTime = 0;
+    // Total time of urgent requests until they were dispatched, and until an endpoint began to run them.
+    Duration urgentDispatched{0};
+    Duration urgentBegun{0};
     TokenCount mostHeld;
 
     double ratio(std::uint32_t count) const { return asked == 0 ? 0 : static_cast<double>(count) / asked; }
@@ -79,6 +89,7 @@
     struct PendingRequest {
         std::uint32_t node = 0;
         TimePoint arrivedAt;
+        bool isUrgent = false;
     };
 
     struct Node {
@@ -93,6 +104,9 @@
         std::deque<PendingRequest> waiting;
         // Whether there was no room for the first of them.
         bool waitsForCapacity = false;
+        bool retryScheduled = false;
+        // Since when the first of them lets others go first.
+        std::optional<TimePoint> yieldsSince;
     };
 
     struct Endpoint {
@@ -120,7 +134,17 @@
     void end(const PendingRequest &request, const EndpointId &endpoint);
     void answer(const PendingRequest &request);
     MemoryAuthority authority(Node &node, const ServiceId &service);
-    OwnerChoice ownerChoice() const { return m_scenario.memory > TokenCount{0} ? OwnerChoice::First : OwnerChoice::Any; }
+    OwnerChoice ownerChoice() const
+    {
+        const bool asksFirst = m_scenario.memory > TokenCount{0} || m_scenario.ordersAcrossNodes;
+        return asksFirst ? OwnerChoice::First : OwnerChoice::Any;
+    }
+    WaitingRank rank(const PendingRequest &request) const;
+    std::optional<WaitingAtNode> describeQueue(const Node &node) const;
+    // Whether the first request of a node lets those of others go first.
+    bool mustYield(Node &node, const EndpointChoice &choice);
+    // A slot has become free: an owner tells the node whose request is the next.
+    void inviteNext(std::uint32_t owner, const EndpointId &endpoint);
     // Whether a node must wait until it knows the load.
     bool awaitsLoad(std::uint32_t node);
     void answerLoadQuery(std::uint32_t owner, std::uint32_t node, const LoadQuery &query);
@@ -178,6 +202,9 @@
             node.chooser->memoryCapacity = [this](const ServiceId &) { return m_scenario.memory; };
             node.chooser->memoryAuthority = [this, index](const ServiceId &service) { return authority(m_nodes[index], service); };
         }
+        if (m_scenario.ordersAcrossNodes) {
+            node.chooser->ownWaiting = [this, index](const LoadSubject &) { return describeQueue(m_nodes[index]); };
+        }
         m_indexes[node.id] = index;
         m_nodes.push_back(std::move(node));
     }
@@ -214,7 +241,12 @@
         boost::random::uniform_int_distribution<std::uint32_t> draw(0, m_scenario.nodes - 1);
         const std::uint32_t node = draw(m_random);
         ++m_outcome.asked;
-        m_nodes[node].waiting.push_back({node, m_now});
+        bool isUrgent = false;
+        if (m_scenario.urgentShare > 0) {
+            isUrgent = boost::random::uniform_real_distribution<double>(0, 1)(m_random) < m_scenario.urgentShare;
+        }
+        m_outcome.urgentAsked += isUrgent ? 1 : 0;
+        m_nodes[node].waiting.push_back({node, m_now, isUrgent});
         dispatchWaiting(node);
         arrive();
     });
@@ -244,6 +276,11 @@
     constexpr Duration RetryPeriod = std::chrono::milliseconds(10);
     auto &waiting = m_nodes[node].waiting;
     while (!waiting.empty()) {
+        if (m_scenario.urgentShare > 0) {
+            std::sort(waiting.begin(), waiting.end(), [this](const PendingRequest &left, const PendingRequest &right) {
+                return rank(left) < rank(right);
+            });
+        }
         const PendingRequest request = waiting.front();
         if (m_now - request.arrivedAt >= m_scenario.timeout) {
             ++m_outcome.refused;
@@ -252,9 +289,17 @@
         }
         const EndpointChoice choice = m_nodes[node].chooser->choose(m_directory, m_need, m_now);
         const bool awaits = choice.dependsOnLoad() && awaitsLoad(node);
-        m_nodes[node].waitsForCapacity = awaits ? m_nodes[node].waitsForCapacity : !choice.endpoint;
-        if (awaits || !choice.endpoint) {
-            at(m_now + RetryPeriod, [this, node] { dispatchWaiting(node); });
+        const bool yields = !awaits && mustYield(m_nodes[node], choice);
+        m_nodes[node].waitsForCapacity = awaits ? m_nodes[node].waitsForCapacity : yields || !choice.endpoint;
+        if (awaits || yields || !choice.endpoint) {
+            // As on a gateway, a node with a queue looks at it once in a period.
+            if (m_scenario.urgentShare > 0 && std::exchange(m_nodes[node].retryScheduled, true)) {
+                return;
+            }
+            at(m_now + RetryPeriod, [this, node] {
+                m_nodes[node].retryScheduled = false;
+                dispatchWaiting(node);
+            });
             return;
         }
         waiting.pop_front();
@@ -262,6 +307,62 @@
     }
 }
 
+inline WaitingRank FleetSimulation::rank(const PendingRequest &request) const
+{
+    Route route;
+    route.kind = RouteKind::Safe;
+    route.priority = request.isUrgent || m_scenario.urgentShare == 0 ? 0 : 1;
+    route.latencyTarget = request.isUrgent ? m_scenario.urgentTarget : m_scenario.latencyTarget;
+    return rankAt(m_now, route, {0, false, request.arrivedAt, request.arrivedAt + m_scenario.timeout});
+}
+
+inline std::optional<WaitingAtNode> FleetSimulation::describeQueue(const Node &node) const
+{
+    WaitingRank first;
+    for (const PendingRequest &request : node.waiting) {
+        first = &request == &node.waiting.front() ? rank(request) : std::min(first, rank(request));
+    }
+    const bool hasYielded = node.yieldsSince && m_now - *node.yieldsSince >= ServiceLineLimits().yieldTime;
+    return describeWaiting(first, static_cast<std::uint32_t>(node.waiting.size()), hasYielded, m_now);
+}
+
+inline bool FleetSimulation::mustYield(Node &node, const EndpointChoice &choice)
+{
+    if (!m_scenario.ordersAcrossNodes || choice.isGranted) {
+        return false;
+    }
+    const WaitingElsewhere elsewhere = node.chooser->waitingElsewhere({m_need.service, {}}, rank(node.waiting.front()), m_now);
+    const bool yields = choice.endpoint ? yieldsToOthers(elsewhere, choice.freeSlots) : elsewhere.isWithheld;
+    if (!yields) {
+        node.yieldsSince.reset();
+        return false;
+    }
+    node.yieldsSince = node.yieldsSince.value_or(m_now);
+    return choice.endpoint && m_now - *node.yieldsSince < ServiceLineLimits().yieldTime;
+}
+
+inline void FleetSimulation::inviteNext(std::uint32_t owner, const EndpointId &endpoint)
+{
+    constexpr double InvitationBytes = 120;
+    const auto listed = m_directory.find(endpoint);
+    if (!m_scenario.ordersAcrossNodes || listed == m_directory.end()) {
+        return;
+    }
+    const auto next = m_nodes[owner].chooser->invite(listed->second, m_now);
+    if (!next) {
+        return;
+    }
+    const std::uint32_t node = m_indexes.at(next->first);
+    if (node == owner) {
+        at(m_now, [this, node] { dispatchWaiting(node); });
+        return;
+    }
+    sendDatagram(owner, InvitationBytes, [this, node, subject = next->second] {
+        m_nodes[node].queries->onInvitation(subject);
+        dispatchWaiting(node);
+    });
+}
+
 inline MemoryAuthority FleetSimulation::authority(Node &node, const ServiceId &service)
 {
     const auto decider = node.queries->decider(service, *node.owners, m_now);
@@ -301,6 +402,7 @@
 inline void FleetSimulation::dispatch(std::uint32_t node, const PendingRequest &request, const EndpointId &endpoint)
 {
     constexpr double RequestBytes = 900;
+    m_outcome.urgentDispatched += request.isUrgent ? std::chrono::duration_cast<Duration>(m_now - request.arrivedAt) : Duration(0);
     m_nodes[node].chooser->onDispatched(endpoint, m_need, m_now);
     notify(node, endpoint);
     at(*transmit(node, RequestBytes, false), [this, request, endpoint] { reach(request, endpoint); });
@@ -329,6 +431,7 @@
 
 inline void FleetSimulation::run(const PendingRequest &request, const EndpointId &endpoint)
 {
+    m_outcome.urgentBegun += request.isUrgent ? std::chrono::duration_cast<Duration>(m_now - request.arrivedAt) : Duration(0);
     ++m_endpoints[endpoint].running;
     at(m_now + m_scenario.work, [this, request, endpoint] {
         Endpoint &state = m_endpoints[endpoint];
@@ -350,13 +453,16 @@
     node.chooser->onEnded(endpoint, m_need.tokens);
     node.chooser->onSucceeded(endpoint);
     notify(request.node, endpoint);
+    inviteNext(request.node, endpoint);
     at(*transmit(request.node, AnswerBytes, false), [this, request] { answer(request); });
     dispatchWaiting(request.node);
 }
 
 inline void FleetSimulation::answer(const PendingRequest &request)
 {
-    ++(m_now - request.arrivedAt <= m_scenario.latencyTarget ? m_outcome.inTime : m_outcome.late);
+    const bool isInTime = m_now - request.arrivedAt <= (request.isUrgent ? m_scenario.urgentTarget : m_scenario.latencyTarget);
+    ++(isInTime ? m_outcome.inTime : m_outcome.late);
+    m_outcome.urgentInTime += isInTime && request.isUrgent ? 1 : 0;
 }
 
 inline void FleetSimulation::notify(std::uint32_t node, const EndpointId &endpoint)
@@ -385,7 +491,13 @@
     for (const AddressedNotice &due : sender.notices.take(m_now)) {
         for (const VmId &receiver : due.nodes) {
             sendDatagram(node, NoticeBytes, [this, node, other = m_indexes.at(receiver), notice = due.notice] {
-                m_nodes[other].chooser->onDispatchNotice(m_nodes[node].id, notice, m_now);
+                const LoadChange change = m_nodes[other].chooser->onDispatchNotice(m_nodes[node].id, notice, m_now);
+                const auto listed = m_directory.find(notice.endpoint);
+                if (change == LoadChange::More && listed != m_directory.end()) {
+                    m_nodes[other].chooser->line().onDispatched(m_nodes[node].id, listed->second);
+                } else if (change == LoadChange::Less) {
+                    inviteNext(other, notice.endpoint);
+                }
             });
         }
     }
--- a/src/libhemlockhill/routing/load_queries.cpp
+++ b/src/libhemlockhill/routing/load_queries.cpp
@@ -34,9 +34,10 @@
         }
         state.asked = {};
     }
-    if (state.answeredAt != TimePoint{} && now - state.answeredAt < m_limits.reuse) {
+    if (!state.isInvited && state.answeredAt != TimePoint{} && now - state.answeredAt < m_limits.reuse) {
         return {};
     }
+    purpose = state.isInvited ? LoadPurpose::Dispatch : purpose;
     const VmId owner =
         asksAny ? chooseOwner(owners.others(subject.service, now), now) : decider(subject.service, owners, now).value_or(VmId{});
     if (owner == owners.self()) {
@@ -58,9 +59,17 @@
     m_metrics.countEvent("load_query_sent");
     state.asked = owner;
     state.askedAt = now;
+    state.isInvited = false;
     return {LoadKnowledge::QueryDue, owner};
 }
 
+void LoadQueries::onInvitation(const LoadSubject &subject)
+{
+    if (const auto found = m_states.find(subject); found != m_states.end()) {
+        found->second.isInvited = true;
+    }
+}
+
 void LoadQueries::onReport(const VmId &owner, const LoadReport &report, TimePoint now)
 {
     m_silentUntil.erase(owner);
