Refused callers are told when there will be room

Cause: callers were told 0.2 to 1.5 s, whatever stood before them, and returned to the same queue. Others waited until the end of their time for a turn that could not come. Change: room_forecast knows for how long requests hold a slot. Where the deployment has workspaces or memory is bounded.

--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -15,6 +15,7 @@
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/request_dialect.h"
 #include "hemlockhill/retry_budget.h"
+#include "hemlockhill/room_forecast.h"
 #include "hemlockhill/stream_origins.h"
 #include "hemlockhill/timer_service.h"
 #include "hemlockhill/version_history.h"
@@ -192,6 +193,9 @@
     std::optional<WaitingAtNode> describeQueue(const LoadSubject &subject) const;
     // A slot has become free: tells the node of the most urgent request that waits for one.
     void inviteNext(const EndpointId &endpoint);
+    // Returns the rate at which the slots of the endpoints that a request can go to become free, as far as this node knows; 0 if not at
+    // all.
+    RequestRate releaseRate(const EndpointRequirements &need);
     MemoryAuthority memoryAuthority(const ServiceId &service);
     // Takes what an endpoint has said of its capacity in the answer to a request that was sent at the given time.
     void onDeclaredCapacity(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint sentAt);
@@ -217,6 +221,7 @@
     EndpointChooser m_chooser;
     LoadOwners m_loadOwners;
     LoadQueries m_loadQueries;
+    SlotTimes m_slotTimes;
     std::shared_ptr<ArrivalClock> m_arrivalClock;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<HttpServer> m_forwardingServer;
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -130,6 +130,7 @@
     , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen), VmId{m_settings.listen.host})
     , m_loadOwners(VmId{m_settings.listen.host}, {}, m_settings.isFirstStart)
     , m_loadQueries({}, metrics, randomSeed(m_settings.listen))
+    , m_slotTimes({})
     , m_arrivalClock(std::make_shared<ArrivalClock>(loop))
     , m_directory(m_settings.directoryAge)
     , m_crashGuard(m_settings.crashes)
@@ -564,6 +565,17 @@
     }
 }
 
+RequestRate Gateway::releaseRate(const EndpointRequirements &need)
+{
+    const TokenCount capacity = m_chooser.memoryCapacity ? m_chooser.memoryCapacity(need.service) : TokenCount{0};
+    const double held = static_cast<double>(capacity.value) / static_cast<double>(std::max<std::uint64_t>(need.tokens.value, 1));
+    double slots = 0;
+    for (const EndpointLoad &load : m_chooser.loads(m_directory.endpoints(), need, currentTime())) {
+        slots += capacity > TokenCount{0} ? std::min<double>(load.slots, held) : load.slots;
+    }
+    return m_slotTimes.releaseRate({need.service, {need.target.model, {}}}, slots);
+}
+
 MemoryAuthority Gateway::memoryAuthority(const ServiceId &service)
 {
     const TimePoint now = currentTime();
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusMultipleChoices = 300;
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 // Margin added to the caller's limit on silence within a stream before the exchange times out.
 constexpr Duration SilenceMargin = std::chrono::milliseconds(400);
@@ -460,6 +462,10 @@
         m_gateway.m_chooser.brittleEndpoints().onRejected(m_endpoint, currentTime());
     }
     m_exchange.reset();
+    if (m_status >= StatusOk && m_status < StatusMultipleChoices && m_gateway.ordersAcrossNodes()) {
+        const auto held = std::chrono::duration_cast<Duration>(currentTime() - m_sentAt);
+        m_gateway.m_slotTimes.onServed({service(), {target().model, {}}}, held);
+    }
     if (m_peer) {
         m_gateway.m_paths->onPeerDone(*m_peer);
     }
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -166,6 +166,8 @@
     void logOutcome(std::string_view outcome, unsigned status, std::optional<NoEndpointReason> waitedFor) const;
     // Ends the present wait for an endpoint, if any.
     void endWaiting(TimePoint now);
+    // When a request that waits for capacity can be dispatched at the earliest, with what is before it at other nodes.
+    QueueForecast forecastOfRoom(TimePoint now) const;
     Duration timeLeft() const;
     Duration retryAfter() const;
 
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -346,6 +346,12 @@
 // Draws a random delay, so that refused callers do not all retry at the same time.
 Duration Gateway::Request::retryAfter() const
 {
+    if (m_waitingFor == NoEndpointReason::Full && m_gateway.ordersAcrossNodes() && m_forecast.rate.value > 0) {
+        // The forecast is that of the fastest case, with the queue of this node.
+        const std::chrono::duration<double> oneSlot(CertainRateFactor / m_forecast.rate.value);
+        const auto roomIn = std::chrono::duration_cast<Duration>(m_forecast.delay * CertainRateFactor + oneSlot);
+        return returnDelay(roomIn, timeLeft(), m_gateway.randomFraction());
+    }
     const Duration limit = std::max(MinimumRetryAfter, timeLeft() / 4);
     Duration earliest = MinimumRetryAfter;
     Duration latest = MaximumRetryAfter;
--- a/src/libhemlockhill/node/gateway_waiting.cpp
+++ b/src/libhemlockhill/node/gateway_waiting.cpp
@@ -37,8 +37,11 @@
 {
     const NoEndpointReason reason = choice.reason;
     const bool isLimited = reason == NoEndpointReason::RequestLimited;
-    m_forecast = isLimited ? QueueForecast{choice.delay, choice.acceptedRate} : QueueForecast{};
     const TimePoint now = currentTime();
+    m_forecast = isLimited ? QueueForecast{choice.delay, choice.acceptedRate} : QueueForecast{};
+    if (reason == NoEndpointReason::Full && m_gateway.ordersAcrossNodes()) {
+        m_forecast = forecastOfRoom(now);
+    }
     const bool isNew = !m_waitingSince;
     if (isNew) {
         m_waitingSince = now;
@@ -129,6 +132,17 @@
     return rankAt(now, m_route, {workspacePriority, m_requirements.softwareVersion.has_value(), m_arrivedAt, latestDispatch()});
 }
 
+QueueForecast Gateway::Request::forecastOfRoom(TimePoint now) const
+{
+    const RequestRate rate{CertainRateFactor * m_gateway.releaseRate(m_requirements).value};
+    if (rate.value <= 0) {
+        return {};
+    }
+    const WaitingElsewhere elsewhere = m_gateway.m_chooser.waitingElsewhere({service(), target()}, rank(now), now);
+    const std::chrono::duration<double> delay(elsewhere.moreUrgent / rate.value);
+    return {std::chrono::duration_cast<Duration>(delay), rate};
+}
+
 // In a deployment that bounds memory, an owner has let more urgent requests go first when it granted the room.
 bool Gateway::Request::mustYield(const EndpointChoice &choice, TimePoint now)
 {
