--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -15,6 +15,7 @@
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/request_dialect.h"
 #include "hemlockhill/retry_budget.h"
+#include "hemlockhill/room_forecast.h"
 #include "hemlockhill/stream_origins.h"
 #include "hemlockhill/timer_service.h"
 #include "hemlockhill/version_history.h"
@@ -53,6 +54,8 @@
     KeyLimits keys;
     // Whether the whole group starts for the first time, so that no stream has begun before.
     bool isFirstStart = false;
+    // Whether the tokens of the requests at an endpoint must stay within its memory, since it fails otherwise.
+    bool boundsEndpointMemory = false;
 };
 
 // Demand for one model, or one adapter on it, since the previous report.
@@ -90,7 +93,9 @@
     std::function<void(const VmId &owner, const LoadQuery &query)> sendLoadQuery;
     // Another node asks. Returns the answer; empty if this node does not own the loads of the service.
     std::optional<LoadReport> onLoadQuery(const VmId &node, const LoadQuery &query);
-    // An owner has answered.
+    // Called to tell another node that a slot has become free for its requests.
+    std::function<void(const VmId &node, const LoadReport &invitation)> sendInvitation;
+    // An owner has answered, or tells of a free slot.
     void onLoadReport(const VmId &owner, const LoadReport &report);
     // Called when the other nodes must learn about the rate limit of an endpoint, or about a request that was dispatched under it.
     std::function<void(const RateLimitNotice &notice)> onRateLimit;
@@ -180,6 +185,18 @@
     const std::vector<VmId> &nodesToNotify(const EndpointId &endpoint);
     // Whether a request must wait until the load of the endpoints is known. Asks for it if that is due.
     bool awaitsLoad(const EndpointRequirements &need, LoadPurpose purpose);
+    // Sets the hooks of the chooser that bound the memory of endpoints.
+    void boundEndpointMemory();
+    // Whether the requests of all nodes are dispatched in one order: where the deployment has workspaces or memory is bounded.
+    bool ordersAcrossNodes() const;
+    // What waits at this node for a subject, with the request that is to be dispatched now.
+    std::optional<WaitingAtNode> describeQueue(const LoadSubject &subject) const;
+    // A slot has become free: tells the node of the most urgent request that waits for one.
+    void inviteNext(const EndpointId &endpoint);
+    // Returns the rate at which the slots of the endpoints that a request can go to become free, as far as this node knows; 0 if not at
+    // all.
+    RequestRate releaseRate(const EndpointRequirements &need);
+    MemoryAuthority memoryAuthority(const ServiceId &service);
     // Takes what an endpoint has said of its capacity in the answer to a request that was sent at the given time.
     void onDeclaredCapacity(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint sentAt);
     void logAvailability(const EndpointId &endpoint, const DeclaredCapacity &declared);
@@ -206,6 +223,7 @@
     EndpointChooser m_chooser;
     LoadOwners m_loadOwners;
     LoadQueries m_loadQueries;
+    SlotTimes m_slotTimes;
     std::shared_ptr<ArrivalClock> m_arrivalClock;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<HttpServer> m_forwardingServer;
@@ -222,6 +240,8 @@
     std::map<std::uint64_t, std::shared_ptr<ForwardedRequest>> m_forwardedRequests;
     std::uint64_t m_lastRequestNumber = 0;
     bool m_dispatchScheduled = false;
+    // The request that is being dispatched; null outside of that.
+    const Request *m_dispatched = nullptr;
     bool m_pathReviewScheduled = false;
     bool m_isDraining = false;
     bool m_isStopping = false;
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -40,6 +40,9 @@
 constexpr Duration SuspectReviewPeriod = std::chrono::seconds(1);
 // Delays after which the count of requests under a rate limit is announced again, as the first notice may have been lost.
 constexpr std::array<Duration, 2> RateLimitRepeats{std::chrono::milliseconds(60), std::chrono::milliseconds(300)};
+// Delays after which the tokens at an endpoint are announced again, as a notice may have been lost. Within the time for which an owner
+// counts what it has granted.
+constexpr std::array<Duration, 2> MemoryNoticeRepeats{std::chrono::milliseconds(60), std::chrono::milliseconds(130)};
 // Additional time for receiving a request after the header timeout.
 constexpr Duration BodyTimeout = std::chrono::seconds(7);
 
@@ -127,6 +130,7 @@
     , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen), VmId{m_settings.listen.host})
     , m_loadOwners(VmId{m_settings.listen.host}, {}, m_settings.isFirstStart)
     , m_loadQueries({}, metrics, randomSeed(m_settings.listen))
+    , m_slotTimes({})
     , m_arrivalClock(std::make_shared<ArrivalClock>(loop))
     , m_directory(m_settings.directoryAge)
     , m_crashGuard(m_settings.crashes)
@@ -137,6 +141,10 @@
     if (m_settings.isFirstStart) {
         m_versions.onFirstStart();
     }
+    if (m_settings.boundsEndpointMemory) {
+        boundEndpointMemory();
+    }
+    m_chooser.ownWaiting = [this](const LoadSubject &subject) { return describeQueue(subject); };
 }
 
 Gateway::~Gateway()
@@ -229,7 +237,13 @@
 
 void Gateway::onRemoteDispatch(const VmId &node, const DispatchNotice &notice)
 {
-    m_chooser.onDispatchNotice(node, notice, currentTime());
+    const LoadChange change = m_chooser.onDispatchNotice(node, notice, currentTime());
+    const auto listed = m_directory.endpoints().find(notice.endpoint);
+    if (change == LoadChange::Less) {
+        inviteNext(notice.endpoint);
+    } else if (change == LoadChange::More && listed != m_directory.endpoints().end()) {
+        m_chooser.line().onDispatched(node, listed->second);
+    }
 }
 
 std::optional<RateLimitNotice> Gateway::onRemoteRateLimit(const VmId &node, const RateLimitNotice &notice)
@@ -468,8 +482,18 @@
 
 void Gateway::notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt, bool rejected)
 {
-    if (onDispatch) {
-        onDispatch({endpoint, prompt, m_chooser.inFlight(endpoint), rejected}, nodesToNotify(endpoint));
+    if (!onDispatch) {
+        return;
+    }
+    const auto announce = [this, endpoint](TokenCount sent, bool wasRejected) {
+        onDispatch({endpoint, sent, m_chooser.inFlight(endpoint), wasRejected, m_chooser.ownTokens(endpoint)}, nodesToNotify(endpoint));
+    };
+    announce(prompt, rejected);
+    const auto listed = m_directory.endpoints().find(endpoint);
+    if (listed != m_directory.endpoints().end() && m_chooser.boundsMemory(listed->second.service)) {
+        for (const Duration delay : MemoryNoticeRepeats) {
+            m_timers.after(delay, m_loop, [announce] { announce(TokenCount{0}, false); });
+        }
     }
 }
 
@@ -491,13 +515,103 @@
         return false;
     }
     const TimePoint now = currentTime();
-    const LoadQueryPlan plan = m_loadQueries.plan({need.service, need.target}, purpose, m_loadOwners, now);
+    // In a small fleet nodes do not ask for the order alone.
+    const bool asksFirst = m_chooser.boundsMemory(need.service) || (ordersAcrossNodes() && !m_loadOwners.areAllOwners());
+    const OwnerChoice choice = asksFirst ? OwnerChoice::First : OwnerChoice::Any;
+    const LoadQueryPlan plan = m_loadQueries.plan({need.service, need.target}, purpose, m_loadOwners, now, choice);
     if (plan.knowledge == LoadKnowledge::QueryDue) {
         sendLoadQuery(plan.owner, m_chooser.loadQuery(need, m_directory.endpoints(), now));
     }
     return plan.knowledge != LoadKnowledge::Ready;
 }
 
+void Gateway::boundEndpointMemory()
+{
+    m_chooser.memoryCapacity = [this](const ServiceId &service) {
+        if (!m_deployment) {
+            return TokenCount{0};
+        }
+        const auto found = m_deployment->services.find(service);
+        const bool hasEngine = found != m_deployment->services.end() && found->second.engine;
+        return hasEngine ? found->second.engine->cacheCapacity : TokenCount{0};
+    };
+    m_chooser.memoryAuthority = [this](const ServiceId &service) { return memoryAuthority(service); };
+}
+
+bool Gateway::ordersAcrossNodes() const
+{
+    return m_settings.boundsEndpointMemory || (m_deployment && !m_deployment->workspaces.empty());
+}
+
+std::optional<WaitingAtNode> Gateway::describeQueue(const LoadSubject &subject) const
+{
+    if (!ordersAcrossNodes()) {
+        return std::nullopt;
+    }
+    const TimePoint now = currentTime();
+    std::optional<WaitingRank> first;
+    bool hasYielded = false;
+    std::uint32_t count = 0;
+    for (const auto &[number, request] : m_requests) {
+        const bool isQueued = request->isWaiting() || request.get() == m_dispatched;
+        if (!isQueued || request->service() != subject.service || request->target() != subject.target) {
+            continue;
+        }
+        ++count;
+        const WaitingRank rank = request->rank(now);
+        if (!first || rank < *first) {
+            first = rank;
+            hasYielded = request->hasYielded(now);
+        }
+    }
+    return describeWaiting(first.value_or(WaitingRank{}), count, hasYielded, now);
+}
+
+void Gateway::inviteNext(const EndpointId &endpoint)
+{
+    const auto listed = m_directory.endpoints().find(endpoint);
+    if (!ordersAcrossNodes() || listed == m_directory.endpoints().end()) {
+        return;
+    }
+    const auto next = m_chooser.invite(listed->second, currentTime());
+    if (!next) {
+        return;
+    }
+    m_metrics.countEvent("line_invitation");
+    if (next->first == m_loadOwners.self()) {
+        boost::asio::post(m_loop, [this] { dispatchWaiting(); });
+    } else if (sendInvitation) {
+        LoadReport invitation{next->second, {}};
+        invitation.isInvitation = true;
+        sendInvitation(next->first, invitation);
+    }
+}
+
+RequestRate Gateway::releaseRate(const EndpointRequirements &need)
+{
+    const TokenCount capacity = m_chooser.memoryCapacity ? m_chooser.memoryCapacity(need.service) : TokenCount{0};
+    const double held = static_cast<double>(capacity.value) / static_cast<double>(std::max<std::uint64_t>(need.tokens.value, 1));
+    double slots = 0;
+    for (const EndpointLoad &load : m_chooser.loads(m_directory.endpoints(), need, currentTime())) {
+        slots += capacity > TokenCount{0} ? std::min<double>(load.slots, held) : load.slots;
+    }
+    return m_slotTimes.releaseRate({need.service, {need.target.model, {}}}, slots);
+}
+
+MemoryAuthority Gateway::memoryAuthority(const ServiceId &service)
+{
+    const TimePoint now = currentTime();
+    const auto decider = sendLoadQuery ? m_loadQueries.decider(service, m_loadOwners, now) : m_loadOwners.self();
+    if (!decider) {
+        return MemoryAuthority::Unheard;
+    }
+    if (*decider != m_loadOwners.self()) {
+        return MemoryAuthority::Granted;
+    }
+    const auto &deciders = m_loadOwners.deciders(service, now);
+    return deciders.empty() || deciders.front() == *decider ? MemoryAuthority::Own : MemoryAuthority::Substitute;
+}
+
 std::optional<LoadReport> Gateway::onLoadQuery(const VmId &node, const LoadQuery &query)
 {
     const TimePoint now = currentTime();
@@ -506,12 +620,23 @@
         return std::nullopt;
     }
     m_metrics.countEvent("load_query_answered");
-    return m_chooser.answerLoadQuery(node, query, m_directory.endpoints(), now);
+    LoadReport report = m_chooser.answerLoadQuery(node, query, m_directory.endpoints(), now);
+    if (query.tokens > TokenCount{0}) {
+        const bool isGranted =
+            std::any_of(report.loads.begin(), report.loads.end(), [](const ReportedLoad &load) { return load.granted > TokenCount{0}; });
+        m_metrics.countEvent(isGranted ? "endpoint_memory_granted" : "endpoint_memory_withheld");
+    }
+    return report;
 }
 
 void Gateway::onLoadReport(const VmId &owner, const LoadReport &report)
 {
     const TimePoint now = currentTime();
+    if (report.isInvitation) {
+        m_loadQueries.onInvitation(report.subject);
+        dispatchWaiting();
+        return;
+    }
     m_loadQueries.onReport(owner, report, now);
     m_chooser.onLoadReport(report, now);
     dispatchWaiting();
@@ -659,7 +784,8 @@
             waiting.push_back(request);
         }
     }
-    std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) { return left->rank() < right->rank(); });
+    const TimePoint now = currentTime();
+    std::sort(waiting.begin(), waiting.end(), [now](const auto &left, const auto &right) { return left->rank(now) < right->rank(now); });
     // Requests for the same service and model are dispatched in order: while one waits for capacity, those behind it wait too.
     std::map<std::pair<ServiceId, ModelId>, QueueForecast> queues;
     for (const auto &request : waiting) {
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -2,6 +2,7 @@
 #include "gateway_request.h"
 
 #include "endpoint_paths.h"
+#include "hemlockhill/endpoint_urgency.h"
 #include "hemlockhill/log.h"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 namespace
 {
 
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusMultipleChoices = 300;
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 // Margin added to the caller's limit on silence within a stream before the exchange times out.
 constexpr Duration SilenceMargin = std::chrono::milliseconds(400);
@@ -48,6 +51,9 @@
     m_requirements.target = m_head.target;
     m_requirements.prompt = m_head.promptTokens;
     m_requirements.sharedParts = m_head.sharedParts;
+    if (m_gateway.m_chooser.boundsMemory(m_requirements.service)) {
+        m_requirements.tokens = m_head.declaredTokens.value_or(UndeclaredTokens);
+    }
 }
 
 void Gateway::Request::setWorkspace(const Workspace *workspace)
@@ -126,6 +132,11 @@
     if (refuseIfSuspect()) {
         return;
     }
+    if (m_gateway.m_chooser.exceedsMemory(m_requirements)) {
+        m_gateway.m_metrics.countEvent("request_exceeds_endpoint_memory");
+        refuseOrFail(Reason::BodyTooLarge, "the request needs more tokens than an endpoint holds", Reason::EndpointRefused);
+        return;
+    }
     if (m_gateway.isQueued(m_requirements.service, m_head.target.model)) {
         m_waitingSince = m_arrivedAt;
         m_waitingFor = NoEndpointReason::RateLimited;
@@ -234,10 +245,17 @@
     }
     const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_directory.endpoints(), m_requirements, now);
     const auto purpose = waitsForCapacity() ? LoadPurpose::Recheck : LoadPurpose::Dispatch;
-    if (choice.dependsOnLoad() && m_gateway.awaitsLoad(m_requirements, purpose)) {
+    m_gateway.m_dispatched = this;
+    const bool awaitsLoad = choice.dependsOnLoad() && m_gateway.awaitsLoad(m_requirements, purpose);
+    m_gateway.m_dispatched = nullptr;
+    if (awaitsLoad) {
         waitForLoad();
         return;
     }
+    if (mustYield(choice, now)) {
+        wait(EndpointChoice{std::nullopt, NoEndpointReason::Full});
+        return;
+    }
     if (choice.endpoint) {
         endWaiting(now);
         send(*choice.endpoint);
@@ -280,6 +298,9 @@
     options.isRepeated = !m_triedEndpoints.insert(endpoint).second;
     options.resumeAfter = m_events.lastEventId().empty() ? m_head.lastEventId : m_events.lastEventId();
     options.identity = workspaceIdentity();
+    if (m_gateway.m_chooser.boundsMemory(m_requirements.service)) {
+        options.urgency = endpointUrgency(rank(now), now);
+    }
     HttpRequest forwarded = m_gateway.m_dialect.forward(m_request, options);
     m_nothingSent = false;
     // Other nodes refuse what is suspected.
@@ -441,11 +462,16 @@
         m_gateway.m_chooser.brittleEndpoints().onRejected(m_endpoint, currentTime());
     }
     m_exchange.reset();
+    if (m_status >= StatusOk && m_status < StatusMultipleChoices && m_gateway.ordersAcrossNodes()) {
+        const auto held = std::chrono::duration_cast<Duration>(currentTime() - m_sentAt);
+        m_gateway.m_slotTimes.onServed({service(), {target().model, {}}}, held);
+    }
     if (m_peer) {
         m_gateway.m_paths->onPeerDone(*m_peer);
     }
-    m_gateway.m_chooser.onEnded(m_endpoint);
+    m_gateway.m_chooser.onEnded(m_endpoint, m_requirements.tokens);
     m_gateway.notifyOtherNodes(m_endpoint, TokenCount{0}, rejected);
+    m_gateway.inviteNext(m_endpoint);
 }
 
 Duration Gateway::Request::timeLeft() const
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -67,12 +67,16 @@
 
 boost::json::object describe(const EndpointLoad &load)
 {
-    return {{"endpoint", load.endpoint.value},
-            {"slots", load.slots},
-            {"own", load.own},
-            {"others", load.others.requests},
-            {"age_ms", milliseconds(load.others.age)},
-            {"current", load.others.isCurrent}};
+    boost::json::object fields{{"endpoint", load.endpoint.value},
+                               {"slots", load.slots},
+                               {"own", load.own},
+                               {"others", load.others.requests},
+                               {"age_ms", milliseconds(load.others.age)},
+                               {"current", load.others.isCurrent}};
+    if (load.tokens > TokenCount{0}) {
+        fields["tokens"] = load.tokens.value;
+    }
+    return fields;
 }
 
 boost::json::array describe(const std::vector<EndpointLoad> &loads)
@@ -222,7 +226,7 @@
     refusal.ran = Ran::No;
     refusal.detail = std::move(detail);
     HttpResponse response = refusalAnswer(refusal, m_head.id);
-    const bool isFinal = reason == Reason::Unauthenticated;
+    const bool isFinal = reason == Reason::Unauthenticated || reason == Reason::BodyTooLarge;
     if (!isFinal) {
         response.headers.push_back({"Retry-After", fractionalSeconds(retryAfter)});
     }
@@ -342,6 +346,12 @@
 // Draws a random delay, so that refused callers do not all retry at the same time.
 Duration Gateway::Request::retryAfter() const
 {
+    if (m_waitingFor == NoEndpointReason::Full && m_gateway.ordersAcrossNodes() && m_forecast.rate.value > 0) {
+        // The forecast is that of the fastest case, with the queue of this node.
+        const std::chrono::duration<double> oneSlot(CertainRateFactor / m_forecast.rate.value);
+        const auto roomIn = std::chrono::duration_cast<Duration>(m_forecast.delay * CertainRateFactor + oneSlot);
+        return returnDelay(roomIn, timeLeft(), m_gateway.randomFraction());
+    }
     const Duration limit = std::max(MinimumRetryAfter, timeLeft() / 4);
     Duration earliest = MinimumRetryAfter;
     Duration latest = MaximumRetryAfter;
