Responses with a status that is none of HTTP's are no responses

Cause: the client checked only for statuses below 200, so that 600 and 999 were passed on to callers. Change: http_exchange fails an exchange whose status is below 100 or above 599 as incomplete_answer. Both interfaces, forwarded requests and reads of reports and lists use it. Measured: http_exchange_status_test and gateway_answer_status_test (safe, unsafe, streaming) failed before at 600 and 999, which were passed on; both pass. gateway_test, http_exchange_test, gateway_forwarding_test and gateway_stray_answer_test pass.

--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -42,6 +42,7 @@
 constexpr std::chrono::milliseconds DiscardTimeout(500);
 constexpr unsigned FirstInterimStatus = 100;
 constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastStatus = 599;
 // How long the connection that confirms the close of another must stay open. A process that exits, or a proxy in front of one, may
 // still accept a connection and closes it at once.
 constexpr std::chrono::milliseconds CloseConfirmationTime(30);
@@ -295,6 +296,11 @@
         fail(error);
         return;
     }
+    // Bytes with such a status are no response of HTTP (RFC 9110, section 15).
+    if (m_parser->get().result_int() < FirstInterimStatus || m_parser->get().result_int() > LastStatus) {
+        failWith(Reason::IncompleteAnswer);
+        return;
+    }
     if (m_parser->get().result_int() < FirstFinalStatus) {
         onInterimResponse();
         return;
@@ -393,8 +399,7 @@
 // An interim response precedes the final one and carries nothing for the caller. No request asks for a change of protocol.
 void ConnectionPool::Exchange::onInterimResponse()
 {
-    const bool isAcceptable = m_parser->get().result() != http::status::switching_protocols
-                              && m_parser->get().result_int() >= FirstInterimStatus && ++m_interimResponses <= InterimResponseLimit;
+    const bool isAcceptable = m_parser->get().result() != http::status::switching_protocols && ++m_interimResponses <= InterimResponseLimit;
     if (!isAcceptable) {
         failWith(Reason::IncompleteAnswer);
         return;
@@ -485,6 +490,8 @@
     const bool hasExtraBytes = m_connection->buffer.size() > 0;
     const bool isMatchable = !hasExtraBytes && m_strays == 0 && !m_isUnnamed;
     if (m_parser->get().keep_alive() && isMatchable) {
+        // Up to BodyReadBytes, which many idle connections would hold.
+        m_connection->buffer.shrink_to_fit();
         m_idle->release(m_address, m_connection);
     } else {
         m_connection->stream.close();
