--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -34,6 +34,7 @@
 {
 
 class ArrivalClock;
+class BufferBudget;
 class EndpointPaths;
 
 struct GatewaySettings {
@@ -47,6 +48,12 @@
     std::size_t idleConnections = 24;
     // Maximum number of open connections from callers.
     std::uint32_t connectionLimit = 3000;
+    // Maximum number of open connections from other nodes.
+    std::uint32_t forwardingConnectionLimit = 1024;
+    // Bounds what this node holds of requests; null for no bound.
+    std::shared_ptr<BufferBudget> requestBudget;
+    // Bounds what callers and other nodes have not read of answers; null for no bound.
+    std::shared_ptr<BufferBudget> answerBudget;
     RetryBudgetLimits retries;
     DirectoryAgeLimits directoryAge;
     CrashGuardLimits crashes;
--- a/src/include/hemlockhill/http_server.h
+++ b/src/include/hemlockhill/http_server.h
@@ -16,6 +16,7 @@
 {
 
 class ArrivalClock;
+class BufferBudget;
 
 struct HttpServerLimits {
     Bytes header{16'000};
@@ -27,6 +28,12 @@
     // Maximum time for a write to complete.
     Duration write = std::chrono::seconds(30);
     std::uint32_t connections = 10'000;
+    // Number of copies of a body that exist while its request is in progress.
+    std::uint32_t copies = 1;
+    // Bounds what the connections of several servers on one loop hold of requests; null for no bound. Only that of the constructor counts.
+    std::shared_ptr<BufferBudget> requestBudget;
+    // The same for answers that have not been written. If it is exceeded, the caller that has read nothing for longest is cut off.
+    std::shared_ptr<BufferBudget> answerBudget;
 };
 
 // Sends the response to one request. All methods must be called on the server's event loop.
@@ -47,6 +54,8 @@
     virtual void abort() = 0;
     // Bytes that were passed to write() but not yet written to the socket.
     virtual std::size_t pendingBytes() const = 0;
+    // From this many pending bytes on the handler should write no more until onRoom is called.
+    virtual std::size_t pendingLimit() const { return 65'536; }
     // Sequence number of the connection, counted from 1 in the order of acceptance by this server.
     virtual std::uint64_t connection() const = 0;
     // IP address of the client; empty if it is no longer known.
@@ -60,6 +69,8 @@
     std::function<void()> onDisconnected;
     // Called when pendingBytes() has dropped to zero.
     std::function<void()> onDrained;
+    // Called after each write that leaves less than half of pendingLimit() pending.
+    std::function<void()> onRoom;
 };
 
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -1,6 +1,7 @@
 // HTTP server based on Boost.Beast.
 #include "hemlockhill/http_server.h"
 
+#include "hemlockhill/buffer_budget.h"
 #include "hemlockhill/refusal_answer.h"
 #include "hemlockhill/timer_service.h"
 #include "net/arrival_clock.h"
@@ -40,6 +41,15 @@
 constexpr int AcceptsPerTurn = 64;
 // Delay after a failed accept, for instance when the process is out of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryDelay(20);
+// Bytes of further requests read at once while one is in progress.
+constexpr std::size_t ReadAheadBytes = 4096;
+// At the limit on connections, one that has waited this long for a request makes room for a new one.
+constexpr Duration ReplaceableIdleTime = std::chrono::seconds(1);
+// Bytes of a streamed answer written at once, so that a caller that reads slowly shows progress within the time limit of a write.
+constexpr std::size_t WriteBytes = 65'536;
+// Pending bytes of one answer: while half of the budget is free, and otherwise.
+constexpr std::size_t LargePendingLimit = 1'048'576;
+constexpr std::size_t SmallPendingLimit = 65'536;
 // A connection whose request has not been refused this long after its time limit is closed.
 constexpr Duration RefusalReserve = std::chrono::seconds(1);
 // Requests that have certainly been read within this time of their arrival count as having arrived when they were read.
@@ -108,6 +118,7 @@
 
 private:
     void acceptWaiting();
+    bool makeRoom();
     void start(tcp::socket socket);
     void retryAccept();
 
@@ -137,6 +148,10 @@
     Session(tcp::socket socket, TimePoint connectedAt, std::shared_ptr<Listener> listener)
         : m_stream(std::move(socket))
         , m_receiveTimer(m_stream.get_executor())
+        , m_budget(listener->limits().requestBudget)
+        , m_requestShare(m_budget.get())
+        , m_answerBudget(listener->limits().answerBudget)
+        , m_answerShare(m_answerBudget.get())
         , m_listener(std::move(listener))
         , m_number(m_listener->nextConnection())
     {
@@ -153,6 +168,10 @@
     void refuseConnection();
     void awaitRequest();
     void closeIfIdle();
+    // Closes the connection at once.
+    void abandon() { close(); }
+    // Since when the connection has waited for a request; empty if it is not waiting.
+    std::optional<TimePoint> waitingSince() const;
     std::string remoteHost() const;
     TimePoint receivedAt() const { return m_receivedAt; }
     bool isConnected() { return m_phase != Phase::Finished && !isClosedByPeer(m_stream.socket()); }
@@ -163,6 +182,11 @@
 
     void readRequest();
     void limitReceiving();
+    void parse(error_code &error);
+    void readMore();
+    void onRead(error_code error, std::size_t bytes);
+    std::size_t heldBytes();
+    void onReclaimed();
     void onRequest(error_code error);
     void refuse(Reason reason);
     void watchPeer();
@@ -177,6 +201,9 @@
     void writeQueued();
     template<typename Buffers>
     void startWrite(const Buffers &buffers, bool last);
+    std::size_t pendingLimit() const;
+    // Counts what has not been written of the answer. Returns false if the connection has to be closed for it.
+    bool countAnswer(std::size_t bytes);
     void onWritten(error_code error, bool last);
     void finishAnswer();
     void onPeerClosed();
@@ -187,12 +214,25 @@
     // Ends the receiving of a request. The timeout of the stream closes the socket, so that no refusal could be sent.
     boost::asio::steady_timer m_receiveTimer;
     bool m_receiveTimedOut = false;
+    // Whether the bytes of the request being received had to be given up.
+    bool m_reclaimed = false;
+    // Size of the last read for the request being received; it doubles while reads fill it.
+    std::size_t m_readBytes = FirstReadBytes;
+    // Bytes of the request's head.
+    std::size_t m_headBytes = 0;
     beast::flat_buffer m_buffer;
+    std::shared_ptr<BufferBudget> m_budget;
+    // What this connection holds of requests: while they arrive, and for as long as they are in progress.
+    BufferShare m_requestShare;
+    std::shared_ptr<BufferBudget> m_answerBudget;
+    BufferShare m_answerShare;
     std::shared_ptr<Listener> m_listener;
     std::uint64_t m_number;
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::weak_ptr<Responder> m_responder;
     Phase m_phase = Phase::AwaitingRequest;
+    // When the connection began to wait for a request.
+    TimePoint m_waitingSince = TimePoint::max();
     // When the bytes arrived that have been read last.
     TimePoint m_receivedAt;
     // Set if bytes had arrived when the connection was accepted: the earliest time of their arrival.
@@ -272,6 +312,8 @@
 
     std::size_t pendingBytes() const override { return m_session ? m_session->m_queued.size() + m_session->m_writing.size() : 0; }
 
+    std::size_t pendingLimit() const override { return m_session ? m_session->pendingLimit() : SmallPendingLimit; }
+
     std::uint64_t connection() const override { return m_number; }
 
     std::string remoteHost() const override { return m_session ? m_session->remoteHost() : std::string(); }
@@ -305,6 +347,13 @@
     m_phase = Phase::AwaitingRequest;
     m_headRequest = false;
     m_receiveTimedOut = false;
+    m_reclaimed = false;
+    m_readBytes = FirstReadBytes;
+    m_headBytes = 0;
+    m_requestShare.release();
+    if (m_buffer.size() == 0 && m_buffer.capacity() > FirstReadBytes) {
+        m_buffer.shrink_to_fit();
+    }
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_listener->limits().header.value));
     m_parser->body_limit(m_listener->limits().body.value);
@@ -318,6 +367,7 @@
         close();
         return;
     }
+    m_waitingSince = currentTime();
     expireAfter(m_listener->limits().idle);
     m_stream.async_read_some(m_buffer.prepare(FirstReadBytes), [self = shared_from_this()](error_code error, std::size_t bytes) {
         if (error) {
@@ -337,6 +387,11 @@
     }
 }
 
+std::optional<TimePoint> HttpServer::Listener::Session::waitingSince() const
+{
+    return m_phase == Phase::AwaitingRequest ? std::optional(m_waitingSince) : std::nullopt;
+}
+
 std::string HttpServer::Listener::Session::remoteHost() const
 {
     error_code error;
@@ -350,17 +405,95 @@
     // A request that has already arrived completely needs no further iteration of the event loop.
     m_parser->eager(true);
     error_code error;
-    m_buffer.consume(m_parser->put(m_buffer.data(), error));
-    if (m_parser->is_done() || (error && error != http::error::need_more)) {
+    parse(error);
+    if (error || m_parser->is_done()) {
         onRequest(error);
         return;
     }
-    // Beast reads as many bytes at once as fit into the buffer.
-    if (m_parser->is_header_done() && m_parser->content_length()) {
-        m_buffer.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*m_parser->content_length(), BodyReadBytes)));
-    }
     limitReceiving();
-    http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) { self->onRequest(error); });
+    m_requestShare.makeReclaimable([this] { onReclaimed(); });
+    m_requestShare.touch(currentTime());
+    readMore();
+}
+
+// Parses what is in the buffer. Sets an error if it is no request.
+void HttpServer::Listener::Session::parse(error_code &error)
+{
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        const bool wasHead = !m_parser->is_header_done();
+        const std::size_t parsed = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(parsed);
+        m_headBytes += wasHead ? parsed : 0;
+        if (error == http::error::need_more) {
+            error = {};
+            return;
+        }
+        if (error || parsed == 0) {
+            return;
+        }
+    }
+}
+
+void HttpServer::Listener::Session::readMore()
+{
+    if (!m_requestShare.resize(Bytes{heldBytes()}, currentTime())) {
+        m_reclaimed = true;
+        onRequest(boost::asio::error::operation_aborted);
+        return;
+    }
+    std::size_t wanted = m_readBytes;
+    if (m_parser->is_header_done()) {
+        if (const auto left = m_parser->content_length_remaining()) {
+            wanted = static_cast<std::size_t>(std::min<std::uint64_t>(std::max<std::uint64_t>(*left, 1), BodyReadBytes));
+        }
+        // Grows by less than the factor two of the parser, and not beyond the limit.
+        std::string &body = m_parser->get().body();
+        const std::size_t limit = static_cast<std::size_t>(m_listener->limits().body.value) + BodyReadBytes;
+        if (body.capacity() < body.size() + wanted) {
+            body.reserve(std::max(body.size() + wanted, std::min(body.size() + body.size() / 2, limit)));
+        }
+    }
+    const std::size_t room = m_buffer.max_size() - std::min(m_buffer.size(), m_buffer.max_size());
+    if (room == 0) {
+        onRequest(http::error::buffer_overflow);
+        return;
+    }
+    m_stream.async_read_some(m_buffer.prepare(std::min(wanted, room)),
+                             [self = shared_from_this()](error_code error, std::size_t bytes) { self->onRead(error, bytes); });
+}
+
+void HttpServer::Listener::Session::onRead(error_code error, std::size_t bytes)
+{
+    if (error == boost::asio::error::eof) {
+        close();
+        return;
+    }
+    if (error || m_reclaimed) {
+        onRequest(error ? error : error_code(boost::asio::error::operation_aborted));
+        return;
+    }
+    m_buffer.commit(bytes);
+    m_readBytes = bytes == m_readBytes ? std::min(2 * m_readBytes, BodyReadBytes) : m_readBytes;
+    m_requestShare.touch(currentTime());
+    parse(error);
+    if (error || m_parser->is_done()) {
+        onRequest(error);
+        return;
+    }
+    readMore();
+}
+
+std::size_t HttpServer::Listener::Session::heldBytes()
+{
+    const std::size_t body = m_parser && m_parser->is_header_done() ? m_parser->get().body().capacity() : 0;
+    return m_buffer.capacity() + m_headBytes + body;
+}
+
+// The read in progress still uses the parser; both are dropped when it ends.
+void HttpServer::Listener::Session::onReclaimed()
+{
+    m_reclaimed = true;
+    m_stream.cancel();
 }
 
 void HttpServer::Listener::Session::limitReceiving()
@@ -382,8 +515,12 @@
 {
     m_phase = Phase::Answering;
     m_receiveTimer.cancel();
+    m_requestShare.keep();
     if (error) {
-        const auto reason = m_receiveTimedOut ? Reason::SlowSender : reasonOf(error);
+        auto reason = m_receiveTimedOut ? Reason::SlowSender : reasonOf(error);
+        if (m_reclaimed) {
+            reason = Reason::QueueFull;
+        }
         if (reason) {
             refuse(*reason);
         } else {
@@ -396,6 +533,12 @@
         close();
         return;
     }
+    // From here on the handler may hold copies.
+    const std::size_t body = m_parser->get().body().size();
+    if (!m_requestShare.resize(Bytes{m_buffer.capacity() + m_headBytes + m_listener->limits().copies * body}, currentTime())) {
+        refuse(Reason::QueueFull);
+        return;
+    }
     m_stream.expires_never();
     auto message = m_parser->release();
     m_keepAlive = message.keep_alive();
@@ -418,6 +561,10 @@
 {
     m_listener->refused(reason);
     m_keepAlive = false;
+    m_parser.reset();
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    m_requestShare.release();
     answer(m_listener->refusalAnswer(reason));
 }
 
@@ -439,7 +586,11 @@
     error_code error;
     const std::size_t unread = m_stream.socket().available(error);
     // The limit may have become lower than what the buffer holds.
-    const std::size_t room = m_buffer.max_size() - std::min(m_buffer.size(), m_buffer.max_size());
+    const std::size_t room = std::min(ReadAheadBytes, m_buffer.max_size() - std::min(m_buffer.size(), m_buffer.max_size()));
+    if (!m_requestShare.tryResize(Bytes{m_requestShare.bytes().value + std::min(unread, room)})) {
+        // Not watched any further: a close is noticed when the answer is written.
+        return;
+    }
     std::size_t bytes = 0;
     if (!error && unread > 0 && room > 0) {
         bytes = m_stream.socket().read_some(m_buffer.prepare(std::min(unread, room)), error);
@@ -478,9 +629,15 @@
     if (m_headRequest) {
         m_fullResponse->body().clear();
     }
+    if (!countAnswer(m_fullResponse->body().size())) {
+        close();
+        return;
+    }
+    m_requestShare.tryResize(Bytes{m_buffer.capacity()});
     expireAfter(m_listener->limits().write);
     http::async_write(m_stream, *m_fullResponse, [self = shared_from_this()](error_code error, std::size_t) {
         self->m_fullResponse.reset();
+        self->m_answerShare.release();
         if (error) {
             self->close();
             return;
@@ -518,6 +675,10 @@
     } else {
         m_queued += bytes;
     }
+    if (!countAnswer(m_queued.size() + m_writing.size())) {
+        boost::asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->onPeerClosed(); });
+        return;
+    }
     flush();
 }
 
@@ -528,6 +689,7 @@
         return;
     }
     m_endQueued = true;
+    m_requestShare.tryResize(Bytes{m_buffer.capacity()});
     flush();
 }
 
@@ -562,9 +724,14 @@
     if (m_writeInProgress || m_phase != Phase::Streaming) {
         return;
     }
-    const bool last = m_endQueued;
+    const bool last = m_endQueued && m_queued.size() <= WriteBytes;
     m_phase = last ? Phase::Finished : m_phase;
-    m_writing = std::exchange(m_queued, {});
+    if (m_queued.size() <= WriteBytes) {
+        m_writing = std::exchange(m_queued, {});
+    } else {
+        m_writing = m_queued.substr(0, WriteBytes);
+        m_queued.erase(0, WriteBytes);
+    }
     const boost::asio::const_buffer head = boost::asio::buffer(m_head);
     const boost::asio::const_buffer body = boost::asio::buffer(m_writing);
     const bool hasBody = !m_writing.empty();
@@ -599,6 +766,7 @@
         return;
     }
     m_stream.expires_never();
+    countAnswer(m_queued.size());
     if (last) {
         finishAnswer();
         return;
@@ -608,14 +776,47 @@
         return;
     }
     flush();
+    const auto responder = m_responder.lock();
+    if (responder && responder->onRoom && m_queued.size() < pendingLimit() / 2) {
+        responder->onRoom();
+    }
     if (m_queued.empty() && !m_flushPosted) {
-        const auto responder = m_responder.lock();
         if (responder && responder->onDrained) {
             responder->onDrained();
         }
     }
 }
 
+std::size_t HttpServer::Listener::Session::pendingLimit() const
+{
+    const bool isHalfFree = m_answerBudget && m_answerBudget->used().value < m_answerBudget->limit().value / 2;
+    return isHalfFree ? LargePendingLimit : SmallPendingLimit;
+}
+
+bool HttpServer::Listener::Session::countAnswer(std::size_t bytes)
+{
+    const TimePoint now = currentTime();
+    if (m_answerShare.bytes().value == 0 || m_answerShare.bytes().value > bytes) {
+        m_answerShare.touch(now);
+    }
+    if (bytes == 0) {
+        m_answerShare.release();
+        return true;
+    }
+    // Closed later, since the owner of another answer may be the one that is writing now.
+    m_answerShare.makeReclaimable([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->m_listener->refused(Reason::CallerTooSlow);
+            boost::asio::post(self->m_stream.get_executor(), [self] { self->onPeerClosed(); });
+        }
+    });
+    if (!m_answerShare.resize(Bytes{bytes}, now)) {
+        m_listener->refused(Reason::CallerTooSlow);
+        return false;
+    }
+    return true;
+}
+
 void HttpServer::Listener::Session::finishAnswer()
 {
     if (!m_keepAlive) {
@@ -640,6 +841,8 @@
 void HttpServer::Listener::Session::close()
 {
     m_phase = Phase::Finished;
+    m_requestShare.release();
+    m_answerShare.release();
     m_stream.close();
 }
 
@@ -713,6 +916,26 @@
     });
 }
 
+// Closes the connection that has waited longest for a request, if that is for longer than ReplaceableIdleTime. Returns whether one was.
+bool HttpServer::Listener::makeRoom()
+{
+    Session *longest = nullptr;
+    TimePoint since = currentTime() - ReplaceableIdleTime;
+    for (Session *session : m_sessions) {
+        const auto waitingSince = session->waitingSince();
+        if (waitingSince && *waitingSince <= since) {
+            longest = session;
+            since = *waitingSince;
+        }
+    }
+    if (longest == nullptr) {
+        return false;
+    }
+    m_refused(Reason::TooManyConnections);
+    longest->abandon();
+    return true;
+}
+
 void HttpServer::Listener::start(tcp::socket socket)
 {
     error_code ignored;
@@ -720,7 +943,7 @@
     enableDeadPeerDetection(socket);
     const auto session = std::make_shared<Session>(std::move(socket), m_waitingSince.value_or(currentTime()), shared_from_this());
     m_sessions.insert(session.get());
-    if (m_sessions.size() > m_limits.connections) {
+    if (m_sessions.size() > m_limits.connections && !makeRoom()) {
         session->refuseConnection();
     } else {
         session->awaitRequest();
--- a/src/libhemlockhill/net/http_server_refusal_test.cpp
+++ b/src/libhemlockhill/net/http_server_refusal_test.cpp
@@ -1,6 +1,7 @@
 // Tests that the server refuses only requests that have not reached the handler, and that each request gets one response.
 #include "hemlockhill/http_server.h"
 
+#include "hemlockhill/buffer_budget.h"
 #include "hemlockhill/timer_service.h"
 
 #include <boost/asio/io_context.hpp>
@@ -375,3 +376,38 @@
     BOOST_CHECK_EQUAL(fixture.requests[2].body.size(), 90'000);
     BOOST_CHECK(fixture.refusals.empty());
 }
+
+// Guards against callers that open connections and send nothing keeping others out until the time limit of idle connections.
+BOOST_AUTO_TEST_CASE(idle_connection_makes_room_at_the_limit_of_connections)
+{
+    HttpServerLimits limits;
+    limits.connections = 1;
+    Fixture fixture(limits);
+    Client idle(fixture);
+    fixture.runFor(std::chrono::milliseconds(1200));
+    Client other(fixture);
+    other.send(Get);
+    BOOST_REQUIRE(fixture.awaitRequests(1));
+    fixture.responders[0]->answer(Ok);
+    BOOST_CHECK(other.receiveUpTo("ok").starts_with("HTTP/1.1 200 OK\r\n"));
+    BOOST_CHECK(idle.receiveAll().empty());
+}
+
+// Guards against a body that stopped arriving keeping its memory while others need it.
+BOOST_AUTO_TEST_CASE(stopped_body_gives_way_to_one_that_arrives)
+{
+    constexpr std::size_t BodyBytes = 90'000;
+    HttpServerLimits limits;
+    limits.requestBudget = std::make_shared<BufferBudget>(Bytes{200'000});
+    Fixture fixture(limits);
+    Client stopped(fixture);
+    stopped.send(post("/first", BodyBytes) + std::string(BodyBytes / 2, 'x'));
+    fixture.runFor(std::chrono::milliseconds(700));
+    Client other(fixture);
+    other.send(post("/first", BodyBytes) + std::string(BodyBytes, 'x'));
+    BOOST_REQUIRE(fixture.awaitRequests(1));
+    BOOST_CHECK_EQUAL(fixture.requests[0].body.size(), BodyBytes);
+    BOOST_CHECK(stopped.receiveAll().starts_with("HTTP/1.1 429 "));
+    fixture.responders[0]->answer(Ok);
+    BOOST_CHECK(other.receiveUpTo("ok").starts_with("HTTP/1.1 200 OK\r\n"));
+}
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -34,8 +34,8 @@
 constexpr Duration PathReviewPeriod = std::chrono::milliseconds(50);
 // Size of the headers that nodes add to a forwarded request.
 constexpr Bytes ForwardingHeaders{4096};
-// Maximum number of connections from other nodes.
-constexpr std::uint32_t ForwardingConnectionLimit = 1024;
+// The body of a request that is being forwarded exists twice: as received, for further attempts, and as sent.
+constexpr std::uint32_t BodyCopies = 2;
 // Period at which suspects that have expired, and losses of endpoints that still run, are dropped.
 constexpr Duration SuspectReviewPeriod = std::chrono::seconds(1);
 // Delays after which the count of requests under a rate limit is announced again, as the first notice may have been lost.
@@ -43,7 +43,7 @@
 // Additional time for receiving a request after the header timeout.
 constexpr Duration BodyTimeout = std::chrono::seconds(7);
 
-HttpServerLimits serverLimits(const CallerLimits &limits, std::uint32_t connections)
+HttpServerLimits serverLimits(const CallerLimits &limits, std::uint32_t connections, const GatewaySettings &settings)
 {
     HttpServerLimits server;
     server.header = limits.header;
@@ -51,12 +51,20 @@
     server.request = limits.headerTimeout + BodyTimeout;
     server.idle = limits.idleTimeout;
     server.connections = connections;
+    server.copies = BodyCopies;
+    server.requestBudget = settings.requestBudget;
+    server.answerBudget = settings.answerBudget;
     return server;
 }
 
-HttpServerLimits forwardingServerLimits(const CallerLimits &limits)
+HttpServerLimits callerServerLimits(const CallerLimits &limits, const GatewaySettings &settings)
 {
-    HttpServerLimits server = serverLimits(limits, ForwardingConnectionLimit);
+    return serverLimits(limits, settings.connectionLimit, settings);
+}
+
+HttpServerLimits forwardingServerLimits(const CallerLimits &limits, const GatewaySettings &settings)
+{
+    HttpServerLimits server = serverLimits(limits, settings.forwardingConnectionLimit, settings);
     server.header += ForwardingHeaders;
     return server;
 }
@@ -149,7 +157,7 @@
     m_server = std::make_unique<HttpServer>(
         m_loop,
         m_settings.listen,
-        serverLimits({}, m_settings.connectionLimit),
+        callerServerLimits({}, m_settings),
         [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) { onRequest(std::move(request), responder); },
         [this](Reason reason) {
             m_metrics.countRefusal(reason);
@@ -168,7 +176,7 @@
     m_forwardingServer = std::make_unique<HttpServer>(
         m_loop,
         *m_settings.forwardingListen,
-        forwardingServerLimits({}),
+        forwardingServerLimits({}, m_settings),
         [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) { onForwardedRequest(std::move(request), responder); },
         [this](Reason reason) { m_metrics.countRefusal(reason); });
     m_forwardingServer->setArrivalClock(m_arrivalClock);
@@ -184,9 +192,9 @@
 void Gateway::setDeployment(std::shared_ptr<const Deployment> deployment)
 {
     m_deployment = std::move(deployment);
-    m_server->setLimits(serverLimits(m_deployment->limits, m_settings.connectionLimit));
+    m_server->setLimits(callerServerLimits(m_deployment->limits, m_settings));
     if (m_forwardingServer) {
-        m_forwardingServer->setLimits(forwardingServerLimits(m_deployment->limits));
+        m_forwardingServer->setLimits(forwardingServerLimits(m_deployment->limits, m_settings));
     }
 }
 
--- a/src/libhemlockhill/node/gateway_forwarded_request.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_request.cpp
@@ -18,8 +18,6 @@
 constexpr unsigned StatusServiceUnavailable = 503;
 // Answers up to this size are sent with their length, except for streams of events.
 constexpr std::size_t BufferedAnswerLimitBytes = 262'144;
-// Reading from the endpoint pauses while this many bytes have not been written to the other node.
-constexpr std::size_t PendingLimitBytes = 65'536;
 
 } // namespace
 
@@ -194,11 +192,11 @@
 
 void Gateway::ForwardedRequest::applyBackpressure()
 {
-    if (m_responder->pendingBytes() < PendingLimitBytes) {
+    if (m_responder->pendingBytes() < m_responder->pendingLimit()) {
         return;
     }
     m_exchange->pause();
-    m_responder->onDrained = [weak = weak_from_this()] {
+    m_responder->onRoom = [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && !self->m_done) {
             self->m_exchange->resume();
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -21,8 +21,6 @@
 // Range of Retry-After.
 constexpr Duration MinimumRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration MaximumRetryAfter = std::chrono::milliseconds(1500);
-// Reading from the endpoint pauses while this many bytes have not been written to the caller.
-constexpr std::size_t PendingLimitBytes = 65'536;
 // A stream that has gone on for this long after its first event does not crash its endpoint.
 constexpr Duration ProgressTime = std::chrono::milliseconds(300);
 // Answers up to this size are buffered and sent with their length; larger ones are streamed.
@@ -178,11 +176,11 @@
 // Applies backpressure: pauses reading from the endpoint while the caller reads too slowly.
 void Gateway::Request::applyBackpressure()
 {
-    if (m_responder->pendingBytes() < PendingLimitBytes || !m_exchange) {
+    if (m_responder->pendingBytes() < m_responder->pendingLimit() || !m_exchange) {
         return;
     }
     m_exchange->pause();
-    m_responder->onDrained = [weak = weak_from_this()] {
+    m_responder->onRoom = [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && self->m_exchange) {
             self->m_exchange->resume();
