--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -5,6 +5,7 @@
 #include "hemlockhill/membership_repair.h"
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/peer_messages.h"
+#include "hemlockhill/quota_shards.h"
 #include "hemlockhill/read_status.h"
 #include "hemlockhill/replicated_state.h"
 #include "hemlockhill/serving_lease.h"
@@ -41,6 +42,8 @@
     std::function<void()> restored;
     // Another deployment is current. Called once for all that were committed since the last call, with the newest.
     std::function<void(const DeploymentDocument &document)> deploymentChanged;
+    // Returns the time on a clock that also counts while the machine is suspended. If empty, it is never suspended.
+    std::function<BootTimePoint()> bootTime = {};
 };
 
 // VMs of the controllers that create the group at the first start of the system, or empty if this controller takes no part in that.
@@ -145,7 +148,12 @@
     void abandonProposals();
     void answerAcceptedCommands(TimePoint now);
     void answerHeldFollows(TimePoint now, bool all);
-    FollowReply followReply(const FollowRequest &request, TimePoint receivedAt, TimePoint now) const;
+    FollowReply followReply(const VmId &node, const FollowRequest &request, TimePoint receivedAt, TimePoint now);
+    // Leases shards of quotas to a node that claims some.
+    std::optional<QuotaLeases> quotaLeases(const VmId &node, const FollowRequest &request, TimePoint now);
+    NodeTime nodeTime(TimePoint now) const;
+    // Finds out whether entries may hold leases of shards that a former leader has granted.
+    void reviewFormerQuotaLeases(TimePoint now);
     void updateFollowers(TimePoint now);
     // Proposes at most one change of the membership. Returns whether one was proposed.
     bool repairMembership(TimePoint now);
@@ -210,6 +218,10 @@
     std::size_t m_snapshotBytes = 0;
     DeploymentVersion m_announcedDeployment;
     std::optional<LeaseRegister> m_leases;
+    // Present while this controller leads.
+    std::optional<QuotaShards> m_quotaShards;
+    // Whether this leader has found out if any deployment was declared before it could answer.
+    bool m_formerQuotaLeasesReviewed = false;
     std::map<LogIndex, PendingProposal> m_pendingProposals;
     std::vector<AcceptedCommand> m_acceptedCommands;
     std::vector<HeldFollow> m_heldFollows;
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -8,6 +8,7 @@
 #include "hemlockhill/endpoint_choice.h"
 #include "hemlockhill/endpoint_directory.h"
 #include "hemlockhill/forwarding_peers.h"
+#include "hemlockhill/gateway_quota.h"
 #include "hemlockhill/http_exchange.h"
 #include "hemlockhill/http_server.h"
 #include "hemlockhill/load_owners.h"
@@ -136,6 +137,7 @@
     bool needsListing() const;
     // Returns the demand since the previous call and resets the counters.
     DemandByTarget takeTargetDemand();
+    GatewayQuota &quota() { return m_quota; }
     bool hasDeployment() const { return m_deployment != nullptr; }
     bool hasEndpoints() const { return !m_directory.endpoints().empty(); }
 
@@ -216,6 +218,7 @@
     CrashGuard m_crashGuard;
     bool m_suspectNoticesScheduled = false;
     VersionHistory m_versions;
+    GatewayQuota m_quota;
     std::map<std::uint64_t, std::shared_ptr<Request>> m_requests;
     std::map<std::uint64_t, std::shared_ptr<ForwardedRequest>> m_forwardedRequests;
     std::uint64_t m_lastRequestNumber = 0;
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -46,6 +46,10 @@
     std::function<void(const VmId &from, const std::string &figures)> figuresReceived;
     // Returns the statistics that a follower sends to the leader.
     std::function<std::string()> collectFigures;
+    // Returns the shards of quotas that this node claims; empty if its deployment has no limited workspaces. Optional.
+    std::function<std::optional<QuotaClaim>()> quotaClaim = {};
+    // The leader has answered a claim that was sent at the given time. Optional.
+    std::function<void(const QuotaClaim &claim, const QuotaLeases &leases, BootTimePoint sentAt)> quotaLeased = {};
 };
 
 class GroupMember
@@ -89,6 +93,7 @@
         VmId to;
         TimePoint sentAt;
         BootTimePoint sentAtBoot;
+        std::optional<QuotaClaim> quotaClaim;
     };
 
     ControllerHooks controllerHooks();
--- a/src/include/hemlockhill/metrics.h
+++ b/src/include/hemlockhill/metrics.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "hemlockhill/failure.h"
+#include "hemlockhill/workspace_keys.h"
 #include "hemlockhill/world.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -29,6 +31,11 @@
     void observeFirstToken(Duration elapsed);
     // Time from the arrival of a request to the end of its response.
     void observeWholeAnswer(Duration elapsed);
+    // Counts units of a workspace's quota by their outcome, such as "granted". The first 64 workspaces are counted by name, the others
+    // together.
+    void countQuotaUnits(const WorkspaceId &workspace, std::string_view outcome, std::uint64_t units);
+    // Level of a share of a workspace's quota at this node, as a part of its capacity; not set for workspaces that are counted together.
+    void setQuotaFill(const WorkspaceId &workspace, std::string_view share, double fill);
     // Sets the gauge "hemlockhill_state" with the given value of the label "name".
     void setGauge(std::string_view name, double value);
 
--- a/src/include/hemlockhill/peer_datagrams.h
+++ b/src/include/hemlockhill/peer_datagrams.h
@@ -1,6 +1,6 @@
 // UDP datagrams between nodes, for messages whose loss does little harm: notices of dispatched requests, questions about the load of
-// endpoints, notices of endpoints' rate limits and of requests that crash endpoints, the origins of streams, and the search for nodes to
-// forward through.
+// endpoints, notices of endpoints' rate limits and of requests that crash endpoints, the origins of streams, the search for nodes to
+// forward through, and questions to the owners of workspaces' quotas.
 #pragma once
 
 #include "hemlockhill/broadcast_queue.h"
@@ -10,6 +10,7 @@
 #include "hemlockhill/forwarding_peers.h"
 #include "hemlockhill/load_queries.h"
 #include "hemlockhill/metrics.h"
+#include "hemlockhill/quota_messages.h"
 #include "hemlockhill/stream_origins.h"
 #include "hemlockhill/timer_service.h"
 #include "hemlockhill/world.h"
@@ -35,8 +36,16 @@
 inline constexpr std::size_t DatagramLimitBytes = 2048;
 
 // The content of one datagram.
-using PeerDatagram =
-    std::variant<DispatchNotice, StreamOriginMessage, CrashSuspectNotice, RateLimitNotice, ForwardingMessage, LoadQuery, LoadReport>;
+using PeerDatagram = std::variant<DispatchNotice,
+                                  StreamOriginMessage,
+                                  CrashSuspectNotice,
+                                  RateLimitNotice,
+                                  ForwardingMessage,
+                                  LoadQuery,
+                                  LoadReport,
+                                  QuotaQuery,
+                                  QuotaReply,
+                                  QuotaReturn>;
 
 // Name of the kind of a message, for logs.
 std::string_view kindOf(const PeerDatagram &message);
--- a/src/include/hemlockhill/peer_messages.h
+++ b/src/include/hemlockhill/peer_messages.h
@@ -6,11 +6,13 @@
 #include "hemlockhill/directory_history.h"
 #include "hemlockhill/failure.h"
 #include "hemlockhill/http.h"
+#include "hemlockhill/quota_messages.h"
 #include "hemlockhill/serving_lease.h"
 #include "hemlockhill/settings.h"
 #include "hemlockhill/world.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -85,6 +87,8 @@
     DirectoryRevision directory;
     // Digest of the list of followers that the node holds.
     StateDigest followersDigest;
+    // Set if the node's deployment has limited workspaces.
+    std::optional<QuotaClaim> quotaClaim = {};
 };
 
 // The changes since the revisions named in a FollowRequest.
@@ -117,6 +121,8 @@
     // digest differs.
     StateDigest followersDigest;
     std::vector<VmId> followers;
+    // Answers the claim of the request, if it has one.
+    std::optional<QuotaLeases> quotaLeases;
 };
 
 // Requests an attestation from a controller.
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -139,6 +139,7 @@
     m_consensus.reset();
     if (m_leases) {
         m_leases.reset();
+        m_quotaShards.reset();
         m_directory.reset();
         m_hooks.leadershipChanged(std::nullopt);
     }
@@ -393,6 +394,10 @@
     const bool leads = m_consensus->role() == VoterRole::Leader;
     if (leads && !m_leases) {
         m_leases.emplace(m_times, m_nodes, now);
+        QuotaLeaseTimes quotaTimes;
+        quotaTimes.leadership = m_settings.control.electionTimeout;
+        m_quotaShards.emplace(quotaTimes, nodeTime(now));
+        m_formerQuotaLeasesReviewed = false;
         m_repair.onLeadershipTaken(now);
         m_hooks.leadershipChanged(m_consensus->term());
         m_metrics.countEvent("leadership_taken");
@@ -401,6 +406,7 @@
     }
     if (!leads && m_leases) {
         m_leases.reset();
+        m_quotaShards.reset();
         m_directory.reset();
         m_hooks.leadershipChanged(std::nullopt);
         m_metrics.countEvent("leadership_lost");
@@ -445,7 +451,7 @@
     m_acceptedCommands = std::move(waiting);
 }
 
-FollowReply Controller::followReply(const FollowRequest &request, TimePoint receivedAt, TimePoint now) const
+FollowReply Controller::followReply(const VmId &node, const FollowRequest &request, TimePoint receivedAt, TimePoint now)
 {
     if (!leads(now)) {
         FollowReply reply;
@@ -473,9 +479,36 @@
     if (request.followersDigest != m_followersDigest) {
         reply.followers = m_followers;
     }
+    reply.quotaLeases = quotaLeases(node, request, now);
     return reply;
 }
 
+std::optional<QuotaLeases> Controller::quotaLeases(const VmId &node, const FollowRequest &request, TimePoint now)
+{
+    if (!request.quotaClaim) {
+        return std::nullopt;
+    }
+    reviewFormerQuotaLeases(now);
+    return m_quotaShards->onClaim(node, *request.quotaClaim, nodeTime(now));
+}
+
+NodeTime Controller::nodeTime(TimePoint now) const
+{
+    return {now, m_hooks.bootTime ? m_hooks.bootTime() : BootTimePoint(now.time_since_epoch())};
+}
+
+// Entries claim shards only by a deployment that they have received. Once this controller may answer as the leader, it has applied all
+// that former leaders have committed.
+void Controller::reviewFormerQuotaLeases(TimePoint now)
+{
+    if (!leads(now) || std::exchange(m_formerQuotaLeasesReviewed, true)) {
+        return;
+    }
+    if (m_state.deployment().current().version == DeploymentVersion{}) {
+        m_quotaShards->onNothingLeasedBefore();
+    }
+}
+
 const std::string &Controller::packedDeployment() const
 {
     const DeploymentDocument &document = m_state.deployment().current();
@@ -489,9 +522,13 @@
 void Controller::follow(const VmId &node, const FollowRequest &request, FollowAnswer answer, TimePoint now)
 {
     if (!leads(now)) {
-        answer(followReply(request, now, now));
+        answer(followReply(node, request, now, now));
         return;
     }
+    if (request.quotaClaim && request.quotaClaim->isLeaving) {
+        // Others can be leased its shards while its request is held.
+        quotaLeases(node, request, now);
+    }
     m_leases->recordReport(node, request.confirmed, now);
     if (m_followedAt.insert_or_assign(node, now).second) {
         updateFollowers(now);
@@ -503,7 +540,7 @@
     if (isCurrent) {
         m_heldFollows.push_back({node, request, std::move(answer), now, now + m_times.lease / FollowHoldLeaseDivisor});
     } else {
-        answer(followReply(request, now, now));
+        answer(followReply(node, request, now, now));
     }
     answerAcceptedCommands(now);
 }
@@ -513,7 +550,7 @@
     std::vector<HeldFollow> held;
     for (HeldFollow &follow : std::exchange(m_heldFollows, {})) {
         if (all || now >= follow.answerAt) {
-            follow.answer(followReply(follow.request, follow.receivedAt, now));
+            follow.answer(followReply(follow.node, follow.request, follow.receivedAt, now));
         } else {
             held.push_back(std::move(follow));
         }
@@ -554,6 +591,7 @@
         executeActions(now);
     }
     updateFollowers(now);
+    reviewFormerQuotaLeases(now);
     answerHeldFollows(now, false);
     reportGauges(now);
 }
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -81,6 +81,7 @@
     hooks.applied = [](const ReplicatedCommand &) {};
     hooks.restored = [] {};
     hooks.deploymentChanged = [this](const DeploymentDocument &document) { applyDocument(document); };
+    hooks.bootTime = [] { return BootClock::now(); };
     return hooks;
 }
 
@@ -326,6 +327,9 @@
     if (applyDocument(reply)) {
         m_hooks.deploymentConfirmed(call.sentAtBoot);
     }
+    if (reply.quotaLeases && call.quotaClaim && m_hooks.quotaLeased) {
+        m_hooks.quotaLeased(*call.quotaClaim, *reply.quotaLeases, call.sentAtBoot);
+    }
     applyDirectoryChanges(reply, call.sentAt);
 }
 
@@ -361,8 +365,10 @@
 
 CallId GroupMember::startFollowCall(const VmId &to, FollowRequest request)
 {
+    // Taken before the request can be sent: what it proves counts from its sending, and this process may be frozen in between.
+    PendingFollowCall pending{to, currentTime(), BootClock::now(), request.quotaClaim};
     const CallId id = startCall(to, std::move(request));
-    m_followCalls[id] = PendingFollowCall{to, currentTime(), BootClock::now()};
+    m_followCalls[id] = std::move(pending);
     return id;
 }
 
@@ -379,6 +385,9 @@
     request.deployment = m_deploymentVersion;
     request.directory = m_directory.revision();
     request.followersDigest = m_followersDigest;
+    if (m_hooks.quotaClaim) {
+        request.quotaClaim = m_hooks.quotaClaim();
+    }
     return request;
 }
 
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -67,6 +68,13 @@
     return XXH3_64bits(text.data(), text.size()) ^ static_cast<std::uint64_t>(currentTime().time_since_epoch().count());
 }
 
+// Identifies this process. Two processes of one node must not agree, also when they start at the same time of their machines' clocks.
+std::uint64_t randomProcess()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
 } // namespace
 
 std::string encodeTargetDemand(const DemandByTarget &demand)
@@ -131,6 +139,7 @@
     , m_directory(m_settings.directoryAge)
     , m_crashGuard(m_settings.crashes)
     , m_versions(StreamOriginLimits().retention)
+    , m_quota(loop, timers, metrics, VmId{m_settings.listen.host}, randomProcess())
     , m_randomEngine(randomSeed(m_settings.listen))
 {
     m_chooser.hearsAll = [this](const ServiceId &service) { return m_loadOwners.isOwner(service, currentTime()); };
@@ -184,6 +193,7 @@
 void Gateway::setDeployment(std::shared_ptr<const Deployment> deployment)
 {
     m_deployment = std::move(deployment);
+    m_quota.setDeployment(*m_deployment);
     m_server->setLimits(serverLimits(m_deployment->limits, m_settings.connectionLimit));
     if (m_forwardingServer) {
         m_forwardingServer->setLimits(forwardingServerLimits(m_deployment->limits));
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -68,6 +68,15 @@
             self->onDeadline();
         }
     });
+    if (needsQuota() && !isTooLate(currentTime())) {
+        charge();
+    } else {
+        begin();
+    }
+}
+
+void Gateway::Request::begin()
+{
     m_gateway.retryBudget(m_requirements.service).onRequest();
     m_gateway.m_crashGuard.onArrival(m_head);
     if (!m_head.target.model.empty()) {
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -85,6 +85,14 @@
     bool resumesStream() const { return m_route.kind == RouteKind::Streaming && m_route.resumable && !m_head.lastEventId.empty(); }
     // Looks up the origin of the stream to continue, then dispatches the request to an endpoint of the version that began it.
     void findOrigin();
+    // Whether the units of the request must be granted before it is dispatched for the first time.
+    bool needsQuota() const;
+    void charge();
+    void onCharged(const QuotaDecision &decision);
+    // Gives back the units of a request that has ended without having run.
+    void giveBackUnits();
+    // Looks for an endpoint for the first time.
+    void begin();
     void onOriginFound(const OriginLookupResult &origin);
     void dispatchOrQueue();
     // Records the version of the stream that the first event has begun.
@@ -174,6 +182,8 @@
     const Route &m_route;
     // Null if the request belongs to no workspace.
     const Workspace *m_workspace = nullptr;
+    // The units that have been granted for all attempts.
+    std::optional<QuotaGrant> m_quotaGrant;
     EndpointRequirements m_requirements;
     std::shared_ptr<HttpResponder> m_responder;
     // When the bytes of the request arrived, and when the node has read them.
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -258,6 +258,7 @@
     const auto waitedFor = m_waitingSince ? std::optional(m_waitingFor) : std::nullopt;
     endWaiting(currentTime());
     m_gateway.m_timers.cancel(m_deadlineTimer);
+    giveBackUnits();
     if (outcome == "whole") {
         m_gateway.m_metrics.observeWholeAnswer(currentTime() - m_arrivedAt);
     }
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -135,6 +135,8 @@
   directoryRevision @6 :UInt64;
   # Digest of the list of followers that it holds.
   followersDigest @7 :UInt64;
+  # Set if its document has workspaces with a limit.
+  quotaClaim @8 :QuotaClaim;
 }
 
 struct FollowReply {
@@ -162,6 +164,28 @@
   listingAgeUs @13 :Int64;
   # Digest of the leader's list of followers.
   followersDigest @14 :UInt64;
+  # Answers a quotaClaim.
+  quotaLeases @15 :QuotaLeases;
+}
+
+struct QuotaClaim {
+  # Identifies this run of the process.
+  process @0 :UInt64;
+  # Numbers of the shards that it holds.
+  held @1 :List(UInt8);
+  # It has stopped granting for good, and gives its shards up.
+  leaving @2 :Bool;
+  # Digest of the table of owners that it knows.
+  table @3 :UInt64;
+}
+
+struct QuotaLeases {
+  # Numbers of the shards that the node holds from now on, and of those for which nobody has granted anything for a window before.
+  held @0 :List(UInt8);
+  rested @1 :List(UInt8);
+  # Digest of the leader's table, and the owner of each shard if the node's table differs; empty if a shard has none.
+  table @2 :UInt64;
+  owners @3 :List(Text);
 }
 
 struct PeerDatagram {
@@ -183,6 +207,35 @@
   # Set in a question about the load of a service's endpoints, and in the answer, likewise.
   loadQuery @8 :LoadQuery;
   loadReport @9 :LoadReport;
+  # Set in a question to the owner of a workspace's share, in the answer, and when units are given back, likewise.
+  quotaQuery @10 :QuotaQuery;
+  quotaReply @11 :QuotaReply;
+  quotaReturn @12 :QuotaReturn;
+}
+
+struct QuotaQuery {
+  id @0 :UInt64;
+  workspace @1 :Text;
+  share @2 :UInt8;
+  # In the unit of the workspace's quota.
+  cost @3 :UInt64;
+}
+
+struct QuotaReply {
+  id @0 :UInt64;
+  verdict @1 :Verdict;
+  # Time until there is room, if refused.
+  waitMs @2 :UInt32;
+
+  enum Verdict {
+    granted @0;
+    refused @1;
+    notOwner @2;
+  }
+}
+
+struct QuotaReturn {
+  id @0 :UInt64;
 }
 
 struct EndpointRequests {
--- a/src/libhemlockhill/peers/peer.capnp.h
+++ b/src/libhemlockhill/peers/peer.capnp.h
@@ -44,7 +44,19 @@
 CAPNP_DECLARE_SCHEMA(a87057f7f46820d3);
 CAPNP_DECLARE_SCHEMA(fdf497fe4a97a6be);
 CAPNP_DECLARE_SCHEMA(b03c630585afb38c);
+CAPNP_DECLARE_SCHEMA(bc9ad01a613399e1);
+CAPNP_DECLARE_SCHEMA(fe7bdecb9f053304);
 CAPNP_DECLARE_SCHEMA(fd8ded1fa830a9ad);
+CAPNP_DECLARE_SCHEMA(a3d6ca58b0dfeda2);
+CAPNP_DECLARE_SCHEMA(e21c40a605c34433);
+CAPNP_DECLARE_SCHEMA(82262eb20833965d);
+enum class Verdict_82262eb20833965d: uint16_t {
+  GRANTED,
+  REFUSED,
+  NOT_OWNER,
+};
+CAPNP_DECLARE_ENUM(Verdict, 82262eb20833965d);
+CAPNP_DECLARE_SCHEMA(d36d33eacdf0137b);
 CAPNP_DECLARE_SCHEMA(b351302414f8c9d1);
 CAPNP_DECLARE_SCHEMA(8ad8754158fc6749);
 CAPNP_DECLARE_SCHEMA(da24eefcbb721b91);
@@ -327,7 +339,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fdf497fe4a97a6be, 7, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fdf497fe4a97a6be, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -342,7 +354,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b03c630585afb38c, 7, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(b03c630585afb38c, 7, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaClaim {
+  QuotaClaim() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc9ad01a613399e1, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaLeases {
+  QuotaLeases() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe7bdecb9f053304, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -357,7 +399,54 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd8ded1fa830a9ad, 2, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(fd8ded1fa830a9ad, 2, 10)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaQuery {
+  QuotaQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3d6ca58b0dfeda2, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaReply {
+  QuotaReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  typedef ::capnp::schemas::Verdict_82262eb20833965d Verdict;
+
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e21c40a605c34433, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaReturn {
+  QuotaReturn() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d36d33eacdf0137b, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2277,6 +2366,9 @@
 
   inline  ::uint64_t getFollowersDigest() const;
 
+  inline bool hasQuotaClaim() const;
+  inline  ::Hemlockhill::Wire::QuotaClaim::Reader getQuotaClaim() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2333,6 +2425,13 @@
   inline  ::uint64_t getFollowersDigest();
   inline void setFollowersDigest( ::uint64_t value);
 
+  inline bool hasQuotaClaim();
+  inline  ::Hemlockhill::Wire::QuotaClaim::Builder getQuotaClaim();
+  inline void setQuotaClaim( ::Hemlockhill::Wire::QuotaClaim::Reader value);
+  inline  ::Hemlockhill::Wire::QuotaClaim::Builder initQuotaClaim();
+  inline void adoptQuotaClaim(::capnp::Orphan< ::Hemlockhill::Wire::QuotaClaim>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::QuotaClaim> disownQuotaClaim();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2351,6 +2450,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Hemlockhill::Wire::QuotaClaim::Pipeline getQuotaClaim();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2414,6 +2514,9 @@
 
   inline  ::uint64_t getFollowersDigest() const;
 
+  inline bool hasQuotaLeases() const;
+  inline  ::Hemlockhill::Wire::QuotaLeases::Reader getQuotaLeases() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2522,6 +2625,13 @@
   inline  ::uint64_t getFollowersDigest();
   inline void setFollowersDigest( ::uint64_t value);
 
+  inline bool hasQuotaLeases();
+  inline  ::Hemlockhill::Wire::QuotaLeases::Builder getQuotaLeases();
+  inline void setQuotaLeases( ::Hemlockhill::Wire::QuotaLeases::Reader value);
+  inline  ::Hemlockhill::Wire::QuotaLeases::Builder initQuotaLeases();
+  inline void adoptQuotaLeases(::capnp::Orphan< ::Hemlockhill::Wire::QuotaLeases>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::QuotaLeases> disownQuotaLeases();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2540,6 +2650,213 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Hemlockhill::Wire::QuotaLeases::Pipeline getQuotaLeases();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaClaim::Reader {
+public:
+  typedef QuotaClaim Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getProcess() const;
+
+  inline bool hasHeld() const;
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getHeld() const;
+
+  inline bool getLeaving() const;
+
+  inline  ::uint64_t getTable() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaClaim::Builder {
+public:
+  typedef QuotaClaim Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline bool hasHeld();
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getHeld();
+  inline void setHeld( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHeld(::kj::ArrayPtr<const  ::uint8_t> value);
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initHeld(unsigned int size);
+  inline void adoptHeld(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownHeld();
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline  ::uint64_t getTable();
+  inline void setTable( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaClaim::Pipeline {
+public:
+  typedef QuotaClaim Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaLeases::Reader {
+public:
+  typedef QuotaLeases Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeld() const;
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getHeld() const;
+
+  inline bool hasRested() const;
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getRested() const;
+
+  inline  ::uint64_t getTable() const;
+
+  inline bool hasOwners() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getOwners() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaLeases::Builder {
+public:
+  typedef QuotaLeases Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeld();
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getHeld();
+  inline void setHeld( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHeld(::kj::ArrayPtr<const  ::uint8_t> value);
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initHeld(unsigned int size);
+  inline void adoptHeld(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownHeld();
+
+  inline bool hasRested();
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getRested();
+  inline void setRested( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRested(::kj::ArrayPtr<const  ::uint8_t> value);
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initRested(unsigned int size);
+  inline void adoptRested(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownRested();
+
+  inline  ::uint64_t getTable();
+  inline void setTable( ::uint64_t value);
+
+  inline bool hasOwners();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getOwners();
+  inline void setOwners( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setOwners(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initOwners(unsigned int size);
+  inline void adoptOwners(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownOwners();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaLeases::Pipeline {
+public:
+  typedef QuotaLeases Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2592,6 +2909,15 @@
   inline bool hasLoadReport() const;
   inline  ::Hemlockhill::Wire::LoadReport::Reader getLoadReport() const;
 
+  inline bool hasQuotaQuery() const;
+  inline  ::Hemlockhill::Wire::QuotaQuery::Reader getQuotaQuery() const;
+
+  inline bool hasQuotaReply() const;
+  inline  ::Hemlockhill::Wire::QuotaReply::Reader getQuotaReply() const;
+
+  inline bool hasQuotaReturn() const;
+  inline  ::Hemlockhill::Wire::QuotaReturn::Reader getQuotaReturn() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2678,6 +3004,27 @@
   inline void adoptLoadReport(::capnp::Orphan< ::Hemlockhill::Wire::LoadReport>&& value);
   inline ::capnp::Orphan< ::Hemlockhill::Wire::LoadReport> disownLoadReport();
 
+  inline bool hasQuotaQuery();
+  inline  ::Hemlockhill::Wire::QuotaQuery::Builder getQuotaQuery();
+  inline void setQuotaQuery( ::Hemlockhill::Wire::QuotaQuery::Reader value);
+  inline  ::Hemlockhill::Wire::QuotaQuery::Builder initQuotaQuery();
+  inline void adoptQuotaQuery(::capnp::Orphan< ::Hemlockhill::Wire::QuotaQuery>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::QuotaQuery> disownQuotaQuery();
+
+  inline bool hasQuotaReply();
+  inline  ::Hemlockhill::Wire::QuotaReply::Builder getQuotaReply();
+  inline void setQuotaReply( ::Hemlockhill::Wire::QuotaReply::Reader value);
+  inline  ::Hemlockhill::Wire::QuotaReply::Builder initQuotaReply();
+  inline void adoptQuotaReply(::capnp::Orphan< ::Hemlockhill::Wire::QuotaReply>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::QuotaReply> disownQuotaReply();
+
+  inline bool hasQuotaReturn();
+  inline  ::Hemlockhill::Wire::QuotaReturn::Builder getQuotaReturn();
+  inline void setQuotaReturn( ::Hemlockhill::Wire::QuotaReturn::Reader value);
+  inline  ::Hemlockhill::Wire::QuotaReturn::Builder initQuotaReturn();
+  inline void adoptQuotaReturn(::capnp::Orphan< ::Hemlockhill::Wire::QuotaReturn>&& value);
+  inline ::capnp::Orphan< ::Hemlockhill::Wire::QuotaReturn> disownQuotaReturn();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2702,6 +3049,9 @@
   inline  ::Hemlockhill::Wire::ForwardingMessage::Pipeline getForwarding();
   inline  ::Hemlockhill::Wire::LoadQuery::Pipeline getLoadQuery();
   inline  ::Hemlockhill::Wire::LoadReport::Pipeline getLoadReport();
+  inline  ::Hemlockhill::Wire::QuotaQuery::Pipeline getQuotaQuery();
+  inline  ::Hemlockhill::Wire::QuotaReply::Pipeline getQuotaReply();
+  inline  ::Hemlockhill::Wire::QuotaReturn::Pipeline getQuotaReturn();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2710,9 +3060,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EndpointRequests::Reader {
+class QuotaQuery::Reader {
 public:
-  typedef EndpointRequests Reads;
+  typedef QuotaQuery Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2727,10 +3077,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+  inline  ::uint64_t getId() const;
 
-  inline  ::uint32_t getRequests() const;
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::uint8_t getShare() const;
+
+  inline  ::uint64_t getCost() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2744,9 +3098,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EndpointRequests::Builder {
+class QuotaQuery::Builder {
 public:
-  typedef EndpointRequests Builds;
+  typedef QuotaQuery Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2760,15 +3114,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline  ::uint32_t getRequests();
-  inline void setRequests( ::uint32_t value);
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::uint8_t getShare();
+  inline void setShare( ::uint8_t value);
+
+  inline  ::uint64_t getCost();
+  inline void setCost( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2780,9 +3140,9 @@
 };
 
 #if !CAPNP_LITE
-class EndpointRequests::Pipeline {
+class QuotaQuery::Pipeline {
 public:
-  typedef EndpointRequests Pipelines;
+  typedef QuotaQuery Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2796,9 +3156,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LoadQuery::Reader {
+class QuotaReply::Reader {
 public:
-  typedef LoadQuery Reads;
+  typedef QuotaReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2813,20 +3173,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasModel() const;
-  inline  ::capnp::Text::Reader getModel() const;
-
-  inline bool hasOwn() const;
-  inline  ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>::Reader getOwn() const;
+  inline  ::uint64_t getId() const;
 
-  inline bool hasEndpoints() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEndpoints() const;
+  inline  ::Hemlockhill::Wire::QuotaReply::Verdict getVerdict() const;
 
-  inline bool hasAdapter() const;
-  inline  ::capnp::Text::Reader getAdapter() const;
+  inline  ::uint32_t getWaitMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2840,9 +3191,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LoadQuery::Builder {
+class QuotaReply::Builder {
 public:
-  typedef LoadQuery Builds;
+  typedef QuotaReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2856,8 +3207,265 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::Hemlockhill::Wire::QuotaReply::Verdict getVerdict();
+  inline void setVerdict( ::Hemlockhill::Wire::QuotaReply::Verdict value);
+
+  inline  ::uint32_t getWaitMs();
+  inline void setWaitMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaReply::Pipeline {
+public:
+  typedef QuotaReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaReturn::Reader {
+public:
+  typedef QuotaReturn Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaReturn::Builder {
+public:
+  typedef QuotaReturn Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaReturn::Pipeline {
+public:
+  typedef QuotaReturn Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EndpointRequests::Reader {
+public:
+  typedef EndpointRequests Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline  ::uint32_t getRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndpointRequests::Builder {
+public:
+  typedef EndpointRequests Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointRequests::Pipeline {
+public:
+  typedef EndpointRequests Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LoadQuery::Reader {
+public:
+  typedef LoadQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline bool hasOwn() const;
+  inline  ::capnp::List< ::Hemlockhill::Wire::EndpointRequests,  ::capnp::Kind::STRUCT>::Reader getOwn() const;
+
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEndpoints() const;
+
+  inline bool hasAdapter() const;
+  inline  ::capnp::Text::Reader getAdapter() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadQuery::Builder {
+public:
+  typedef LoadQuery Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
   inline void setService( ::capnp::Text::Reader value);
   inline  ::capnp::Text::Builder initService(unsigned int size);
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
@@ -6970,18 +7578,57 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FollowReply::Reader::getLeading() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool FollowRequest::Reader::hasQuotaClaim() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool FollowReply::Builder::getLeading() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool FollowRequest::Builder::hasQuotaClaim() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void FollowReply::Builder::setLeading(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::Hemlockhill::Wire::QuotaClaim::Reader FollowRequest::Reader::getQuotaClaim() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaClaim>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::QuotaClaim::Builder FollowRequest::Builder::getQuotaClaim() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaClaim>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::QuotaClaim::Pipeline FollowRequest::Pipeline::getQuotaClaim() {
+  return  ::Hemlockhill::Wire::QuotaClaim::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void FollowRequest::Builder::setQuotaClaim( ::Hemlockhill::Wire::QuotaClaim::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaClaim>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::QuotaClaim::Builder FollowRequest::Builder::initQuotaClaim() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaClaim>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FollowRequest::Builder::adoptQuotaClaim(
+    ::capnp::Orphan< ::Hemlockhill::Wire::QuotaClaim>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaClaim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::QuotaClaim> FollowRequest::Builder::disownQuotaClaim() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaClaim>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool FollowReply::Reader::getLeading() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowReply::Builder::getLeading() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setLeading(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool FollowReply::Reader::hasLeader() const {
@@ -7352,6 +7999,253 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FollowReply::Reader::hasQuotaLeases() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasQuotaLeases() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hemlockhill::Wire::QuotaLeases::Reader FollowReply::Reader::getQuotaLeases() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaLeases>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::QuotaLeases::Builder FollowReply::Builder::getQuotaLeases() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaLeases>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::QuotaLeases::Pipeline FollowReply::Pipeline::getQuotaLeases() {
+  return  ::Hemlockhill::Wire::QuotaLeases::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void FollowReply::Builder::setQuotaLeases( ::Hemlockhill::Wire::QuotaLeases::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaLeases>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::QuotaLeases::Builder FollowReply::Builder::initQuotaLeases() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaLeases>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::adoptQuotaLeases(
+    ::capnp::Orphan< ::Hemlockhill::Wire::QuotaLeases>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaLeases>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::QuotaLeases> FollowReply::Builder::disownQuotaLeases() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaLeases>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QuotaClaim::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaClaim::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaClaim::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaClaim::Reader::hasHeld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaClaim::Builder::hasHeld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader QuotaClaim::Reader::getHeld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaClaim::Builder::getHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaClaim::Builder::setHeld( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void QuotaClaim::Builder::setHeld(::kj::ArrayPtr<const  ::uint8_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaClaim::Builder::initHeld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaClaim::Builder::adoptHeld(
+    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> QuotaClaim::Builder::disownHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool QuotaClaim::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuotaClaim::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void QuotaClaim::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaClaim::Reader::getTable() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaClaim::Builder::getTable() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaClaim::Builder::setTable( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaLeases::Reader::hasHeld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaLeases::Builder::hasHeld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader QuotaLeases::Reader::getHeld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaLeases::Builder::getHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaLeases::Builder::setHeld( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void QuotaLeases::Builder::setHeld(::kj::ArrayPtr<const  ::uint8_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaLeases::Builder::initHeld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaLeases::Builder::adoptHeld(
+    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> QuotaLeases::Builder::disownHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool QuotaLeases::Reader::hasRested() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaLeases::Builder::hasRested() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader QuotaLeases::Reader::getRested() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaLeases::Builder::getRested() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void QuotaLeases::Builder::setRested( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void QuotaLeases::Builder::setRested(::kj::ArrayPtr<const  ::uint8_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaLeases::Builder::initRested(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void QuotaLeases::Builder::adoptRested(
+    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> QuotaLeases::Builder::disownRested() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QuotaLeases::Reader::getTable() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaLeases::Builder::getTable() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLeases::Builder::setTable( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaLeases::Reader::hasOwners() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaLeases::Builder::hasOwners() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader QuotaLeases::Reader::getOwners() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder QuotaLeases::Builder::getOwners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void QuotaLeases::Builder::setOwners( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void QuotaLeases::Builder::setOwners(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder QuotaLeases::Builder::initOwners(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void QuotaLeases::Builder::adoptOwners(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> QuotaLeases::Builder::disownOwners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool PeerDatagram::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7662,6 +8556,255 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool PeerDatagram::Reader::hasQuotaQuery() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasQuotaQuery() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hemlockhill::Wire::QuotaQuery::Reader PeerDatagram::Reader::getQuotaQuery() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::QuotaQuery::Builder PeerDatagram::Builder::getQuotaQuery() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::QuotaQuery::Pipeline PeerDatagram::Pipeline::getQuotaQuery() {
+  return  ::Hemlockhill::Wire::QuotaQuery::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void PeerDatagram::Builder::setQuotaQuery( ::Hemlockhill::Wire::QuotaQuery::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::QuotaQuery::Builder PeerDatagram::Builder::initQuotaQuery() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptQuotaQuery(
+    ::capnp::Orphan< ::Hemlockhill::Wire::QuotaQuery>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::QuotaQuery> PeerDatagram::Builder::disownQuotaQuery() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool PeerDatagram::Reader::hasQuotaReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasQuotaReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hemlockhill::Wire::QuotaReply::Reader PeerDatagram::Reader::getQuotaReply() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReply>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::QuotaReply::Builder PeerDatagram::Builder::getQuotaReply() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReply>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::QuotaReply::Pipeline PeerDatagram::Pipeline::getQuotaReply() {
+  return  ::Hemlockhill::Wire::QuotaReply::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void PeerDatagram::Builder::setQuotaReply( ::Hemlockhill::Wire::QuotaReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReply>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::QuotaReply::Builder PeerDatagram::Builder::initQuotaReply() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReply>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptQuotaReply(
+    ::capnp::Orphan< ::Hemlockhill::Wire::QuotaReply>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::QuotaReply> PeerDatagram::Builder::disownQuotaReply() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool PeerDatagram::Reader::hasQuotaReturn() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasQuotaReturn() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Hemlockhill::Wire::QuotaReturn::Reader PeerDatagram::Reader::getQuotaReturn() const {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReturn>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::Hemlockhill::Wire::QuotaReturn::Builder PeerDatagram::Builder::getQuotaReturn() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReturn>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Hemlockhill::Wire::QuotaReturn::Pipeline PeerDatagram::Pipeline::getQuotaReturn() {
+  return  ::Hemlockhill::Wire::QuotaReturn::Pipeline(_typeless.getPointerField(9));
+}
+#endif  // !CAPNP_LITE
+inline void PeerDatagram::Builder::setQuotaReturn( ::Hemlockhill::Wire::QuotaReturn::Reader value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReturn>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::Hemlockhill::Wire::QuotaReturn::Builder PeerDatagram::Builder::initQuotaReturn() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReturn>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptQuotaReturn(
+    ::capnp::Orphan< ::Hemlockhill::Wire::QuotaReturn>&& value) {
+  ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReturn>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Hemlockhill::Wire::QuotaReturn> PeerDatagram::Builder::disownQuotaReturn() {
+  return ::capnp::_::PointerHelpers< ::Hemlockhill::Wire::QuotaReturn>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QuotaQuery::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaQuery::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaQuery::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaQuery::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaQuery::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuotaQuery::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuotaQuery::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaQuery::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuotaQuery::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaQuery::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuotaQuery::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t QuotaQuery::Reader::getShare() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t QuotaQuery::Builder::getShare() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void QuotaQuery::Builder::setShare( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaQuery::Reader::getCost() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaQuery::Builder::getCost() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaQuery::Builder::setCost( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaReply::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReply::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReply::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Hemlockhill::Wire::QuotaReply::Verdict QuotaReply::Reader::getVerdict() const {
+  return _reader.getDataField< ::Hemlockhill::Wire::QuotaReply::Verdict>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Hemlockhill::Wire::QuotaReply::Verdict QuotaReply::Builder::getVerdict() {
+  return _builder.getDataField< ::Hemlockhill::Wire::QuotaReply::Verdict>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReply::Builder::setVerdict( ::Hemlockhill::Wire::QuotaReply::Verdict value) {
+  _builder.setDataField< ::Hemlockhill::Wire::QuotaReply::Verdict>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaReply::Reader::getWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaReply::Builder::getWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReply::Builder::setWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaReturn::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReturn::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReturn::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EndpointRequests::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libhemlockhill/peers/peer_codec.cpp
+++ b/src/libhemlockhill/peers/peer_codec.cpp
@@ -295,6 +295,71 @@
     throw DecodeError("unknown outcome of a leave request");
 }
 
+namespace
+{
+
+void writeShards(capnp::List<std::uint8_t>::Builder list, const ShardSet &shards)
+{
+    unsigned position = 0;
+    for (std::size_t number = 0; number < ShardCount; ++number) {
+        if (shards.test(number)) {
+            list.set(position++, static_cast<std::uint8_t>(number));
+        }
+    }
+}
+
+ShardSet readShards(capnp::List<std::uint8_t>::Reader list)
+{
+    ShardSet shards;
+    for (const std::uint8_t number : list) {
+        if (number >= ShardNumberLimit) {
+            throw DecodeError("peer message: number of a shard out of range");
+        }
+        if (number < ShardCount) {
+            shards.set(number);
+        }
+    }
+    return shards;
+}
+
+void write(Wire::QuotaClaim::Builder builder, const QuotaClaim &claim)
+{
+    builder.setProcess(claim.process.value);
+    writeShards(builder.initHeld(static_cast<unsigned>(claim.held.count())), claim.held);
+    builder.setLeaving(claim.isLeaving);
+    builder.setTable(claim.table.value);
+}
+
+QuotaClaim read(Wire::QuotaClaim::Reader reader)
+{
+    return {ProcessId{reader.getProcess()}, readShards(reader.getHeld()), reader.getLeaving(), ShardTableDigest{reader.getTable()}};
+}
+
+void write(Wire::QuotaLeases::Builder builder, const QuotaLeases &leases)
+{
+    writeShards(builder.initHeld(static_cast<unsigned>(leases.held.count())), leases.held);
+    writeShards(builder.initRested(static_cast<unsigned>(leases.rested.count())), leases.rested);
+    builder.setTable(leases.table.value);
+    auto owners = builder.initOwners(static_cast<unsigned>(leases.owners.size()));
+    for (unsigned position = 0; position < leases.owners.size(); ++position) {
+        owners.set(position, leases.owners[position].value);
+    }
+}
+
+QuotaLeases read(Wire::QuotaLeases::Reader reader)
+{
+    QuotaLeases leases{readShards(reader.getHeld()), readShards(reader.getRested()), ShardTableDigest{reader.getTable()}, {}};
+    if (reader.getOwners().size() > ShardNumberLimit) {
+        throw DecodeError("peer message: table names too many shards");
+    }
+    for (const auto owner : reader.getOwners()) {
+        leases.owners.push_back(VmId{textOf(owner)});
+    }
+    return leases;
+}
+
+} // namespace
+
 void write(Wire::FollowRequest::Builder builder, const FollowRequest &request)
 {
     builder.setConfirmed(request.confirmed.value);
@@ -305,6 +370,9 @@
     builder.setDeploymentVersion(request.deployment.value);
     builder.setDirectoryRevision(request.directory.value);
     builder.setFollowersDigest(request.followersDigest.value);
+    if (request.quotaClaim) {
+        write(builder.initQuotaClaim(), *request.quotaClaim);
+    }
 }
 
 FollowRequest read(Wire::FollowRequest::Reader reader)
@@ -316,7 +384,8 @@
             StateDigest{reader.getQuarantineDigest()},
             DeploymentVersion{reader.getDeploymentVersion()},
             DirectoryRevision{reader.getDirectoryRevision()},
-            StateDigest{reader.getFollowersDigest()}};
+            StateDigest{reader.getFollowersDigest()},
+            reader.hasQuotaClaim() ? std::optional(read(reader.getQuotaClaim())) : std::nullopt};
 }
 
 void write(Wire::FollowReply::Builder builder, const FollowReply &reply)
@@ -345,6 +414,9 @@
     for (unsigned position = 0; position < reply.followers.size(); ++position) {
         followers.set(position, reply.followers[position].value);
     }
+    if (reply.quotaLeases) {
+        write(builder.initQuotaLeases(), *reply.quotaLeases);
+    }
 }
 
 FollowReply read(Wire::FollowReply::Reader reader)
@@ -371,6 +443,9 @@
     for (const auto follower : reader.getFollowers()) {
         reply.followers.push_back(VmId{textOf(follower)});
     }
+    if (reader.hasQuotaLeases()) {
+        reply.quotaLeases = read(reader.getQuotaLeases());
+    }
     return reply;
 }
 
--- a/src/libhemlockhill/peers/peer_datagrams.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams.cpp
@@ -252,6 +252,67 @@
     return report;
 }
 
+void write(Wire::PeerDatagram::Builder builder, const QuotaQuery &query)
+{
+    auto message = builder.initQuotaQuery();
+    message.setId(query.id.value);
+    message.setWorkspace(query.workspace.value);
+    message.setShare(query.share.value);
+    message.setCost(query.cost);
+}
+
+QuotaQuery read(Wire::QuotaQuery::Reader reader)
+{
+    if (reader.getShare() >= SharesOfWorkspace) {
+        throw DecodeError("quota query is about a share that does not exist");
+    }
+    return {QuotaQueryId{reader.getId()},
+            WorkspaceId{std::string(reader.getWorkspace().cStr())},
+            ShareNumber{reader.getShare()},
+            reader.getCost()};
+}
+
+void write(Wire::PeerDatagram::Builder builder, const QuotaReply &reply)
+{
+    auto message = builder.initQuotaReply();
+    message.setId(reply.id.value);
+    message.setWaitMs(ageMs(std::chrono::ceil<std::chrono::milliseconds>(reply.wait)));
+    switch (reply.verdict) {
+    case QuotaVerdict::Granted:
+        message.setVerdict(Wire::QuotaReply::Verdict::GRANTED);
+        return;
+    case QuotaVerdict::Refused:
+        message.setVerdict(Wire::QuotaReply::Verdict::REFUSED);
+        return;
+    case QuotaVerdict::NotOwner:
+        message.setVerdict(Wire::QuotaReply::Verdict::NOT_OWNER);
+        return;
+    }
+}
+
+QuotaVerdict readVerdict(Wire::QuotaReply::Verdict verdict)
+{
+    switch (verdict) {
+    case Wire::QuotaReply::Verdict::GRANTED:
+        return QuotaVerdict::Granted;
+    case Wire::QuotaReply::Verdict::REFUSED:
+        return QuotaVerdict::Refused;
+    case Wire::QuotaReply::Verdict::NOT_OWNER:
+        return QuotaVerdict::NotOwner;
+    }
+    throw DecodeError("quota reply has an unknown verdict");
+}
+
+QuotaReply read(Wire::QuotaReply::Reader reader)
+{
+    return {QuotaQueryId{reader.getId()}, readVerdict(reader.getVerdict()), std::chrono::milliseconds(reader.getWaitMs())};
+}
+
+void write(Wire::PeerDatagram::Builder builder, const QuotaReturn &message)
+{
+    builder.initQuotaReturn().setId(message.id.value);
+}
+
 CrashSuspectSubject readCrashSubject(Wire::CrashSuspectNotice::Subject subject)
 {
     switch (subject) {
@@ -324,6 +385,15 @@
     if (reader.hasLoadReport()) {
         return read(reader.getLoadReport());
     }
+    if (reader.hasQuotaQuery()) {
+        return read(reader.getQuotaQuery());
+    }
+    if (reader.hasQuotaReply()) {
+        return read(reader.getQuotaReply());
+    }
+    if (reader.hasQuotaReturn()) {
+        return QuotaReturn{QuotaQueryId{reader.getQuotaReturn().getId()}};
+    }
     return DispatchNotice{EndpointId{std::string(reader.getEndpoint().cStr())},
                           TokenCount{reader.getPromptTokens()},
                           reader.getInFlight(),
@@ -342,6 +412,9 @@
                           [](const ForwardingMessage &) { return "forwarding"; },
                           [](const LoadQuery &) { return "load_query"; },
                           [](const LoadReport &) { return "load_report"; },
+                          [](const QuotaQuery &) { return "quota_query"; },
+                          [](const QuotaReply &) { return "quota_reply"; },
+                          [](const QuotaReturn &) { return "quota_return"; },
                       },
                       message);
 }
--- a/src/libhemlockhill/peers/peer_datagrams_test.cpp
+++ b/src/libhemlockhill/peers/peer_datagrams_test.cpp
@@ -43,7 +43,12 @@
                   {{EndpointId{"i-7f3a91c2"}, 2}, {EndpointId{"i-7f3a91c3"}, 1}}},
         LoadReport{{ServiceId{"register"}, {}}, {}},
         LoadReport{{ServiceId{"scribe"}, {ModelId{"m"}, AdapterId{"a1"}}},
-                   {{{EndpointId{"i-7f3a91c2"}, 5}, -1200}, {{EndpointId{"i-7f3a91c3"}, 0}, 3200}}}};
+                   {{{EndpointId{"i-7f3a91c2"}, 5}, -1200}, {{EndpointId{"i-7f3a91c3"}, 0}, 3200}}},
+        QuotaQuery{QuotaQueryId{0x9c41d07be2a35f68}, WorkspaceId{"clerks"}, ShareNumber{1}, 4500},
+        QuotaReply{QuotaQueryId{7}, QuotaVerdict::Granted, {}},
+        QuotaReply{QuotaQueryId{7}, QuotaVerdict::Refused, std::chrono::milliseconds(2200)},
+        QuotaReply{QuotaQueryId{7}, QuotaVerdict::NotOwner, {}},
+        QuotaReturn{QuotaQueryId{7}}};
     return all;
 }
 
@@ -71,6 +76,26 @@
     BOOST_CHECK_LE(encode(notice).size(), DatagramLimitBytes);
 }
 
+// Two of these are sent for each request of a limited workspace, to a few owners.
+BOOST_AUTO_TEST_CASE(quota_messages_are_small)
+{
+    const WorkspaceId longest{std::string(64, 'w')};
+    BOOST_CHECK_LE(encode(QuotaQuery{QuotaQueryId{~0ULL}, longest, ShareNumber{1}, 4500}).size(), 256);
+    BOOST_CHECK_LE(encode(QuotaReply{QuotaQueryId{~0ULL}, QuotaVerdict::Refused, std::chrono::seconds(5)}).size(), 192);
+}
+
+// A caller that comes back a moment too early would be refused again.
+BOOST_AUTO_TEST_CASE(time_until_there_is_room_is_rounded_up)
+{
+    const PeerDatagram refused = QuotaReply{QuotaQueryId{7}, QuotaVerdict::Refused, std::chrono::microseconds(1200)};
+    BOOST_CHECK(std::get<QuotaReply>(decodePeerDatagram(encode(refused))).wait == std::chrono::milliseconds(2));
+}
+
+BOOST_AUTO_TEST_CASE(query_about_a_share_that_does_not_exist_is_malformed)
+{
+    BOOST_CHECK_THROW(decodePeerDatagram(encode(QuotaQuery{QuotaQueryId{7}, WorkspaceId{"clerks"}, ShareNumber{2}, 1})), DecodeError);
+}
+
 BOOST_AUTO_TEST_CASE(corrupt_datagrams_throw_only_decode_error)
 {
     boost::random::mt19937 random(5);
