Endpoint choice: the time that a stream takes at an endpoint counts

The expected duration now costs in proportion to the caller's time, and an endpoint at which the stream would not end in time is left out while a faster one holds the model. Where the pace is unknown or alike, nothing changes.

--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -17,6 +17,7 @@
 #include "hemlockhill/load_queries.h"
 #include "hemlockhill/prompt_rate_limiter.h"
 #include "hemlockhill/request_dialect.h"
+#include "hemlockhill/stream_duration.h"
 #include "hemlockhill/service_line.h"
 
 #include <boost/random/mersenne_twister.hpp>
@@ -43,6 +44,8 @@
     std::set<EndpointId> avoided;
     // Tokens that the request holds in the end, where the memory of endpoints is bounded.
     TokenCount tokens = {};
+    // What it asks for, if it is a stream of a model.
+    StreamDemand stream = {};
 };
 
 // Why no endpoint was selected.
@@ -202,6 +205,12 @@
     // requests of other nodes need it.
     void grantMemory(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, LoadReport &report, TimePoint now);
     bool isInBackoff(const EndpointId &endpoint, TimePoint now) const;
+    // Longest interval between events with which the stream is complete by its deadline. Unlimited if no suitable endpoint is that fast: the
+    // caller's estimate of the length may be wrong.
+    static Duration
+    longestUsefulInterval(const std::vector<const LiveEndpoint *> &active, const EndpointRequirements &need, Duration typical);
+    // Interval between the events of a stream at the endpoint; that of the others of its service if its own is not known.
+    static Duration eventInterval(const LiveEndpoint &endpoint, Duration typical);
     // Cost of the way to the endpoint's data centre, in requests per slot.
     double dataCentreCost(const LiveEndpoint &endpoint) const;
     // What the other nodes have in progress at the endpoint, as far as this node knows.
--- a/src/include/hemlockhill/load_owners.h
+++ b/src/include/hemlockhill/load_owners.h
@@ -69,7 +69,8 @@
     const Owners &ownersOf(const ServiceId &service, TimePoint now);
     Owners allNodes(const ServiceId &service, TimePoint now) const;
     Owners selectOwners(const ServiceId &service, TimePoint now) const;
-    bool isWarm(const VmId &node, TimePoint now) const { return now - m_members.at(node).since >= m_limits.warmUp; }
+    // Whether the node has listened for long enough to tell the load. This one has not as long as it is not listed.
+    bool isWarm(const VmId &node, TimePoint now) const;
     void forgetMissing(TimePoint now);
 
     VmId m_self;
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -51,11 +51,19 @@
     m_requirements.target = m_head.target;
     m_requirements.prompt = m_head.promptTokens;
     m_requirements.sharedParts = m_head.sharedParts;
+    m_requirements.stream = {expectedEvents(), timeLeft()};
     if (m_gateway.m_chooser.boundsMemory(m_requirements.service)) {
         m_requirements.tokens = m_head.declaredTokens.value_or(UndeclaredTokens);
     }
 }
 
+double Gateway::Request::expectedEvents() const
+{
+    const auto service = m_deployment->services.find(m_requirements.service);
+    const bool isModelStream = service != m_deployment->services.end() && service->second.engine && m_route.kind == RouteKind::Streaming;
+    return isModelStream ? static_cast<double>(m_head.expectedTokens.value) / service->second.engine->tokensPerEvent : 0;
+}
+
 void Gateway::Request::setWorkspace(const Workspace *workspace)
 {
     m_workspace = workspace;
@@ -252,6 +260,7 @@
         wait(EndpointChoice{std::nullopt, NoEndpointReason::DirectoryOutdated});
         return;
     }
+    m_requirements.stream.timeLeft = timeLeft();
     const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_directory.endpoints(), m_requirements, now);
     const auto purpose = waitsForCapacity() ? LoadPurpose::Recheck : LoadPurpose::Dispatch;
     m_gateway.m_dispatched = this;
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -119,6 +119,8 @@
     void send(const EndpointId &endpoint);
     ExchangeHooks exchangeHooks();
     ExchangeLimits exchangeLimits() const;
+    // Events that the caller expects of a model's stream; 0 if the request asks for none.
+    double expectedEvents() const;
     // What the endpoint learns of the workspace; empty if the deployment has none.
     std::optional<WorkspaceIdentity> workspaceIdentity() const;
     // Ends the request before anything is sent if its caller has left or has no time left.
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -111,7 +111,10 @@
     bool anyRateLimited = false;
     bool anyCurrent = false;
     Duration requestDelay = Duration::max();
-    for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
+    const std::vector<const LiveEndpoint *> active = activeEndpoints(endpoints, need.service);
+    const Duration typicalInterval = typicalEventInterval(active);
+    const Duration longestInterval = longestUsefulInterval(active, need, typicalInterval);
+    for (const LiveEndpoint *endpoint : active) {
         if (m_availability.isLeaving(*endpoint)) {
             continue;
         }
@@ -143,6 +146,12 @@
         if (anyCurrent && !others.isCurrent) {
             continue;
         }
+        const Duration interval = eventInterval(*endpoint, typicalInterval);
+        if (interval > longestInterval) {
+            // A faster endpoint may become free.
+            anyFull = true;
+            continue;
+        }
         if (isFull(*endpoint, others, now) || (boundsMemory && !hasMemory(endpoint->id, need, capacity, authority, now))) {
             anyFull = true;
             continue;
@@ -167,7 +176,8 @@
         choice.freeSlots += std::max(1.0, std::floor(endpoint->slots * (1 + m_limits.queueRatio) - load));
         boost::random::uniform_real_distribution<double> draw(0, others.isCurrent ? TieBreakRange : UnknownLoadRange * endpoint->slots);
         const double work = load + static_cast<double>(uncached.value) / TokensPerRequest;
-        const double cost = (work + draw(m_random)) / endpoint->slots + dataCentreCost(*endpoint) + *path;
+        const double cost = (work + draw(m_random)) / endpoint->slots + dataCentreCost(*endpoint) + *path
+                            + streamDurationCost(need.stream, interval);
         if (!choice.endpoint || cost < best) {
             choice.endpoint = endpoint->id;
             best = cost;
@@ -320,6 +330,23 @@
     return m_line.invite(endpoint, now);
 }
 
+Duration EndpointChooser::longestUsefulInterval(const std::vector<const LiveEndpoint *> &active,
+                                                const EndpointRequirements &need,
+                                                Duration typical)
+{
+    const bool anyInTime = std::any_of(active.begin(), active.end(), [&](const LiveEndpoint *endpoint) {
+        const bool isSuitable = need.target.model.empty() || endpoint->holds(need.target);
+        return isSuitable && !exceedsDeadline(need.stream, eventInterval(*endpoint, typical));
+    });
+    const bool isBounded = anyInTime && need.stream.events > 0;
+    return isBounded ? std::chrono::duration_cast<Duration>(need.stream.timeLeft / need.stream.events) : Duration::max();
+}
+
+Duration EndpointChooser::eventInterval(const LiveEndpoint &endpoint, Duration typical)
+{
+    return endpoint.eventInterval > Duration(0) ? endpoint.eventInterval : typical;
+}
+
 double EndpointChooser::dataCentreCost(const LiveEndpoint &endpoint) const
 {
     return endpoint.dataCentre == m_dataCentre ? 0 : OtherDataCentreCost;
@@ -422,18 +449,24 @@
         query.tokens = need.tokens;
     }
     std::vector<std::pair<double, EndpointId>> candidates;
-    for (const LiveEndpoint *endpoint : activeEndpoints(endpoints, need.service)) {
+    const std::vector<const LiveEndpoint *> active = activeEndpoints(endpoints, need.service);
+    const Duration typicalInterval = typicalEventInterval(active);
+    const Duration longestInterval = longestUsefulInterval(active, need, typicalInterval);
+    for (const LiveEndpoint *endpoint : active) {
         const std::uint32_t own = inFlight(endpoint->id);
         if (query.own.size() < LoadEntryLimit && own > 0) {
             query.own.push_back({endpoint->id, own, m_memory.own(endpoint->id)});
         }
         const bool isSuitable = need.target.model.empty() || endpoint->holds(need.target);
-        if (!isSuitable || need.avoided.contains(endpoint->id) || isInBackoff(endpoint->id, now)) {
+        const Duration interval = eventInterval(*endpoint, typicalInterval);
+        const bool isTooSlow = interval > longestInterval;
+        if (!isSuitable || isTooSlow || need.avoided.contains(endpoint->id) || isInBackoff(endpoint->id, now)) {
             continue;
         }
         boost::random::uniform_real_distribution<double> draw(0, CandidateRange);
         const double unread = need.target.model.empty() ? 0 : static_cast<double>(uncachedTokens(endpoint->id, need).value);
-        const double cost = (own + unread / TokensPerRequest) / endpoint->slots + dataCentreCost(*endpoint) + draw(m_random);
+        const double cost = (own + unread / TokensPerRequest) / endpoint->slots + dataCentreCost(*endpoint) + draw(m_random)
+                            + streamDurationCost(need.stream, interval);
         candidates.emplace_back(cost, endpoint->id);
     }
     // An owner that grants memory prefers the first ones.
--- a/src/libhemlockhill/routing/load_owners.cpp
+++ b/src/libhemlockhill/routing/load_owners.cpp
@@ -66,6 +66,12 @@
     return m_owners[service] = areAllOwners() ? allNodes(service, now) : selectOwners(service, now);
 }
 
+bool LoadOwners::isWarm(const VmId &node, TimePoint now) const
+{
+    const auto member = m_members.find(node);
+    return member != m_members.end() && now - member->second.since >= m_limits.warmUp;
+}
+
 LoadOwners::Owners LoadOwners::allNodes(const ServiceId &service, TimePoint now) const
 {
     Owners owners;
--- a/src/libhemlockhill/routing/load_owners_test.cpp
+++ b/src/libhemlockhill/routing/load_owners_test.cpp
@@ -133,3 +133,12 @@
     BOOST_CHECK(!restarted.others(Register, Start).empty());
     BOOST_CHECK(restarted.isOwner(Register, Start + std::chrono::seconds(2)));
 }
+
+// A node that has just restarted may have to decide before it has heard who belongs to the group.
+BOOST_AUTO_TEST_CASE(node_without_a_list_of_nodes_has_no_owners)
+{
+    const TimePoint now{std::chrono::seconds(100)};
+    LoadOwners owners(VmId{"10.0.0.1"}, {}, false);
+    BOOST_CHECK(owners.deciders(ServiceId{"s"}, now).empty());
+    BOOST_CHECK(owners.others(ServiceId{"s"}, now).empty());
+}
