Quotas: leases last 6 s

Two shares for each workspace bear the longer gap after a lost owner. The tests of the lease's end keep 3 s by their settings.

--- a/src/include/hemlockhill/quota_messages.h
+++ b/src/include/hemlockhill/quota_messages.h
@@ -22,6 +22,10 @@
 inline constexpr std::size_t ShardNumberLimit = 64;
 inline constexpr std::size_t SharesOfWorkspace = 2;
 
+// How long an entry holds a shard after a claim. Longer than the group usually takes to elect a leader after the former one and its links
+// were lost: otherwise all leases would end with it.
+inline constexpr Duration QuotaLeaseDuration = std::chrono::seconds(6);
+
 using ShardNumber = Quantity<struct ShardNumberTag, std::uint8_t>;
 using ShareNumber = Quantity<struct ShareNumberTag, std::uint8_t>;
 using ShardSet = std::bitset<ShardCount>;
--- a/src/include/hemlockhill/quota_owner.h
+++ b/src/include/hemlockhill/quota_owner.h
@@ -16,7 +16,7 @@
 {
 
 struct QuotaOwnerLimits {
-    Duration lease = std::chrono::seconds(3);
+    Duration lease = QuotaLeaseDuration;
     // The time over which the use of a workspace is limited.
     Duration window = std::chrono::seconds(8);
     // Debt that the former owner of a share may have left behind: half of the slack of 11,000 tokens that a workspace has for the debts of
--- a/src/include/hemlockhill/quota_shards.h
+++ b/src/include/hemlockhill/quota_shards.h
@@ -18,7 +18,7 @@
 {
 
 struct QuotaLeaseTimes {
-    Duration lease = std::chrono::seconds(3);
+    Duration lease = QuotaLeaseDuration;
     // By which the leader counts longer than the entry.
     Duration margin = std::chrono::milliseconds(500);
     // The time over which the use of a workspace is limited.
--- a/src/libhemlockhill/workspace/quota_owner_test.cpp
+++ b/src/libhemlockhill/workspace/quota_owner_test.cpp
@@ -20,7 +20,7 @@
 
 struct Owner {
     Owner()
-        : owner(QuotaOwnerLimits{})
+        : owner(QuotaOwnerLimits{seconds(3)})
     {
         setQuota(WorkspaceQuota{QuotaUnit::Tokens, 2000, 2000}, Start);
     }
--- a/src/libhemlockhill/workspace/quota_shards_test.cpp
+++ b/src/libhemlockhill/workspace/quota_shards_test.cpp
@@ -29,7 +29,7 @@
 
 struct Leader {
     explicit Leader(Duration start = seconds(100))
-        : shards({}, at(start))
+        : shards({seconds(3)}, at(start))
     {
     }
 
