--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -851,7 +851,7 @@
     : m_loop(loop)
     , m_acceptor(loop)
     , m_acceptRetryTimer(loop)
-    , m_limits(limits)
+    , m_limits(std::move(limits))
     , m_handler(std::move(handler))
     , m_refused(std::move(refused))
 {
@@ -962,7 +962,7 @@
 
 HttpServer::HttpServer(
     boost::asio::io_context &loop, const Address &listen, HttpServerLimits limits, HttpHandler handler, HttpRefusalHook refused)
-    : m_listener(std::make_shared<Listener>(loop, listen, limits, std::move(handler), std::move(refused)))
+    : m_listener(std::make_shared<Listener>(loop, listen, std::move(limits), std::move(handler), std::move(refused)))
 {
     m_listener->accept();
 }
