--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -17,8 +17,8 @@
 #include "hemlockhill/load_queries.h"
 #include "hemlockhill/prompt_rate_limiter.h"
 #include "hemlockhill/request_dialect.h"
-#include "hemlockhill/stream_duration.h"
 #include "hemlockhill/service_line.h"
+#include "hemlockhill/stream_duration.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
@@ -205,8 +205,8 @@
     // requests of other nodes need it.
     void grantMemory(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, LoadReport &report, TimePoint now);
     bool isInBackoff(const EndpointId &endpoint, TimePoint now) const;
-    // Longest interval between events with which the stream is complete by its deadline. Unlimited if no suitable endpoint is that fast: the
-    // caller's estimate of the length may be wrong.
+    // Longest interval between events with which the stream is complete by its deadline. Unlimited if no suitable endpoint is that fast:
+    // the caller's estimate of the length may be wrong.
     static Duration
     longestUsefulInterval(const std::vector<const LiveEndpoint *> &active, const EndpointRequirements &need, Duration typical);
     // Interval between the events of a stream at the endpoint; that of the others of its service if its own is not known.
--- a/src/include/hemlockhill/runner_paces.h
+++ b/src/include/hemlockhill/runner_paces.h
@@ -21,7 +21,8 @@
     Duration minimumSpan = std::chrono::milliseconds(250);
     // Time constant of the moving average.
     Duration timeConstant = std::chrono::seconds(4);
-    // A measured interval replaces the last one that was told if they differ by more than this factor, so that the directory changes rarely.
+    // A measured interval replaces the last one that was told if they differ by more than this factor, so that the directory changes
+    // rarely.
     double tolerance = 1.25;
     // Longer intervals are not distinguished: the runner stands still.
     Duration maximumInterval = std::chrono::seconds(1);
--- a/src/libhemlockhill/node/gateway_workspace_test.cpp
+++ b/src/libhemlockhill/node/gateway_workspace_test.cpp
@@ -15,11 +15,10 @@
 
 struct WorkspaceFixture : GatewayFixture {
     explicit WorkspaceFixture(std::uint16_t firstPort, KeyLimits keys = {milliseconds(5000), milliseconds(2500)})
-        : GatewayFixture(scenario(firstPort, keys),
-                         [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
-                             workspace = std::string(request.header("Workspace"));
-                             responder->answer(signedAnswer(request));
-                         })
+        : GatewayFixture(scenario(firstPort, keys), [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+            workspace = std::string(request.header("Workspace"));
+            responder->answer(signedAnswer(request));
+        })
     {
         setKey(Key);
         gateway().onDeploymentConfirmed(BootClock::now());
--- a/src/libhemlockhill/placement/runner_paces.cpp
+++ b/src/libhemlockhill/placement/runner_paces.cpp
@@ -44,8 +44,8 @@
     const double interval = *middle == 0 ? limit : std::min(limit, seconds / *middle);
     const double weight = 1 - std::exp(-seconds / std::chrono::duration<double>(m_limits.timeConstant).count());
     record.measured = record.measured == 0 ? interval : record.measured * std::pow(interval / record.measured, weight);
-    const bool differs = record.told == 0 || record.measured > record.told * m_limits.tolerance
-                         || record.measured * m_limits.tolerance < record.told;
+    const bool differs =
+        record.told == 0 || record.measured > record.told * m_limits.tolerance || record.measured * m_limits.tolerance < record.told;
     if (differs) {
         record.told = record.measured;
     }
--- a/src/libhemlockhill/routing/endpoint_choice.cpp
+++ b/src/libhemlockhill/routing/endpoint_choice.cpp
@@ -176,8 +176,8 @@
         choice.freeSlots += std::max(1.0, std::floor(endpoint->slots * (1 + m_limits.queueRatio) - load));
         boost::random::uniform_real_distribution<double> draw(0, others.isCurrent ? TieBreakRange : UnknownLoadRange * endpoint->slots);
         const double work = load + static_cast<double>(uncached.value) / TokensPerRequest;
-        const double cost = (work + draw(m_random)) / endpoint->slots + dataCentreCost(*endpoint) + *path
-                            + streamDurationCost(need.stream, interval);
+        const double cost =
+            (work + draw(m_random)) / endpoint->slots + dataCentreCost(*endpoint) + *path + streamDurationCost(need.stream, interval);
         if (!choice.endpoint || cost < best) {
             choice.endpoint = endpoint->id;
             best = cost;
@@ -330,9 +330,8 @@
     return m_line.invite(endpoint, now);
 }
 
-Duration EndpointChooser::longestUsefulInterval(const std::vector<const LiveEndpoint *> &active,
-                                                const EndpointRequirements &need,
-                                                Duration typical)
+Duration
+EndpointChooser::longestUsefulInterval(const std::vector<const LiveEndpoint *> &active, const EndpointRequirements &need, Duration typical)
 {
     const bool anyInTime = std::any_of(active.begin(), active.end(), [&](const LiveEndpoint *endpoint) {
         const bool isSuitable = need.target.model.empty() || endpoint->holds(need.target);
--- a/src/libhemlockhill/routing/endpoint_directory.cpp
+++ b/src/libhemlockhill/routing/endpoint_directory.cpp
@@ -75,16 +75,16 @@
     json::array list;
     for (const auto &[id, endpoint] : endpoints) {
         json::object encoded{{"id", endpoint.id.value},
-                        {"incarnation", endpoint.incarnation.value},
-                        {"service", endpoint.service.value},
-                        {"address", endpoint.address.text()},
-                        {"data_centre", endpoint.dataCentre.value},
-                        {"software_version", endpoint.softwareVersion.value},
-                        {"slots", endpoint.slots},
-                        {"leaving", endpoint.leaving},
-                        {"held", encodeHeld(endpoint.held)},
-                        {"loading", endpoint.loading.value},
-                        {"loading_left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(endpoint.loadingLeft).count()}};
+                             {"incarnation", endpoint.incarnation.value},
+                             {"service", endpoint.service.value},
+                             {"address", endpoint.address.text()},
+                             {"data_centre", endpoint.dataCentre.value},
+                             {"software_version", endpoint.softwareVersion.value},
+                             {"slots", endpoint.slots},
+                             {"leaving", endpoint.leaving},
+                             {"held", encodeHeld(endpoint.held)},
+                             {"loading", endpoint.loading.value},
+                             {"loading_left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(endpoint.loadingLeft).count()}};
         if (endpoint.eventInterval > Duration(0)) {
             encoded["event_interval_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(endpoint.eventInterval).count();
         }
