Order by target only where priorities do not tell who is in a hurry

So the order by target holds where routes of one service and priority have different targets, and where the memory of endpoints is bounded; elsewhere the order by patience holds as before. The test that a late urgent request keeps its place is back for that order.

--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -177,6 +177,8 @@
     void reviewPaths();
     void onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
     void refuse(HttpResponder &responder, Reason reason, const RoutedRequestHead &head, std::string detail);
+    // By what the requests for a service that have the priority of the route are ordered.
+    DispatchOrder dispatchOrder(const ServiceId &service, const Route &route) const;
     // Decides by the credential whether a request may run, by the document in force now.
     WorkspaceAdmission admitByCredential(const Route &route, const Credential &credential) const;
     void dispatchWaiting();
@@ -241,6 +243,7 @@
     std::vector<VmId> m_otherNodes;
     std::shared_ptr<const Deployment> m_deployment;
     DocumentAge m_documentAge;
+    std::set<DispatchClass> m_classesOfMixedTargets;
     DirectoryView m_directory;
     CrashGuard m_crashGuard;
     bool m_suspectNoticesScheduled = false;
--- a/src/include/hemlockhill/queue_policy.h
+++ b/src/include/hemlockhill/queue_policy.h
@@ -9,6 +9,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <set>
 
 namespace Hemlockhill
 {
@@ -41,21 +42,42 @@
     std::uint32_t priority = 0;
     // False for the rest of a stream: its caller has received a part already, and the endpoints that can continue it may be few.
     bool isNew = true;
-    // Whether the latency target cannot be met any more. Otherwise each late request that goes first makes another one late.
+    // Whether the latency target cannot be met any more, where requests are ordered by it. Otherwise each late request that goes first
+    // makes another one late.
     bool isLate = false;
-    // Until when the request must be dispatched: to meet its target, or if it is late, to be of any use to its caller.
+    // Until when the request must be dispatched: to meet its target, or to be of any use to its caller.
     TimePoint dispatchBy;
     TimePoint arrivedAt;
 
     auto operator<=>(const WaitingRank &) const = default;
 };
 
+// What decides among requests of one priority.
+enum class DispatchOrder {
+    // Who gives up first goes first.
+    ByPatience,
+    // Who can still meet the latency target goes first, the earliest target first; the others follow by patience.
+    ByTarget
+};
+
+// Routes of one priority to one service.
+struct DispatchClass {
+    ServiceId service;
+    std::uint32_t priority = 0;
+
+    auto operator<=>(const DispatchClass &) const = default;
+};
+
+// Returns the classes whose routes have different latency targets: there the priority does not tell which requests are urgent.
+std::set<DispatchClass> classesOfMixedTargets(const Deployment &deployment);
+
 // What the rank of a request is made of.
 struct WaitingRequest {
     std::uint32_t workspacePriority = 0;
     bool isRestOfStream = false;
     TimePoint arrivedAt;
     TimePoint latestDispatch;
+    DispatchOrder order = DispatchOrder::ByTarget;
 };
 
 WaitingRank rankAt(TimePoint now, const Route &route, const WaitingRequest &request);
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -211,6 +211,7 @@
     m_deployment = std::move(deployment);
     m_server->setLimits(callerServerLimits(m_deployment->limits, m_settings));
     m_quota.setDeployment(*m_deployment);
+    m_classesOfMixedTargets = classesOfMixedTargets(*m_deployment);
     if (m_forwardingServer) {
         m_forwardingServer->setLimits(forwardingServerLimits(m_deployment->limits, m_settings));
     }
@@ -755,6 +756,13 @@
     schedulePathReview();
 }
 
+// Endpoints whose memory is bounded take fewer requests than they have slots, so that few requests can be in time.
+DispatchOrder Gateway::dispatchOrder(const ServiceId &service, const Route &route) const
+{
+    const bool isByTarget = m_chooser.boundsMemory(service) || m_classesOfMixedTargets.contains({service, route.priority});
+    return isByTarget ? DispatchOrder::ByTarget : DispatchOrder::ByPatience;
+}
+
 WorkspaceAdmission Gateway::admitByCredential(const Route &route, const Credential &credential) const
 {
     return admitByKey(*m_deployment, route, credential, m_documentAge.at(BootClock::now()), m_settings.keys);
--- a/src/libhemlockhill/node/gateway_waiting.cpp
+++ b/src/libhemlockhill/node/gateway_waiting.cpp
@@ -129,7 +129,9 @@
 WaitingRank Gateway::Request::rank(TimePoint now) const
 {
     const std::uint32_t workspacePriority = m_workspace == nullptr ? 0 : m_workspace->priority.value_or(0);
-    return rankAt(now, m_route, {workspacePriority, m_requirements.softwareVersion.has_value(), m_arrivedAt, latestDispatch()});
+    const bool isRestOfStream = m_requirements.softwareVersion.has_value();
+    return rankAt(
+        now, m_route, {workspacePriority, isRestOfStream, m_arrivedAt, latestDispatch(), m_gateway.dispatchOrder(service(), m_route)});
 }
 
 QueueForecast Gateway::Request::forecastOfRoom(TimePoint now) const
--- a/src/libhemlockhill/request/queue_policy.cpp
+++ b/src/libhemlockhill/request/queue_policy.cpp
@@ -2,6 +2,7 @@
 #include "hemlockhill/queue_policy.h"
 
 #include <algorithm>
+#include <map>
 
 namespace Hemlockhill
 {
@@ -72,14 +73,31 @@
 WaitingRank rankAt(TimePoint now, const Route &route, const WaitingRequest &request)
 {
     const TimePoint target = targetDispatch(route, request.arrivedAt, request.latestDispatch);
+    const bool isByTarget = request.order == DispatchOrder::ByTarget;
     // The target is one for the first event, which the rest of a stream has behind it.
-    const bool isLate = request.isRestOfStream || now > target;
+    const bool isLate = isByTarget && (request.isRestOfStream || now > target);
     return {request.workspacePriority,
             route.priority,
             !request.isRestOfStream,
             isLate,
-            isLate ? request.latestDispatch : target,
+            isByTarget && !isLate ? target : request.latestDispatch,
             request.arrivedAt};
 }
 
+std::set<DispatchClass> classesOfMixedTargets(const Deployment &deployment)
+{
+    std::map<DispatchClass, Duration> targets;
+    std::set<DispatchClass> mixed;
+    for (const Route &route : deployment.routes) {
+        for (const WeightedService &weighted : route.weightedServices) {
+            const DispatchClass dispatchClass{weighted.service, route.priority};
+            const auto [known, isNew] = targets.emplace(dispatchClass, route.latencyTarget);
+            if (!isNew && known->second != route.latencyTarget) {
+                mixed.insert(dispatchClass);
+            }
+        }
+    }
+    return mixed;
+}
+
 } // namespace Hemlockhill
--- a/src/libhemlockhill/request/queue_policy_test.cpp
+++ b/src/libhemlockhill/request/queue_policy_test.cpp
@@ -123,7 +123,7 @@
 }
 
 // Guards against callers of an urgent route who wait behind those of a less urgent one because their objective has been missed already.
-BOOST_AUTO_TEST_CASE(urgent_request_past_its_objective_waits_behind_a_less_urgent_one)
+BOOST_AUTO_TEST_CASE(late_request_of_mixed_targets_waits_behind_one_in_time)
 {
     Route urgent = route(RouteKind::Streaming, std::chrono::milliseconds(500), std::chrono::milliseconds(250));
     urgent.priority = 0;
@@ -219,3 +219,39 @@
     route.kind = RouteKind::Safe;
     BOOST_CHECK(dispatchTimeout(route, std::chrono::seconds(12)) == Duration(std::chrono::seconds(12)));
 }
+
+// Guards against callers of an urgent route who wait behind those of a less urgent one because their objective has been missed already.
+BOOST_AUTO_TEST_CASE(urgent_request_past_its_objective_waits_behind_a_less_urgent_one)
+{
+    Route urgent = route(RouteKind::Streaming, std::chrono::milliseconds(500), std::chrono::milliseconds(250));
+    urgent.priority = 0;
+    Route other = urgent;
+    other.priority = 1;
+    const TimePoint later = Start + std::chrono::milliseconds(550);
+    const auto byPatience = [&](const Route &of, TimePoint arrivedAt) {
+        WaitingRequest request = waiting(of, arrivedAt, std::chrono::seconds(15));
+        request.order = DispatchOrder::ByPatience;
+        return rankAt(later, of, request);
+    };
+    BOOST_CHECK(byPatience(urgent, Start) < byPatience(other, later));
+    BOOST_CHECK(byPatience(urgent, Start) < byPatience(urgent, later));
+}
+
+// Where all routes of a priority have one target, the order by patience holds as before.
+BOOST_AUTO_TEST_CASE(routes_are_ordered_by_a_target_that_they_share)
+{
+    Route draft = route(RouteKind::Streaming, std::chrono::milliseconds(500));
+    draft.weightedServices = {{ServiceId{"models"}, 1}};
+    draft.priority = 1;
+    Route other = draft;
+    Deployment deployment;
+    deployment.routes = {draft, other};
+    BOOST_CHECK(classesOfMixedTargets(deployment).empty());
+    other.latencyTarget = std::chrono::seconds(10);
+    other.priority = 2;
+    deployment.routes = {draft, other};
+    BOOST_CHECK(classesOfMixedTargets(deployment).empty());
+    other.priority = 1;
+    deployment.routes = {draft, other};
+    BOOST_CHECK((classesOfMixedTargets(deployment) == std::set<DispatchClass>{{ServiceId{"models"}, 1}}));
+}
