--- a/src/libhemlockhill/control/quota_leases_test.cpp
+++ b/src/libhemlockhill/control/quota_leases_test.cpp
@@ -1,5 +1,6 @@
 // A leader leases shards of quotas to the nodes that claim some, and its successor does not lease them a second time.
 #include "control/simulated_region.h"
+#include "hemlockhill/quota_shards.h"
 
 using namespace Hemlockhill;
 using namespace Hemlockhill::Testing;
@@ -62,14 +63,15 @@
     while (!region.leader()) {
         region.step();
     }
-    // The first node is out of touch; another one gets none of its shards.
-    const TimePoint end = region.now + std::chrono::milliseconds(2'500);
+    // The first node is out of touch; another one gets none of its shards until the first one's lease must have ended.
+    const QuotaLeaseTimes times;
+    const TimePoint end = region.now + times.lease - std::chrono::milliseconds(500);
     while (region.now < end) {
         BOOST_REQUIRE(claim(region, Second, ShardSet{})->held.none());
         region.step();
     }
     BOOST_CHECK(claim(region, First, leases->held)->held == leases->held);
     BOOST_CHECK(claim(region, Second, leases->held)->held.none());
-    region.run(std::chrono::seconds(4));
+    region.run(times.lease + times.margin + std::chrono::milliseconds(500));
     BOOST_CHECK(claim(region, Second, ShardSet{})->held.all());
 }
