--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -218,18 +218,22 @@
     m_gateway.scheduleSuspectNotices();
 }
 
-// The route is that of the document with which the request arrived; its credential is judged by the document in force.
+// The route and the credential are judged by the document in force, which may be newer than the one with which the request arrived.
 bool Gateway::Request::refuseIfKeyRevoked()
 {
-    if (m_workspace == nullptr || m_route.isPublic) {
+    if (m_gateway.m_deployment->workspaces.empty()) {
         return false;
     }
-    const WorkspaceAdmission admission = m_gateway.admitByCredential(m_route, m_head.credential);
-    const bool isSame = admission.workspace != nullptr && admission.workspace->id == m_workspace->id;
+    const Route *route = m_gateway.m_deployment->match(m_request.header("Host"), m_request.path());
+    const WorkspaceAdmission admission = m_gateway.admitByCredential(route == nullptr ? m_route : *route, m_head.credential);
+    const WorkspaceId now = admission.workspace == nullptr ? WorkspaceId{} : admission.workspace->id;
+    const WorkspaceId onArrival = m_workspace == nullptr ? WorkspaceId{} : m_workspace->id;
+    // A workspace that a newer document has introduced has not been charged.
+    const bool isSame = now == onArrival || m_route.isPublic;
     if (admission.verdict == KeyVerdict::Accepted && isSame) {
         return false;
     }
-    const KeyVerdict verdict = admission.verdict == KeyVerdict::Accepted ? KeyVerdict::Rejected : admission.verdict;
+    const KeyVerdict verdict = admission.verdict == KeyVerdict::Accepted ? KeyVerdict::Uncertain : admission.verdict;
     if (hasResponseStarted()) {
         performStep(RetryDecision::Abort, refusalReason(verdict));
     } else {
@@ -240,7 +244,7 @@
 
 std::optional<WorkspaceIdentity> Gateway::Request::workspaceIdentity() const
 {
-    if (m_deployment->workspaces.empty()) {
+    if (m_deployment->workspaces.empty() && m_gateway.m_deployment->workspaces.empty()) {
         return std::nullopt;
     }
     return WorkspaceIdentity{m_workspace == nullptr ? WorkspaceId{} : m_workspace->id};
--- a/src/libhemlockhill/node/gateway_workspace_test.cpp
+++ b/src/libhemlockhill/node/gateway_workspace_test.cpp
@@ -100,6 +100,18 @@
     BOOST_CHECK_EQUAL(fixture.runs, 0);
 }
 
+// A document may introduce workspaces while requests wait that needed no key when they arrived.
+BOOST_AUTO_TEST_CASE(waiting_request_without_a_key_does_not_run_once_keys_are_needed)
+{
+    WorkspaceFixture fixture(12'170);
+    fixture.gateway().setDeployment(singleRoute(fixture.address(), RouteKind::Unsafe, false));
+    const EndpointsById endpoints = fixture.takeEndpoints();
+    fixture.after(milliseconds(60), [&fixture] { fixture.setKey("new"); });
+    fixture.after(milliseconds(120), [&] { fixture.gateway().onLeaderDirectory(endpoints, currentTime()); });
+    BOOST_CHECK_EQUAL(fixture.exchange("/x/1").value().status, 401);
+    BOOST_CHECK_EQUAL(fixture.runs, 0);
+}
+
 // The same at a node that is cut off: the wait must not outlast what the node knows.
 BOOST_AUTO_TEST_CASE(waiting_request_is_refused_when_the_document_grows_too_old)
 {
--- a/src/libhemlockhill/request/queue_policy.cpp
+++ b/src/libhemlockhill/request/queue_policy.cpp
@@ -26,8 +26,8 @@
 constexpr double UnstreamedQueueRatio = 0.4;
 // Fraction of a long caller timeout after which a stream is refused, because a refusal is then more useful than further waiting.
 constexpr double StreamQueueRatio = 0.25;
-// Maximum fraction of a latency target that is reserved for the endpoint's answer: calls with targets of 150 ms are answered within 30 ms,
-// and would count as late on arrival if the whole minimum were reserved.
+// Maximum fraction of a latency target that is reserved for the endpoint's answer: a call with a short target would count as late on
+// arrival if the whole minimum were reserved.
 constexpr int AnswerReserveDivisor = 4;
 
 } // namespace
--- a/src/libhemlockhill/request/queue_policy_test.cpp
+++ b/src/libhemlockhill/request/queue_policy_test.cpp
@@ -234,6 +234,8 @@
         return rankAt(later, of, request);
     };
     BOOST_CHECK(byPatience(urgent, Start) < byPatience(other, later));
+    // The priority decides first in either order.
+    BOOST_CHECK(rankOf(later, urgent, Start, std::chrono::seconds(15)) < rankOf(later, other, later, std::chrono::seconds(15)));
     BOOST_CHECK(byPatience(urgent, Start) < byPatience(urgent, later));
 }
 
--- a/src/libhemlockhill/request/room_forecast.cpp
+++ b/src/libhemlockhill/request/room_forecast.cpp
@@ -32,7 +32,7 @@
 void SlotTimes::onServed(const LoadSubject &subject, Duration held)
 {
     if (m_means.size() >= m_limits.subjects && !m_means.contains(subject)) {
-        return;
+        m_means.clear();
     }
     Mean &mean = m_means[subject];
     ++mean.samples;
--- a/src/libhemlockhill/routing/service_line.cpp
+++ b/src/libhemlockhill/routing/service_line.cpp
@@ -53,6 +53,9 @@
         }
         std::erase_if(m_subjects, [](const auto &entry) { return entry.second.empty(); });
     }
+    if (m_subjects.size() >= m_limits.subjects && !m_subjects.contains(subject)) {
+        return;
+    }
     if (waiting.requests == 0) {
         if (const auto found = m_subjects.find(subject); found != m_subjects.end()) {
             found->second.erase(node);
@@ -125,6 +128,9 @@
     if (m_reports.size() >= m_limits.subjects) {
         std::erase_if(m_reports, [&](const auto &entry) { return now - entry.second.at >= m_limits.validity; });
     }
+    if (m_reports.size() >= m_limits.subjects && !m_reports.contains(subject)) {
+        return;
+    }
     m_reports[subject] = {elsewhere, now};
 }
 
--- a/src/libhemlockhill/workspace/quota_owner.cpp
+++ b/src/libhemlockhill/workspace/quota_owner.cpp
@@ -2,6 +2,7 @@
 #include "hemlockhill/quota_owner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Hemlockhill
 {
@@ -23,12 +24,18 @@
 
 void QuotaOwner::setWorkspaces(const std::map<WorkspaceId, Workspace> &workspaces, BootTimePoint now)
 {
-    m_quotas.clear();
+    const std::map<WorkspaceId, WorkspaceQuota> former = std::exchange(m_quotas, {});
     for (const auto &[id, workspace] : workspaces) {
         if (workspace.quota) {
             m_quotas.emplace(id, *workspace.quota);
         }
     }
+    // The level of a bucket means nothing in another unit.
+    std::erase_if(m_buckets, [&](const auto &entry) {
+        const auto before = former.find(entry.first.first);
+        const auto quota = m_quotas.find(entry.first.first);
+        return before != former.end() && quota != m_quotas.end() && before->second.unit != quota->second.unit;
+    });
     // A workspace that is declared anew within the window has still used what it was granted before.
     std::erase_if(m_buckets, [&](const auto &entry) {
         const Bucket &bucket = entry.second;
