--- a/src/include/hemlockhill/deployment.h
+++ b/src/include/hemlockhill/deployment.h
@@ -3,6 +3,7 @@
 // A document replaces the previous one as a whole. The highest version takes effect. The content of a version never changes.
 #pragma once
 
+#include "hemlockhill/workspace_keys.h"
 #include "hemlockhill/world.h"
 
 #include <cstdint>
@@ -53,6 +54,8 @@
     std::uint32_t priority = 0;
     // Maximum number of endpoints that may run one request.
     std::uint32_t attemptLimit = 1;
+    // Whether requests need no key, in a deployment with workspaces.
+    bool isPublic = false;
     std::vector<WeightedService> weightedServices;
 
     // True when a request may run more than once.
@@ -80,6 +83,8 @@
     // Maximum number of requests in one batch.
     std::uint32_t slots = 1;
     TokenCount cacheCapacity;
+    // Tokens in one event of a stream.
+    std::uint32_t tokensPerEvent = 1;
     // For the weights of models and adapters together.
     Megabytes weightCapacity;
     std::uint32_t adapterSlots = 0;
@@ -101,6 +106,33 @@
     bool operator==(const RoutedService &) const = default;
 };
 
+// What a workspace's quota counts.
+enum class QuotaUnit { Requests, Tokens };
+
+// Limit on what a workspace may use, over all nodes together: a token bucket.
+struct WorkspaceQuota {
+    QuotaUnit unit = QuotaUnit::Requests;
+    // Refill rate in units per second; always above 0.
+    double ratePerSecond = 0;
+    // Capacity of the bucket in units.
+    double burst = 0;
+
+    bool operator==(const WorkspaceQuota &) const = default;
+};
+
+// A customer of the deployment. Its callers prove with a key that they belong to it.
+struct Workspace {
+    WorkspaceId id;
+    // Precedes the priority of the route; 0 is the highest. Empty if the workspace has none.
+    std::optional<std::uint32_t> priority;
+    // Empty if the workspace is not limited.
+    std::optional<WorkspaceQuota> quota;
+    // What a request costs that does not declare its tokens, where the quota counts tokens.
+    TokenCount undeclaredTokens;
+
+    bool operator==(const Workspace &) const = default;
+};
+
 // Limits on the size and duration of caller requests.
 struct CallerLimits {
     Bytes header{16'384};
@@ -115,6 +147,9 @@
     DeploymentVersion version;
     std::vector<Route> routes;
     std::map<ServiceId, RoutedService> services;
+    // Empty if the deployment has no workspaces: then requests need no key.
+    std::map<WorkspaceId, Workspace> workspaces;
+    WorkspaceKeys keys;
     CallerLimits limits;
 
     // Returns the route of the host with the longest matching path prefix, or null when none matches.
--- a/src/include/hemlockhill/endpoint_choice.h
+++ b/src/include/hemlockhill/endpoint_choice.h
@@ -10,11 +10,15 @@
 #include "hemlockhill/dispatch_notices.h"
 #include "hemlockhill/endpoint_availability.h"
 #include "hemlockhill/endpoint_directory.h"
+#include "hemlockhill/endpoint_failures.h"
 #include "hemlockhill/endpoint_loads.h"
+#include "hemlockhill/endpoint_memory.h"
 #include "hemlockhill/endpoint_rate_limiter.h"
 #include "hemlockhill/load_queries.h"
 #include "hemlockhill/prompt_rate_limiter.h"
 #include "hemlockhill/request_dialect.h"
+#include "hemlockhill/service_line.h"
+#include "hemlockhill/stream_duration.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
@@ -38,6 +42,10 @@
     std::optional<SoftwareVersion> softwareVersion;
     // Endpoints to which this request has already been sent.
     std::set<EndpointId> avoided;
+    // Tokens that the request holds in the end, where the memory of endpoints is bounded.
+    TokenCount tokens = {};
+    // What it asks for, if it is a stream of a model.
+    StreamDemand stream = {};
 };
 
 // Why no endpoint was selected.
@@ -74,9 +82,16 @@
     Duration delay{0};
     // With endpoints that limit the rate of requests: the rate that they accept from this node, all of them together.
     RequestRate acceptedRate;
+    // Whether an owner has granted the room for this request, so that nothing need be asked.
+    bool isGranted = false;
+    // Further requests that the suitable endpoints can take, if one is selected.
+    double freeSlots = 0;
 
     // Whether other loads of the endpoints could lead to another choice.
-    bool dependsOnLoad() const { return endpoint || reason == NoEndpointReason::Full || reason == NoEndpointReason::RateLimited; }
+    bool dependsOnLoad() const
+    {
+        return !isGranted && (endpoint || reason == NoEndpointReason::Full || reason == NoEndpointReason::RateLimited);
+    }
 };
 
 // What a node takes for the load of one endpoint, for logs.
@@ -86,6 +101,8 @@
     // Requests in progress there of this node and of the others.
     std::uint32_t own = 0;
     OthersLoad others;
+    // Tokens of the requests that this node knows of.
+    TokenCount tokens = {};
 };
 
 // Limits on the load and the failures of an endpoint.
@@ -93,17 +110,18 @@
     // Requests queued at an endpoint, as a fraction of its slots: enough to use a freed slot immediately. All other requests wait at
     // the nodes, where the most urgent one is dispatched first.
     double queueRatio = 0.12;
-    // Backoff after a failure. It doubles with each consecutive failure up to the maximum.
-    Duration initialBackoff = std::chrono::milliseconds(500);
-    Duration maximumBackoff = std::chrono::seconds(4);
-    // Failure rate, as a moving average, at or above which an endpoint backs off after every failure.
-    double failureRateThreshold = 0.3;
+    EndpointFailureLimits failures;
     PromptRateLimit promptRateLimit;
     EndpointRateLimits requestRateLimits;
     BrittleEndpointLimits brittleEndpoints;
     EndpointAvailabilityLimits availability;
+    EndpointMemoryLimits memory;
+    ServiceLineLimits line;
 };
 
+// How a notice changes the number of a node's requests at an endpoint.
+enum class LoadChange { None, More, Less };
+
 // Selects endpoints and tracks their load, failures and cached prefixes.
 class EndpointChooser
 {
@@ -114,16 +132,32 @@
     std::function<std::optional<double>(const LiveEndpoint &endpoint)> pathCost;
     // Whether this node hears of all requests to a service by notices, so that it need not ask for its load. Optional: it does.
     std::function<bool(const ServiceId &service)> hearsAll;
+    // Memory of each endpoint of a service, in tokens; 0 if it is not bounded. Optional: it is not.
+    std::function<TokenCount(const ServiceId &service)> memoryCapacity;
+    // Who decides about it. Optional: this node.
+    std::function<MemoryAuthority(const ServiceId &service)> memoryAuthority;
+    // What waits at this node, for the order across nodes. Optional: nothing.
+    std::function<std::optional<WaitingAtNode>(const LoadSubject &subject)> ownWaiting;
 
     // Selects the suitable endpoint with the lowest cost: load and uncached prompt tokens per slot, and a penalty for other data centres.
     EndpointChoice choose(const EndpointsById &endpoints, const EndpointRequirements &need, TimePoint now);
 
+    // Returns what waits at other nodes. An owner knows it itself; `rank` is that of this node's request.
+    WaitingElsewhere waitingElsewhere(const LoadSubject &subject, const WaitingRank &rank, TimePoint now);
+    // A request has ended at an endpoint. Returns the node and the subject of the most urgent request that can take its place.
+    std::optional<std::pair<VmId, LoadSubject>> invite(const LiveEndpoint &endpoint, TimePoint now);
+    ServiceLine &line() { return m_line; }
+    // Whether a request holds more than the whole memory of an endpoint.
+    bool exceedsMemory(const EndpointRequirements &need) const;
+    bool boundsMemory(const ServiceId &service) const { return capacityOf(service) > TokenCount{0}; }
+    // Returns the tokens of this node's requests at the endpoint.
+    TokenCount ownTokens(const EndpointId &endpoint) const { return m_memory.own(endpoint); }
     // Number of prompt tokens that the endpoint probably has to process, because they are not in its prefix cache.
     TokenCount uncachedTokens(const EndpointId &endpoint, const EndpointRequirements &need) const;
     void onDispatched(const EndpointId &endpoint, const EndpointRequirements &need, TimePoint now);
     // Another node dispatched a request to the endpoint, or one of its requests there ended. The prompt size is 0 when it is to be
     // disregarded.
-    void onDispatchNotice(const VmId &node, const DispatchNotice &notice, TimePoint now);
+    LoadChange onDispatchNotice(const VmId &node, const DispatchNotice &notice, TimePoint now);
     // Another node asks for the load of a service's endpoints. The report is true as far as this node hears of all requests.
     LoadReport answerLoadQuery(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, TimePoint now);
     // An owner of the service has answered this node's query.
@@ -131,13 +165,13 @@
     // Returns the question about endpoints that a request can go to: of many, those that suit it best, but for their load, mixed at random.
     LoadQuery loadQuery(const EndpointRequirements &need, const EndpointsById &endpoints, TimePoint now);
     // An exchange with the endpoint ended, successfully or not.
-    void onEnded(const EndpointId &endpoint);
+    void onEnded(const EndpointId &endpoint, TokenCount tokens = {});
     // The endpoint returned a valid response.
     void onSucceeded(const EndpointId &endpoint);
     // The endpoint was unreachable, closed the connection early, or returned an error of its own.
-    void onFailed(const EndpointId &endpoint, TimePoint now);
+    FailureAssessment onFailed(const EndpointId &endpoint, TimePoint now, EndpointFailureKind kind = EndpointFailureKind::Exchange);
     // Neither this node nor others can connect to the endpoint.
-    void onUnreachable(const EndpointId &endpoint, TimePoint now);
+    FailureAssessment onUnreachable(const EndpointId &endpoint, TimePoint now);
     // Discards the records of endpoints that are no longer listed and have no requests in flight from this node.
     void onDirectory(const EndpointsById &endpoints, TimePoint now);
     // Returns what this node takes for the load of an endpoint.
@@ -156,14 +190,27 @@
 private:
     struct Record {
         std::uint32_t inFlight = 0;
-        std::uint32_t consecutiveFailures = 0;
-        // Failed fraction of the requests, as an exponential moving average.
-        double failureRate = 0;
-        TimePoint backoffUntil;
     };
 
-    void backOff(Record &record, TimePoint now) const;
+    TokenCount capacityOf(const ServiceId &service) const { return memoryCapacity ? memoryCapacity(service) : TokenCount{0}; }
+    MemoryAuthority authorityOf(const ServiceId &service, TimePoint now) const;
+    // Tokens at the endpoint of all requests that this node knows of, and what it has promised to other nodes than the given one.
+    TokenCount heldTokens(const EndpointId &endpoint, const VmId &node, TimePoint now);
+    // Whether the endpoint has memory for a request. `authority` decides, `capacity` is not 0.
+    bool
+    hasMemory(const EndpointId &endpoint, const EndpointRequirements &need, TokenCount capacity, MemoryAuthority authority, TimePoint now);
+    // Counts a slot as taken that the node will use by this report, unless more urgent requests of other nodes need it.
+    void promiseSlot(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, LoadReport &report, TimePoint now);
+    // Grants a node that asks for it the memory for a request at the best of the reported endpoints that have it, unless more urgent
+    // requests of other nodes need it.
+    void grantMemory(const VmId &node, const LoadQuery &query, const EndpointsById &endpoints, LoadReport &report, TimePoint now);
     bool isInBackoff(const EndpointId &endpoint, TimePoint now) const;
+    // Longest interval between events with which the stream is complete by its deadline. Unlimited if no suitable endpoint is that fast:
+    // the caller's estimate of the length may be wrong.
+    static Duration
+    longestUsefulInterval(const std::vector<const LiveEndpoint *> &active, const EndpointRequirements &need, Duration typical);
+    // Interval between the events of a stream at the endpoint; that of the others of its service if its own is not known.
+    static Duration eventInterval(const LiveEndpoint &endpoint, Duration typical);
     // Cost of the way to the endpoint's data centre, in requests per slot.
     double dataCentreCost(const LiveEndpoint &endpoint) const;
     // What the other nodes have in progress at the endpoint, as far as this node knows.
@@ -171,14 +218,24 @@
     bool isFull(const LiveEndpoint &endpoint, const OthersLoad &others, TimePoint now);
 
     DataCentreId m_dataCentre;
+    VmId m_self;
     EndpointChooserLimits m_limits;
     boost::random::mt19937_64 m_random;
     PromptRateLimiter m_rateLimiter;
     EndpointRateLimiter m_requestRates;
     BrittleEndpoints m_brittleEndpoints;
     EndpointAvailability m_availability;
+    EndpointFailures m_failures;
     PrefixIndex m_prefixes;
     EndpointLoads m_loads;
+    EndpointMemory m_memory;
+    // Slots that nodes have been told of and that count as taken until they have had time to dispatch, in requests. Used where requests are
+    // ordered across nodes.
+    EndpointMemory m_promisedSlots;
+    ServiceLine m_line;
+    LineReports m_lineReports;
+    // When an owner of an earlier build, which grants nothing, has answered last.
+    std::map<ServiceId, TimePoint> m_withoutGrants;
     std::map<EndpointId, Record> m_records;
 };
 
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -8,6 +8,7 @@
 #include "hemlockhill/endpoint_choice.h"
 #include "hemlockhill/endpoint_directory.h"
 #include "hemlockhill/forwarding_peers.h"
+#include "hemlockhill/gateway_quota.h"
 #include "hemlockhill/http_exchange.h"
 #include "hemlockhill/http_server.h"
 #include "hemlockhill/load_owners.h"
@@ -15,9 +16,11 @@
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/request_dialect.h"
 #include "hemlockhill/retry_budget.h"
+#include "hemlockhill/room_forecast.h"
 #include "hemlockhill/stream_origins.h"
 #include "hemlockhill/timer_service.h"
 #include "hemlockhill/version_history.h"
+#include "hemlockhill/workspace_admission.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -33,6 +36,7 @@
 {
 
 class ArrivalClock;
+class BufferBudget;
 class EndpointPaths;
 
 struct GatewaySettings {
@@ -46,11 +50,20 @@
     std::size_t idleConnections = 24;
     // Maximum number of open connections from callers.
     std::uint32_t connectionLimit = 3000;
+    // Maximum number of open connections from other nodes.
+    std::uint32_t forwardingConnectionLimit = 1024;
+    // Bounds what this node holds of requests; null for no bound.
+    std::shared_ptr<BufferBudget> requestBudget;
+    // Bounds what callers and other nodes have not read of answers; null for no bound.
+    std::shared_ptr<BufferBudget> answerBudget;
     RetryBudgetLimits retries;
     DirectoryAgeLimits directoryAge;
     CrashGuardLimits crashes;
+    KeyLimits keys;
     // Whether the whole group starts for the first time, so that no stream has begun before.
     bool isFirstStart = false;
+    // Whether the tokens of the requests at an endpoint must stay within its memory, since it fails otherwise.
+    bool boundsEndpointMemory = false;
 };
 
 // Demand for one model, or one adapter on it, since the previous report.
@@ -88,7 +101,9 @@
     std::function<void(const VmId &owner, const LoadQuery &query)> sendLoadQuery;
     // Another node asks. Returns the answer; empty if this node does not own the loads of the service.
     std::optional<LoadReport> onLoadQuery(const VmId &node, const LoadQuery &query);
-    // An owner has answered.
+    // Called to tell another node that a slot has become free for its requests.
+    std::function<void(const VmId &node, const LoadReport &invitation)> sendInvitation;
+    // An owner has answered, or tells of a free slot.
     void onLoadReport(const VmId &owner, const LoadReport &report);
     // Called when the other nodes must learn about the rate limit of an endpoint, or about a request that was dispatched under it.
     std::function<void(const RateLimitNotice &notice)> onRateLimit;
@@ -120,6 +135,8 @@
     void start();
     // Replaces the routes and limits. Requests in progress keep the deployment with which they started. Call after start().
     void setDeployment(std::shared_ptr<const Deployment> deployment);
+    // The leader has confirmed that no document was newer at the given time than the one in force now.
+    void onDeploymentConfirmed(BootTimePoint at) { m_documentAge.onConfirmed(at); }
     // The leader's directory has changed. It agrees with an endpoint list that was requested at listedAt.
     void onLeaderDirectory(EndpointsById endpoints, TimePoint listedAt);
     // The leader's directory has not changed, but agrees with a list that was requested at listedAt.
@@ -132,6 +149,7 @@
     bool needsListing() const;
     // Returns the demand since the previous call and resets the counters.
     DemandByTarget takeTargetDemand();
+    GatewayQuota &quota() { return m_quota; }
     bool hasDeployment() const { return m_deployment != nullptr; }
     bool hasEndpoints() const { return !m_directory.endpoints().empty(); }
 
@@ -159,6 +177,10 @@
     void reviewPaths();
     void onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
     void refuse(HttpResponder &responder, Reason reason, const RoutedRequestHead &head, std::string detail);
+    // By what the requests for a service that have the priority of the route are ordered.
+    DispatchOrder dispatchOrder(const ServiceId &service, const Route &route) const;
+    // Decides by the credential whether a request may run, by the document in force now.
+    WorkspaceAdmission admitByCredential(const Route &route, const Credential &credential) const;
     void dispatchWaiting();
     // Evaluates the waiting requests again after a while, for as long as there are any.
     void scheduleDispatch();
@@ -174,11 +196,25 @@
     const std::vector<VmId> &nodesToNotify(const EndpointId &endpoint);
     // Whether a request must wait until the load of the endpoints is known. Asks for it if that is due.
     bool awaitsLoad(const EndpointRequirements &need, LoadPurpose purpose);
+    // Sets the hooks of the chooser that bound the memory of endpoints.
+    void boundEndpointMemory();
+    // Whether the requests of all nodes are dispatched in one order: where the deployment has workspaces or memory is bounded.
+    bool ordersAcrossNodes() const;
+    // What waits at this node for a subject, with the request that is to be dispatched now.
+    std::optional<WaitingAtNode> describeQueue(const LoadSubject &subject) const;
+    // A slot has become free: tells the node of the most urgent request that waits for one.
+    void inviteNext(const EndpointId &endpoint);
+    // Returns the rate at which the slots of the endpoints that a request can go to become free, as far as this node knows; 0 if not at
+    // all.
+    RequestRate releaseRate(const EndpointRequirements &need);
+    MemoryAuthority memoryAuthority(const ServiceId &service);
     // Takes what an endpoint has said of its capacity in the answer to a request that was sent at the given time.
     void onDeclaredCapacity(const EndpointId &endpoint, const Incarnation &incarnation, const DeclaredCapacity &declared, TimePoint sentAt);
     void logAvailability(const EndpointId &endpoint, const DeclaredCapacity &declared);
     // Notifies the other nodes of a request that was dispatched to an endpoint that limits their rate.
     void announceLimitedDispatch(const EndpointId &endpoint);
+    // Counts and logs what follows a failure for an endpoint.
+    void onEndpointAssessed(const EndpointId &endpoint, const FailureAssessment &assessment);
     void announceRateLimit(const EndpointId &endpoint, bool wantsReply);
     // Forgets losses of endpoints that run, and suspects that have expired.
     void reviewSuspects();
@@ -198,6 +234,7 @@
     EndpointChooser m_chooser;
     LoadOwners m_loadOwners;
     LoadQueries m_loadQueries;
+    SlotTimes m_slotTimes;
     std::shared_ptr<ArrivalClock> m_arrivalClock;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<HttpServer> m_forwardingServer;
@@ -205,14 +242,19 @@
     // The same without this node.
     std::vector<VmId> m_otherNodes;
     std::shared_ptr<const Deployment> m_deployment;
+    DocumentAge m_documentAge;
+    std::set<DispatchClass> m_classesOfMixedTargets;
     DirectoryView m_directory;
     CrashGuard m_crashGuard;
     bool m_suspectNoticesScheduled = false;
     VersionHistory m_versions;
+    GatewayQuota m_quota;
     std::map<std::uint64_t, std::shared_ptr<Request>> m_requests;
     std::map<std::uint64_t, std::shared_ptr<ForwardedRequest>> m_forwardedRequests;
     std::uint64_t m_lastRequestNumber = 0;
     bool m_dispatchScheduled = false;
+    // The request that is being dispatched; null outside of that.
+    const Request *m_dispatched = nullptr;
     bool m_pathReviewScheduled = false;
     bool m_isDraining = false;
     bool m_isStopping = false;
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -81,6 +81,7 @@
     hooks.applied = [](const ReplicatedCommand &) {};
     hooks.restored = [] {};
     hooks.deploymentChanged = [this](const DeploymentDocument &document) { applyDocument(document); };
+    hooks.bootTime = [] { return BootClock::now(); };
     return hooks;
 }
 
@@ -252,7 +253,7 @@
         if (m_followCall == answer.call) {
             m_followCall.reset();
         }
-        onFollowReply(answer.from, *follow, pending.mapped().sentAt);
+        onFollowReply(answer.from, *follow, pending.mapped());
         if (!m_leader.empty() && !m_followCall) {
             m_followCall = startFollowCall(m_leader, requestToLeader());
         }
@@ -291,7 +292,7 @@
     }
 }
 
-void GroupMember::onFollowReply(const VmId &from, const FollowReply &reply, TimePoint sentAt)
+void GroupMember::onFollowReply(const VmId &from, const FollowReply &reply, const PendingFollowCall &call)
 {
     if (!reply.leading) {
         if (m_leader == from) {
@@ -322,19 +323,28 @@
         m_search.setFollowers(m_followers);
         m_hooks.followersChanged(m_followers);
     }
-    if (!reply.deployment.empty()) {
-        applyDocument(reply);
+    // The reply was written after the request had been sent, and before any newer document was acknowledged.
+    if (applyDocument(reply)) {
+        m_hooks.deploymentConfirmed(call.sentAtBoot);
     }
-    applyDirectoryChanges(reply, sentAt);
+    if (reply.quotaLeases && call.quotaClaim && m_hooks.quotaLeased) {
+        m_hooks.quotaLeased(*call.quotaClaim, *reply.quotaLeases, call.sentAtBoot);
+    }
+    applyDirectoryChanges(reply, call.sentAt);
 }
 
-void GroupMember::applyDocument(const FollowReply &reply)
+bool GroupMember::applyDocument(const FollowReply &reply)
 {
+    if (reply.deployment.empty()) {
+        return m_deploymentVersion > DeploymentVersion{};
+    }
     try {
         applyDocument(decodeDeploymentDocument(reply.deployment));
+        return true;
     } catch (const DecodeError &error) {
         // Requested again with the next follow request.
         logEvent(Severity::Warning, "cannot decode deployment", {{"problem", error.what()}});
+        return false;
     }
 }
 
@@ -355,8 +365,10 @@
 
 CallId GroupMember::startFollowCall(const VmId &to, FollowRequest request)
 {
+    // Taken before the request can be sent: what it proves counts from its sending, and this process may be frozen in between.
+    PendingFollowCall pending{to, currentTime(), BootClock::now(), request.quotaClaim};
     const CallId id = startCall(to, std::move(request));
-    m_followCalls[id] = PendingFollowCall{to, currentTime()};
+    m_followCalls[id] = std::move(pending);
     return id;
 }
 
@@ -373,6 +385,9 @@
     request.deployment = m_deploymentVersion;
     request.directory = m_directory.revision();
     request.followersDigest = m_followersDigest;
+    if (m_hooks.quotaClaim) {
+        request.quotaClaim = m_hooks.quotaClaim();
+    }
     return request;
 }
 
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -34,16 +35,19 @@
 constexpr Duration PathReviewPeriod = std::chrono::milliseconds(50);
 // Size of the headers that nodes add to a forwarded request.
 constexpr Bytes ForwardingHeaders{4096};
-// Maximum number of connections from other nodes.
-constexpr std::uint32_t ForwardingConnectionLimit = 1024;
+// The body of a request that is being forwarded exists twice: as received, for further attempts, and as sent.
+constexpr std::uint32_t BodyCopies = 2;
 // Period at which suspects that have expired, and losses of endpoints that still run, are dropped.
 constexpr Duration SuspectReviewPeriod = std::chrono::seconds(1);
 // Delays after which the count of requests under a rate limit is announced again, as the first notice may have been lost.
 constexpr std::array<Duration, 2> RateLimitRepeats{std::chrono::milliseconds(60), std::chrono::milliseconds(300)};
+// Delays after which the tokens at an endpoint are announced again, as a notice may have been lost. Within the time for which an owner
+// counts what it has granted.
+constexpr std::array<Duration, 2> MemoryNoticeRepeats{std::chrono::milliseconds(60), std::chrono::milliseconds(130)};
 // Additional time for receiving a request after the header timeout.
 constexpr Duration BodyTimeout = std::chrono::seconds(7);
 
-HttpServerLimits serverLimits(const CallerLimits &limits, std::uint32_t connections)
+HttpServerLimits serverLimits(const CallerLimits &limits, std::uint32_t connections, const GatewaySettings &settings)
 {
     HttpServerLimits server;
     server.header = limits.header;
@@ -51,12 +55,20 @@
     server.request = limits.headerTimeout + BodyTimeout;
     server.idle = limits.idleTimeout;
     server.connections = connections;
+    server.copies = BodyCopies;
+    server.requestBudget = settings.requestBudget;
+    server.answerBudget = settings.answerBudget;
     return server;
 }
 
-HttpServerLimits forwardingServerLimits(const CallerLimits &limits)
+HttpServerLimits callerServerLimits(const CallerLimits &limits, const GatewaySettings &settings)
 {
-    HttpServerLimits server = serverLimits(limits, ForwardingConnectionLimit);
+    return serverLimits(limits, settings.connectionLimit, settings);
+}
+
+HttpServerLimits forwardingServerLimits(const CallerLimits &limits, const GatewaySettings &settings)
+{
+    HttpServerLimits server = serverLimits(limits, settings.forwardingConnectionLimit, settings);
     server.header += ForwardingHeaders;
     return server;
 }
@@ -67,6 +79,13 @@
     return XXH3_64bits(text.data(), text.size()) ^ static_cast<std::uint64_t>(currentTime().time_since_epoch().count());
 }
 
+// Identifies this process. Two processes of one node must not agree, also when they start at the same time of their machines' clocks.
+std::uint64_t randomProcess()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
 } // namespace
 
 std::string encodeTargetDemand(const DemandByTarget &demand)
@@ -127,16 +146,22 @@
     , m_chooser(m_settings.dataCentre, {}, randomSeed(m_settings.listen), VmId{m_settings.listen.host})
     , m_loadOwners(VmId{m_settings.listen.host}, {}, m_settings.isFirstStart)
     , m_loadQueries({}, metrics, randomSeed(m_settings.listen))
+    , m_slotTimes({})
     , m_arrivalClock(std::make_shared<ArrivalClock>(loop))
     , m_directory(m_settings.directoryAge)
     , m_crashGuard(m_settings.crashes)
     , m_versions(StreamOriginLimits().retention)
+    , m_quota(loop, timers, metrics, VmId{m_settings.listen.host}, randomProcess())
     , m_randomEngine(randomSeed(m_settings.listen))
 {
     m_chooser.hearsAll = [this](const ServiceId &service) { return m_loadOwners.isOwner(service, currentTime()); };
     if (m_settings.isFirstStart) {
         m_versions.onFirstStart();
     }
+    if (m_settings.boundsEndpointMemory) {
+        boundEndpointMemory();
+    }
+    m_chooser.ownWaiting = [this](const LoadSubject &subject) { return describeQueue(subject); };
 }
 
 Gateway::~Gateway()
@@ -149,7 +174,7 @@
     m_server = std::make_unique<HttpServer>(
         m_loop,
         m_settings.listen,
-        serverLimits({}, m_settings.connectionLimit),
+        callerServerLimits({}, m_settings),
         [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) { onRequest(std::move(request), responder); },
         [this](Reason reason) {
             m_metrics.countRefusal(reason);
@@ -168,7 +193,7 @@
     m_forwardingServer = std::make_unique<HttpServer>(
         m_loop,
         *m_settings.forwardingListen,
-        forwardingServerLimits({}),
+        forwardingServerLimits({}, m_settings),
         [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) { onForwardedRequest(std::move(request), responder); },
         [this](Reason reason) { m_metrics.countRefusal(reason); });
     m_forwardingServer->setArrivalClock(m_arrivalClock);
@@ -184,9 +209,11 @@
 void Gateway::setDeployment(std::shared_ptr<const Deployment> deployment)
 {
     m_deployment = std::move(deployment);
-    m_server->setLimits(serverLimits(m_deployment->limits, m_settings.connectionLimit));
+    m_server->setLimits(callerServerLimits(m_deployment->limits, m_settings));
+    m_quota.setDeployment(*m_deployment);
+    m_classesOfMixedTargets = classesOfMixedTargets(*m_deployment);
     if (m_forwardingServer) {
-        m_forwardingServer->setLimits(forwardingServerLimits(m_deployment->limits));
+        m_forwardingServer->setLimits(forwardingServerLimits(m_deployment->limits, m_settings));
     }
 }
 
@@ -229,7 +256,13 @@
 
 void Gateway::onRemoteDispatch(const VmId &node, const DispatchNotice &notice)
 {
-    m_chooser.onDispatchNotice(node, notice, currentTime());
+    const LoadChange change = m_chooser.onDispatchNotice(node, notice, currentTime());
+    const auto listed = m_directory.endpoints().find(notice.endpoint);
+    if (change == LoadChange::Less) {
+        inviteNext(notice.endpoint);
+    } else if (change == LoadChange::More && listed != m_directory.endpoints().end()) {
+        m_chooser.line().onDispatched(node, listed->second);
+    }
 }
 
 std::optional<RateLimitNotice> Gateway::onRemoteRateLimit(const VmId &node, const RateLimitNotice &notice)
@@ -266,7 +299,8 @@
         return std::nullopt;
     }
     const auto inProgress = static_cast<std::uint32_t>(m_forwardedRequests.size());
-    const bool takesRequests = m_forwardingServer && m_deployment && hasEndpoints() && !m_isDraining && !m_paths->isIsolated();
+    const bool takesRequests = m_forwardingServer && m_deployment && hasEndpoints() && !m_isDraining && !m_paths->isIsolated()
+                               && m_directory.mayDispatch(currentTime());
     if (!takesRequests || inProgress >= m_settings.forwardedRequests) {
         return std::nullopt;
     }
@@ -372,6 +406,27 @@
     }
 }
 
+void Gateway::onEndpointAssessed(const EndpointId &endpoint, const FailureAssessment &assessment)
+{
+    if (assessment.verdict == FailureVerdict::Tolerated) {
+        return;
+    }
+    const bool isBackedOff = assessment.verdict == FailureVerdict::BackedOff;
+    m_metrics.countEvent(isBackedOff ? "endpoint_backed_off" : "endpoint_failure_no_worse");
+    if (!assessment.isNew) {
+        return;
+    }
+    boost::json::object fields{
+        {"endpoint", endpoint.value}, {"failure_rate", assessment.failureRate}, {"consecutive_failures", assessment.consecutiveFailures}};
+    if (assessment.othersRate) {
+        fields["others_failure_rate"] = *assessment.othersRate;
+    }
+    if (isBackedOff) {
+        fields["backoff_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(assessment.backoff).count();
+    }
+    logEvent(Severity::Info, isBackedOff ? "endpoint put into backoff" : "endpoint fails as others do", std::move(fields));
+}
+
 void Gateway::announceRateLimit(const EndpointId &endpoint, bool wantsReply)
 {
     const auto notice = m_chooser.requestRates().notice(endpoint, wantsReply, currentTime());
@@ -446,8 +501,18 @@
 
 void Gateway::notifyOtherNodes(const EndpointId &endpoint, TokenCount prompt, bool rejected)
 {
-    if (onDispatch) {
-        onDispatch({endpoint, prompt, m_chooser.inFlight(endpoint), rejected}, nodesToNotify(endpoint));
+    if (!onDispatch) {
+        return;
+    }
+    const auto announce = [this, endpoint](TokenCount sent, bool wasRejected) {
+        onDispatch({endpoint, sent, m_chooser.inFlight(endpoint), wasRejected, m_chooser.ownTokens(endpoint)}, nodesToNotify(endpoint));
+    };
+    announce(prompt, rejected);
+    const auto listed = m_directory.endpoints().find(endpoint);
+    if (listed != m_directory.endpoints().end() && m_chooser.boundsMemory(listed->second.service)) {
+        for (const Duration delay : MemoryNoticeRepeats) {
+            m_timers.after(delay, m_loop, [announce] { announce(TokenCount{0}, false); });
+        }
     }
 }
 
@@ -469,13 +534,103 @@
         return false;
     }
     const TimePoint now = currentTime();
-    const LoadQueryPlan plan = m_loadQueries.plan({need.service, need.target}, purpose, m_loadOwners, now);
+    // In a small fleet nodes do not ask for the order alone.
+    const bool asksFirst = m_chooser.boundsMemory(need.service) || (ordersAcrossNodes() && !m_loadOwners.areAllOwners());
+    const OwnerChoice choice = asksFirst ? OwnerChoice::First : OwnerChoice::Any;
+    const LoadQueryPlan plan = m_loadQueries.plan({need.service, need.target}, purpose, m_loadOwners, now, choice);
     if (plan.knowledge == LoadKnowledge::QueryDue) {
         sendLoadQuery(plan.owner, m_chooser.loadQuery(need, m_directory.endpoints(), now));
     }
     return plan.knowledge != LoadKnowledge::Ready;
 }
 
+void Gateway::boundEndpointMemory()
+{
+    m_chooser.memoryCapacity = [this](const ServiceId &service) {
+        if (!m_deployment) {
+            return TokenCount{0};
+        }
+        const auto found = m_deployment->services.find(service);
+        const bool hasEngine = found != m_deployment->services.end() && found->second.engine;
+        return hasEngine ? found->second.engine->cacheCapacity : TokenCount{0};
+    };
+    m_chooser.memoryAuthority = [this](const ServiceId &service) { return memoryAuthority(service); };
+}
+
+bool Gateway::ordersAcrossNodes() const
+{
+    return m_settings.boundsEndpointMemory || (m_deployment && !m_deployment->workspaces.empty());
+}
+
+std::optional<WaitingAtNode> Gateway::describeQueue(const LoadSubject &subject) const
+{
+    if (!ordersAcrossNodes()) {
+        return std::nullopt;
+    }
+    const TimePoint now = currentTime();
+    std::optional<WaitingRank> first;
+    bool hasYielded = false;
+    std::uint32_t count = 0;
+    for (const auto &[number, request] : m_requests) {
+        const bool isQueued = request->isWaiting() || request.get() == m_dispatched;
+        if (!isQueued || request->service() != subject.service || request->target() != subject.target) {
+            continue;
+        }
+        ++count;
+        const WaitingRank rank = request->rank(now);
+        if (!first || rank < *first) {
+            first = rank;
+            hasYielded = request->hasYielded(now);
+        }
+    }
+    return describeWaiting(first.value_or(WaitingRank{}), count, hasYielded, now);
+}
+
+void Gateway::inviteNext(const EndpointId &endpoint)
+{
+    const auto listed = m_directory.endpoints().find(endpoint);
+    if (!ordersAcrossNodes() || listed == m_directory.endpoints().end()) {
+        return;
+    }
+    const auto next = m_chooser.invite(listed->second, currentTime());
+    if (!next) {
+        return;
+    }
+    m_metrics.countEvent("line_invitation");
+    if (next->first == m_loadOwners.self()) {
+        boost::asio::post(m_loop, [this] { dispatchWaiting(); });
+    } else if (sendInvitation) {
+        LoadReport invitation{next->second, {}};
+        invitation.isInvitation = true;
+        sendInvitation(next->first, invitation);
+    }
+}
+
+RequestRate Gateway::releaseRate(const EndpointRequirements &need)
+{
+    const TokenCount capacity = m_chooser.memoryCapacity ? m_chooser.memoryCapacity(need.service) : TokenCount{0};
+    const double held = static_cast<double>(capacity.value) / static_cast<double>(std::max<std::uint64_t>(need.tokens.value, 1));
+    double slots = 0;
+    for (const EndpointLoad &load : m_chooser.loads(m_directory.endpoints(), need, currentTime())) {
+        slots += capacity > TokenCount{0} ? std::min<double>(load.slots, held) : load.slots;
+    }
+    return m_slotTimes.releaseRate({need.service, {need.target.model, {}}}, slots);
+}
+
+MemoryAuthority Gateway::memoryAuthority(const ServiceId &service)
+{
+    const TimePoint now = currentTime();
+    const auto decider = sendLoadQuery ? m_loadQueries.decider(service, m_loadOwners, now) : m_loadOwners.self();
+    if (!decider) {
+        return MemoryAuthority::Unheard;
+    }
+    if (*decider != m_loadOwners.self()) {
+        return MemoryAuthority::Granted;
+    }
+    const auto &deciders = m_loadOwners.deciders(service, now);
+    return deciders.empty() || deciders.front() == *decider ? MemoryAuthority::Own : MemoryAuthority::Substitute;
+}
+
 std::optional<LoadReport> Gateway::onLoadQuery(const VmId &node, const LoadQuery &query)
 {
     const TimePoint now = currentTime();
@@ -484,12 +639,23 @@
         return std::nullopt;
     }
     m_metrics.countEvent("load_query_answered");
-    return m_chooser.answerLoadQuery(node, query, m_directory.endpoints(), now);
+    LoadReport report = m_chooser.answerLoadQuery(node, query, m_directory.endpoints(), now);
+    if (query.tokens > TokenCount{0}) {
+        const bool isGranted =
+            std::any_of(report.loads.begin(), report.loads.end(), [](const ReportedLoad &load) { return load.granted > TokenCount{0}; });
+        m_metrics.countEvent(isGranted ? "endpoint_memory_granted" : "endpoint_memory_withheld");
+    }
+    return report;
 }
 
 void Gateway::onLoadReport(const VmId &owner, const LoadReport &report)
 {
     const TimePoint now = currentTime();
+    if (report.isInvitation) {
+        m_loadQueries.onInvitation(report.subject);
+        dispatchWaiting();
+        return;
+    }
     m_loadQueries.onReport(owner, report, now);
     m_chooser.onLoadReport(report, now);
     dispatchWaiting();
@@ -567,6 +733,11 @@
         refuse(*responder, Reason::Draining, head, "this node is shutting down");
         return;
     }
+    const WorkspaceAdmission admission = admitByCredential(*route, head.credential);
+    if (admission.verdict != KeyVerdict::Accepted) {
+        refuse(*responder, refusalReason(admission.verdict), head, std::string(refusalDetail(admission.verdict)));
+        return;
+    }
     double total = 0;
     for (const WeightedService &share : route->weightedServices) {
         total += share.weight;
@@ -579,11 +750,24 @@
     const std::uint64_t number = ++m_lastRequestNumber;
     const auto started =
         std::make_shared<Request>(*this, number, std::move(request), std::move(head), m_deployment, *route, service, responder);
+    started->setWorkspace(admission.workspace);
     m_requests.emplace(number, started);
     started->start();
     schedulePathReview();
 }
 
+// Endpoints whose memory is bounded take fewer requests than they have slots, so that few requests can be in time.
+DispatchOrder Gateway::dispatchOrder(const ServiceId &service, const Route &route) const
+{
+    const bool isByTarget = m_chooser.boundsMemory(service) || m_classesOfMixedTargets.contains({service, route.priority});
+    return isByTarget ? DispatchOrder::ByTarget : DispatchOrder::ByPatience;
+}
+
+WorkspaceAdmission Gateway::admitByCredential(const Route &route, const Credential &credential) const
+{
+    return admitByKey(*m_deployment, route, credential, m_documentAge.at(BootClock::now()), m_settings.keys);
+}
+
 void Gateway::refuse(HttpResponder &responder, Reason reason, const RoutedRequestHead &head, std::string detail)
 {
     Refusal refusal;
@@ -626,7 +810,8 @@
             waiting.push_back(request);
         }
     }
-    std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) { return left->rank() < right->rank(); });
+    const TimePoint now = currentTime();
+    std::sort(waiting.begin(), waiting.end(), [now](const auto &left, const auto &right) { return left->rank(now) < right->rank(now); });
     // Requests for the same service and model are dispatched in order: while one waits for capacity, those behind it wait too.
     std::map<std::pair<ServiceId, ModelId>, QueueForecast> queues;
     for (const auto &request : waiting) {
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -2,6 +2,7 @@
 #include "gateway_request.h"
 
 #include "endpoint_paths.h"
+#include "hemlockhill/endpoint_urgency.h"
 #include "hemlockhill/log.h"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 namespace
 {
 
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusMultipleChoices = 300;
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 // Margin added to the caller's limit on silence within a stream before the exchange times out.
 constexpr Duration SilenceMargin = std::chrono::milliseconds(400);
@@ -48,6 +51,22 @@
     m_requirements.target = m_head.target;
     m_requirements.prompt = m_head.promptTokens;
     m_requirements.sharedParts = m_head.sharedParts;
+    m_requirements.stream = {expectedEvents(), timeLeft()};
+    if (m_gateway.m_chooser.boundsMemory(m_requirements.service)) {
+        m_requirements.tokens = m_head.declaredTokens.value_or(UndeclaredTokens);
+    }
+}
+
+double Gateway::Request::expectedEvents() const
+{
+    const auto service = m_deployment->services.find(m_requirements.service);
+    const bool isModelStream = service != m_deployment->services.end() && service->second.engine && m_route.kind == RouteKind::Streaming;
+    return isModelStream ? static_cast<double>(m_head.expectedTokens.value) / service->second.engine->tokensPerEvent : 0;
+}
+
+void Gateway::Request::setWorkspace(const Workspace *workspace)
+{
+    m_workspace = workspace;
 }
 
 void Gateway::Request::start()
@@ -63,6 +82,15 @@
             self->onDeadline();
         }
     });
+    if (needsQuota() && !isTooLate(currentTime())) {
+        charge();
+    } else {
+        begin();
+    }
+}
+
+void Gateway::Request::begin()
+{
     m_gateway.retryBudget(m_requirements.service).onRequest();
     m_gateway.m_crashGuard.onArrival(m_head);
     if (!m_head.target.model.empty()) {
@@ -121,6 +149,11 @@
     if (refuseIfSuspect()) {
         return;
     }
+    if (m_gateway.m_chooser.exceedsMemory(m_requirements)) {
+        m_gateway.m_metrics.countEvent("request_exceeds_endpoint_memory");
+        refuseOrFail(Reason::BodyTooLarge, "the request needs more tokens than an endpoint holds", Reason::EndpointRefused);
+        return;
+    }
     if (m_gateway.isQueued(m_requirements.service, m_head.target.model)) {
         m_waitingSince = m_arrivedAt;
         m_waitingFor = NoEndpointReason::RateLimited;
@@ -185,9 +218,41 @@
     m_gateway.scheduleSuspectNotices();
 }
 
+// The route and the credential are judged by the document in force, which may be newer than the one with which the request arrived.
+bool Gateway::Request::refuseIfKeyRevoked()
+{
+    if (m_gateway.m_deployment->workspaces.empty()) {
+        return false;
+    }
+    const Route *route = m_gateway.m_deployment->match(m_request.header("Host"), m_request.path());
+    const WorkspaceAdmission admission = m_gateway.admitByCredential(route == nullptr ? m_route : *route, m_head.credential);
+    const WorkspaceId now = admission.workspace == nullptr ? WorkspaceId{} : admission.workspace->id;
+    const WorkspaceId onArrival = m_workspace == nullptr ? WorkspaceId{} : m_workspace->id;
+    // A workspace that a newer document has introduced has not been charged.
+    const bool isSame = now == onArrival || m_route.isPublic;
+    if (admission.verdict == KeyVerdict::Accepted && isSame) {
+        return false;
+    }
+    const KeyVerdict verdict = admission.verdict == KeyVerdict::Accepted ? KeyVerdict::Uncertain : admission.verdict;
+    if (hasResponseStarted()) {
+        performStep(RetryDecision::Abort, refusalReason(verdict));
+    } else {
+        refuseOrFail(refusalReason(verdict), std::string(refusalDetail(verdict)), m_lastFailure.value_or(Reason::EndpointLost));
+    }
+    return true;
+}
+
+std::optional<WorkspaceIdentity> Gateway::Request::workspaceIdentity() const
+{
+    if (m_deployment->workspaces.empty() && m_gateway.m_deployment->workspaces.empty()) {
+        return std::nullopt;
+    }
+    return WorkspaceIdentity{m_workspace == nullptr ? WorkspaceId{} : m_workspace->id};
+}
+
 void Gateway::Request::tryDispatch()
 {
-    if (m_done || m_exchange || refuseIfSuspect()) {
+    if (m_done || m_exchange || refuseIfSuspect() || refuseIfKeyRevoked()) {
         return;
     }
     const TimePoint now = currentTime();
@@ -199,12 +264,20 @@
         wait(EndpointChoice{std::nullopt, NoEndpointReason::DirectoryOutdated});
         return;
     }
+    m_requirements.stream.timeLeft = timeLeft();
     const EndpointChoice choice = m_gateway.m_chooser.choose(m_gateway.m_directory.endpoints(), m_requirements, now);
     const auto purpose = waitsForCapacity() ? LoadPurpose::Recheck : LoadPurpose::Dispatch;
-    if (choice.dependsOnLoad() && m_gateway.awaitsLoad(m_requirements, purpose)) {
+    m_gateway.m_dispatched = this;
+    const bool awaitsLoad = choice.dependsOnLoad() && m_gateway.awaitsLoad(m_requirements, purpose);
+    m_gateway.m_dispatched = nullptr;
+    if (awaitsLoad) {
         waitForLoad();
         return;
     }
+    if (mustYield(choice, now)) {
+        wait(EndpointChoice{std::nullopt, NoEndpointReason::Full});
+        return;
+    }
     if (choice.endpoint) {
         endWaiting(now);
         send(*choice.endpoint);
@@ -246,6 +319,10 @@
     options.timeLeft = timeLeft();
     options.isRepeated = !m_triedEndpoints.insert(endpoint).second;
     options.resumeAfter = m_events.lastEventId().empty() ? m_head.lastEventId : m_events.lastEventId();
+    options.identity = workspaceIdentity();
+    if (m_gateway.m_chooser.boundsMemory(m_requirements.service)) {
+        options.urgency = endpointUrgency(rank(now), now);
+    }
     HttpRequest forwarded = m_gateway.m_dialect.forward(m_request, options);
     m_nothingSent = false;
     // Other nodes refuse what is suspected.
@@ -407,11 +484,16 @@
         m_gateway.m_chooser.brittleEndpoints().onRejected(m_endpoint, currentTime());
     }
     m_exchange.reset();
+    if (m_status >= StatusOk && m_status < StatusMultipleChoices && m_gateway.ordersAcrossNodes()) {
+        const auto held = std::chrono::duration_cast<Duration>(currentTime() - m_sentAt);
+        m_gateway.m_slotTimes.onServed({service(), {target().model, {}}}, held);
+    }
     if (m_peer) {
         m_gateway.m_paths->onPeerDone(*m_peer);
     }
-    m_gateway.m_chooser.onEnded(m_endpoint);
+    m_gateway.m_chooser.onEnded(m_endpoint, m_requirements.tokens);
     m_gateway.notifyOtherNodes(m_endpoint, TokenCount{0}, rejected);
+    m_gateway.inviteNext(m_endpoint);
 }
 
 Duration Gateway::Request::timeLeft() const
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -50,6 +50,8 @@
             ServiceId service,
             std::shared_ptr<HttpResponder> responder);
 
+    // Sets the workspace that the request belongs to; null for none. Call before start().
+    void setWorkspace(const Workspace *workspace);
     void start();
     // Dispatches the request if an endpoint can accept it now. Otherwise lets it wait, or refuses it if it has waited too long.
     void tryDispatch();
@@ -61,6 +63,8 @@
     const QueueForecast &forecast() const { return m_forecast; }
     // Ends the request if it crashes the endpoints that run it. Returns whether it has ended.
     bool refuseIfSuspect();
+    // Ends the request if its key has been taken away since it arrived. Returns whether it has ended.
+    bool refuseIfKeyRevoked();
     // True if the request waits for capacity, for which other requests for its model compete.
     bool waitsForCapacity() const
     {
@@ -68,7 +72,9 @@
                && (m_waitingFor == NoEndpointReason::Full || m_waitingFor == NoEndpointReason::RateLimited
                    || m_waitingFor == NoEndpointReason::RequestLimited);
     }
-    WaitingRank rank() const;
+    WaitingRank rank(TimePoint now) const;
+    // Whether the request has let more urgent ones of other nodes go first for long enough.
+    bool hasYielded(TimePoint now) const { return m_yieldsSince && now - *m_yieldsSince >= ServiceLineLimits().yieldTime; }
     const RoutingTarget &target() const { return m_head.target; }
     // The endpoint to which the request has been sent and that has not answered it completely.
     std::optional<EndpointId> currentEndpoint() const { return m_exchange ? std::optional(m_endpoint) : std::nullopt; }
@@ -81,6 +87,14 @@
     bool resumesStream() const { return m_route.kind == RouteKind::Streaming && m_route.resumable && !m_head.lastEventId.empty(); }
     // Looks up the origin of the stream to continue, then dispatches the request to an endpoint of the version that began it.
     void findOrigin();
+    // Whether the units of the request must be granted before it is dispatched for the first time.
+    bool needsQuota() const;
+    void charge();
+    void onCharged(const QuotaDecision &decision);
+    // Gives back the units of a request that has ended without having run.
+    void giveBackUnits();
+    // Looks for an endpoint for the first time.
+    void begin();
     void onOriginFound(const OriginLookupResult &origin);
     void dispatchOrQueue();
     // Records the version of the stream that the first event has begun.
@@ -96,6 +110,8 @@
     TimePoint latestDispatch() const;
     // Whether the caller has given up by now, or would before an endpoint could answer.
     bool isTooLate(TimePoint now) const;
+    // Whether the request must let more urgent ones of other nodes go first, although there is room for it.
+    bool mustYield(const EndpointChoice &choice, TimePoint now);
     // Ends a request that is too late.
     void giveUp();
     // Answers a request that has waited too long.
@@ -103,6 +119,10 @@
     void send(const EndpointId &endpoint);
     ExchangeHooks exchangeHooks();
     ExchangeLimits exchangeLimits() const;
+    // Events that the caller expects of a model's stream; 0 if the request asks for none.
+    double expectedEvents() const;
+    // What the endpoint learns of the workspace; empty if the deployment has none.
+    std::optional<WorkspaceIdentity> workspaceIdentity() const;
     // Ends the request before anything is sent if its caller has left or has no time left.
     void onSending();
     // Tells whether a response of the current exchange is the answer to this request.
@@ -131,8 +151,12 @@
     void beginStream();
     void forwardEvents(std::string bytes);
     void applyBackpressure();
-    // Handles a failed exchange. `isEndpointFault` tells whether the failure counts against the endpoint's health.
-    void endpointFailed(Reason reason, const std::optional<NotRunProof> &proof, bool isEndpointFault);
+    // Handles a failed exchange. `fault` is set if the failure counts against the endpoint's health.
+    void endpointFailed(Reason reason, const std::optional<NotRunProof> &proof, std::optional<EndpointFailureKind> fault);
+    // Counts a failure against the endpoint's health.
+    void countEndpointFailure(EndpointFailureKind kind);
+    // Handles an exchange with another node that ended without any answer.
+    void onPeerExchangeFailed(const ExchangeFailure &failure);
     // Ends the current exchange, which may go on at its endpoint.
     void abandonExchange();
     // Handles an exchange through another node that has no answer of the endpoint.
@@ -156,6 +180,8 @@
     void logOutcome(std::string_view outcome, unsigned status, std::optional<NoEndpointReason> waitedFor) const;
     // Ends the present wait for an endpoint, if any.
     void endWaiting(TimePoint now);
+    // When a request that waits for capacity can be dispatched at the earliest, with what is before it at other nodes.
+    QueueForecast forecastOfRoom(TimePoint now) const;
     Duration timeLeft() const;
     Duration retryAfter() const;
 
@@ -166,6 +192,10 @@
     // Owns the route.
     std::shared_ptr<const Deployment> m_deployment;
     const Route &m_route;
+    // Null if the request belongs to no workspace.
+    const Workspace *m_workspace = nullptr;
+    // The units that have been granted for all attempts.
+    std::optional<QuotaGrant> m_quotaGrant;
     EndpointRequirements m_requirements;
     std::shared_ptr<HttpResponder> m_responder;
     // When the bytes of the request arrived, and when the node has read them.
@@ -178,6 +208,8 @@
     std::optional<TimePoint> m_waitingSince;
     NoEndpointReason m_waitingFor = NoEndpointReason::NoEndpoint;
     QueueForecast m_forecast;
+    // Since when the request lets others go first.
+    std::optional<TimePoint> m_yieldsSince;
     Duration m_waited{0};
     std::shared_ptr<HttpExchange> m_exchange;
     // Sequence number of the current exchange. Callbacks of earlier exchanges are ignored.
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -21,8 +21,6 @@
 // Range of Retry-After.
 constexpr Duration MinimumRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration MaximumRetryAfter = std::chrono::milliseconds(1500);
-// Reading from the endpoint pauses while this many bytes have not been written to the caller.
-constexpr std::size_t PendingLimitBytes = 65'536;
 // A stream that has gone on for this long after its first event does not crash its endpoint.
 constexpr Duration ProgressTime = std::chrono::milliseconds(300);
 // Answers up to this size are buffered and sent with their length; larger ones are streamed.
@@ -67,12 +65,16 @@
 
 boost::json::object describe(const EndpointLoad &load)
 {
-    return {{"endpoint", load.endpoint.value},
-            {"slots", load.slots},
-            {"own", load.own},
-            {"others", load.others.requests},
-            {"age_ms", milliseconds(load.others.age)},
-            {"current", load.others.isCurrent}};
+    boost::json::object fields{{"endpoint", load.endpoint.value},
+                               {"slots", load.slots},
+                               {"own", load.own},
+                               {"others", load.others.requests},
+                               {"age_ms", milliseconds(load.others.age)},
+                               {"current", load.others.isCurrent}};
+    if (load.tokens > TokenCount{0}) {
+        fields["tokens"] = load.tokens.value;
+    }
+    return fields;
 }
 
 boost::json::array describe(const std::vector<EndpointLoad> &loads)
@@ -131,7 +133,7 @@
     bytes = m_events.feed(std::move(bytes));
     if (m_events.incompleteBytes() > EventLimitBytes) {
         m_exchange->cancel();
-        endpointFailed(Reason::OversizedAnswer, std::nullopt, true);
+        endpointFailed(Reason::OversizedAnswer, std::nullopt, EndpointFailureKind::Exchange);
         return;
     }
     if (bytes.empty()) {
@@ -178,11 +180,11 @@
 // Applies backpressure: pauses reading from the endpoint while the caller reads too slowly.
 void Gateway::Request::applyBackpressure()
 {
-    if (m_responder->pendingBytes() < PendingLimitBytes || !m_exchange) {
+    if (m_responder->pendingBytes() < m_responder->pendingLimit() || !m_exchange) {
         return;
     }
     m_exchange->pause();
-    m_responder->onDrained = [weak = weak_from_this()] {
+    m_responder->onRoom = [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && self->m_exchange) {
             self->m_exchange->resume();
@@ -222,8 +224,11 @@
     refusal.ran = Ran::No;
     refusal.detail = std::move(detail);
     HttpResponse response = refusalAnswer(refusal, m_head.id);
-    response.headers.push_back({"Retry-After", fractionalSeconds(retryAfter)});
-    if (response.status != StatusTooManyRequests) {
+    const bool isFinal = reason == Reason::Unauthenticated || reason == Reason::BodyTooLarge;
+    if (!isFinal) {
+        response.headers.push_back({"Retry-After", fractionalSeconds(retryAfter)});
+    }
+    if (!isFinal && response.status != StatusTooManyRequests) {
         response.status = StatusServiceUnavailable;
     }
     const unsigned status = response.status;
@@ -255,6 +260,7 @@
     const auto waitedFor = m_waitingSince ? std::optional(m_waitingFor) : std::nullopt;
     endWaiting(currentTime());
     m_gateway.m_timers.cancel(m_deadlineTimer);
+    giveBackUnits();
     if (outcome == "whole") {
         m_gateway.m_metrics.observeWholeAnswer(currentTime() - m_arrivedAt);
     }
@@ -287,6 +293,7 @@
     boost::json::object fields{{"request", m_head.id.value},
                                {"route", m_route.id.value},
                                {"service", m_requirements.service.value},
+                               {"workspace", m_workspace == nullptr ? std::string() : m_workspace->id.value},
                                {"outcome", outcome},
                                {"status", status},
                                {"endpoint", m_endpoint.value},
@@ -338,6 +345,12 @@
 // Draws a random delay, so that refused callers do not all retry at the same time.
 Duration Gateway::Request::retryAfter() const
 {
+    if (m_waitingFor == NoEndpointReason::Full && m_gateway.ordersAcrossNodes() && m_forecast.rate.value > 0) {
+        // The forecast is that of the fastest case, with the queue of this node.
+        const std::chrono::duration<double> oneSlot(CertainRateFactor / m_forecast.rate.value);
+        const auto roomIn = std::chrono::duration_cast<Duration>(m_forecast.delay * CertainRateFactor + oneSlot);
+        return returnDelay(roomIn, timeLeft(), m_gateway.randomFraction());
+    }
     const Duration limit = std::max(MinimumRetryAfter, timeLeft() / 4);
     Duration earliest = MinimumRetryAfter;
     Duration latest = MaximumRetryAfter;
--- a/src/libhemlockhill/peers/peer.capnp
+++ b/src/libhemlockhill/peers/peer.capnp
@@ -135,6 +135,8 @@
   directoryRevision @6 :UInt64;
   # Digest of the list of followers that it holds.
   followersDigest @7 :UInt64;
+  # Set if its document has workspaces with a limit.
+  quotaClaim @8 :QuotaClaim;
 }
 
 struct FollowReply {
@@ -162,6 +164,28 @@
   listingAgeUs @13 :Int64;
   # Digest of the leader's list of followers.
   followersDigest @14 :UInt64;
+  # Answers a quotaClaim.
+  quotaLeases @15 :QuotaLeases;
+}
+
+struct QuotaClaim {
+  # Identifies this run of the process.
+  process @0 :UInt64;
+  # Numbers of the shards that it holds.
+  held @1 :List(UInt8);
+  # It has stopped granting for good, and gives its shards up.
+  leaving @2 :Bool;
+  # Digest of the table of owners that it knows.
+  table @3 :UInt64;
+}
+
+struct QuotaLeases {
+  # Numbers of the shards that the node holds from now on, and of those for which nobody has granted anything for a window before.
+  held @0 :List(UInt8);
+  rested @1 :List(UInt8);
+  # Digest of the leader's table, and the owner of each shard if the node's table differs; empty if a shard has none.
+  table @2 :UInt64;
+  owners @3 :List(Text);
 }
 
 struct PeerDatagram {
@@ -183,11 +207,45 @@
   # Set in a question about the load of a service's endpoints, and in the answer, likewise.
   loadQuery @8 :LoadQuery;
   loadReport @9 :LoadReport;
+  # In a dispatch notice: tokens that the requests in progress hold and will come to hold. 0 where the memory of endpoints is not bounded,
+  # and in notices of earlier versions.
+  inFlightTokens @10 :UInt64;
+  # Set in a question to the owner of a workspace's share, in the answer, and when units are given back, likewise.
+  quotaQuery @11 :QuotaQuery;
+  quotaReply @12 :QuotaReply;
+  quotaReturn @13 :QuotaReturn;
+}
+
+struct QuotaQuery {
+  id @0 :UInt64;
+  workspace @1 :Text;
+  share @2 :UInt8;
+  # In the unit of the workspace's quota.
+  cost @3 :UInt64;
+}
+
+struct QuotaReply {
+  id @0 :UInt64;
+  verdict @1 :Verdict;
+  # Time until there is room, if refused.
+  waitMs @2 :UInt32;
+
+  enum Verdict {
+    granted @0;
+    refused @1;
+    notOwner @2;
+  }
+}
+
+struct QuotaReturn {
+  id @0 :UInt64;
 }
 
 struct EndpointRequests {
   endpoint @0 :Text;
   requests @1 :UInt32;
+  # As inFlightTokens of a notice.
+  tokens @2 :UInt64;
 }
 
 struct LoadQuery {
@@ -199,6 +257,30 @@
   # The endpoints in question.
   endpoints @3 :List(Text);
   adapter @4 :Text;
+  # Where the memory of endpoints is bounded: identifies the query, and the tokens of the request that needs room.
+  number @5 :UInt32;
+  tokens @6 :UInt64;
+  # What waits at the sender for the subject, where requests are ordered across nodes.
+  waiting @7 :WaitingAtNode;
+}
+
+struct WaitingAtNode {
+  # Rank of the most urgent request, with times relative to the sending of the message.
+  workspacePriority @0 :UInt32;
+  priority @1 :UInt32;
+  isNew @2 :Bool;
+  isLate @3 :Bool;
+  dispatchInUs @4 :Int64;
+  ageUs @5 :Int64;
+  # Number of waiting requests.
+  requests @6 :UInt32;
+  hasYielded @7 :Bool;
+}
+
+struct WaitingElsewhere {
+  moreUrgent @0 :UInt32;
+  requests @1 :UInt32;
+  isWithheld @2 :Bool;
 }
 
 struct ReportedLoad {
@@ -207,6 +289,10 @@
   requests @1 :UInt32;
   # Prompt tokens that may be sent to the endpoint at once; negative while it has more to process than the limit allows.
   promptAllowance @2 :Int32;
+  # Tokens of these requests.
+  tokens @3 :UInt64;
+  # Tokens that the node which asked may dispatch there. 0 in reports of earlier versions.
+  granted @4 :UInt64;
 }
 
 struct LoadReport {
@@ -214,6 +300,12 @@
   model @1 :Text;
   loads @2 :List(ReportedLoad);
   adapter @3 :Text;
+  # Number of the query that is answered.
+  number @4 :UInt32;
+  # What waits at other nodes, where requests are ordered across nodes.
+  elsewhere @5 :WaitingElsewhere;
+  # Answers no query: tells a node of which requests wait that a slot has become free.
+  isInvitation @6 :Bool;
 }
 
 struct ForwardingMessage {
--- a/src/libhemlockhill/request/queue_policy.cpp
+++ b/src/libhemlockhill/request/queue_policy.cpp
@@ -2,6 +2,7 @@
 #include "hemlockhill/queue_policy.h"
 
 #include <algorithm>
+#include <map>
 
 namespace Hemlockhill
 {
@@ -25,6 +26,9 @@
 constexpr double UnstreamedQueueRatio = 0.4;
 // Fraction of a long caller timeout after which a stream is refused, because a refusal is then more useful than further waiting.
 constexpr double StreamQueueRatio = 0.25;
+// Maximum fraction of a latency target that is reserved for the endpoint's answer: a call with a short target would count as late on
+// arrival if the whole minimum were reserved.
+constexpr int AnswerReserveDivisor = 4;
 
 } // namespace
 
@@ -60,4 +64,40 @@
     return std::min(deadline, silentSince + dispatchTimeout(route, std::chrono::duration_cast<Duration>(deadline - arrivedAt)));
 }
 
+TimePoint targetDispatch(const Route &route, TimePoint arrivedAt, TimePoint latestDispatch)
+{
+    const Duration reserve = std::min(MinimumFirstByteTime, route.latencyTarget / AnswerReserveDivisor);
+    return std::min(latestDispatch, arrivedAt + route.latencyTarget - reserve);
+}
+
+WaitingRank rankAt(TimePoint now, const Route &route, const WaitingRequest &request)
+{
+    const TimePoint target = targetDispatch(route, request.arrivedAt, request.latestDispatch);
+    const bool isByTarget = request.order == DispatchOrder::ByTarget;
+    // The target is one for the first event, which the rest of a stream has behind it.
+    const bool isLate = isByTarget && (request.isRestOfStream || now > target);
+    return {request.workspacePriority,
+            route.priority,
+            !request.isRestOfStream,
+            isLate,
+            isByTarget && !isLate ? target : request.latestDispatch,
+            request.arrivedAt};
+}
+
+std::set<DispatchClass> classesOfMixedTargets(const Deployment &deployment)
+{
+    std::map<DispatchClass, Duration> targets;
+    std::set<DispatchClass> mixed;
+    for (const Route &route : deployment.routes) {
+        for (const WeightedService &weighted : route.weightedServices) {
+            const DispatchClass dispatchClass{weighted.service, route.priority};
+            const auto [known, isNew] = targets.emplace(dispatchClass, route.latencyTarget);
+            if (!isNew && known->second != route.latencyTarget) {
+                mixed.insert(dispatchClass);
+            }
+        }
+    }
+    return mixed;
+}
+
 } // namespace Hemlockhill
