--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -52,9 +52,16 @@
     std::function<void(const QuotaClaim &claim, const QuotaLeases &leases, BootTimePoint sentAt)> quotaLeased = {};
 };
 
+// Outcome of a read of the newest document: the document, unless there is an obstacle.
+struct DocumentRead {
+    ReadStatus status;
+    std::optional<DeploymentDocument> document;
+};
+
 class GroupMember
 {
 public:
+    using ReadDone = std::function<void(DocumentRead read)>;
     using SubmitDone = std::function<void(std::optional<Refusal> refusal)>;
 
     GroupMember(boost::asio::io_context &loop, const Settings &settings, TimerService &timers, Metrics &metrics, GroupMemberHooks hooks);
@@ -69,10 +76,11 @@
     // Replicates a document. Calls done without a refusal once this document or one with a higher version is committed. Refused as
     // NotLeader on any other node than the leader.
     void submit(const DeploymentDocument &document, SubmitDone done);
-    // Latest committed document; empty unless this node leads and holds its lease, so that no newer one can exist.
-    std::optional<DeploymentDocument> newestDocument() const;
+    // Reads the newest committed document. Only the leader returns one, and only if no newer one can have been acknowledged before this
+    // call.
+    void readNewestDocument(const ReadDone &done) const;
     bool leads() const;
-    // Why newestDocument() is empty, and the known leader.
+    // Whether this node may answer reads, and if not, why; and the known leader.
     ReadStatus readStatus() const;
     // Known leader; empty if unknown.
     VmId leader() const;
--- a/src/include/hemlockhill/read_status.h
+++ b/src/include/hemlockhill/read_status.h
@@ -3,6 +3,7 @@
 
 #include "hemlockhill/consensus.h"
 
+#include <optional>
 #include <string_view>
 
 namespace Hemlockhill
@@ -40,6 +41,8 @@
     VmId leader;
     LogIndex commitIndex;
     LogIndex lastIndex;
+    // How long this controller holds its lease unless it is renewed. Empty without a lease, and for the only voter of a group.
+    std::optional<Duration> leaseLeft;
 };
 
 // Returns the status of a member of a group, without the name of the leader.
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -120,9 +120,13 @@
         currentTime());
 }
 
-std::optional<DeploymentDocument> GroupMember::newestDocument() const
+void GroupMember::readNewestDocument(const ReadDone &done) const
 {
-    return leads() ? std::optional(m_controller->state().deployment().current()) : std::nullopt;
+    DocumentRead read{readStatus(), std::nullopt};
+    if (read.status.obstacle == ReadObstacle::None) {
+        read.document = m_controller->state().deployment().current();
+    }
+    done(std::move(read));
 }
 
 bool GroupMember::leads() const
--- a/src/libhemlockhill/control/read_status.cpp
+++ b/src/libhemlockhill/control/read_status.cpp
@@ -62,6 +62,9 @@
     status.term = consensus.term();
     status.commitIndex = consensus.commitIndex();
     status.lastIndex = consensus.lastIndex();
+    if (const auto end = consensus.leaseEnd(); end && *end != TimePoint::max()) {
+        status.leaseLeft = *end - now;
+    }
     return status;
 }
 
