Test that no leader answers a read with an older state, whatever its clock shows (red)

What callers saw: a read of the config answered with a version older than one that had been acknowledged more than 2 s before.

Hypothesis 1 of docs/incidents/users-config-older.md in virtual time: the leader is suspended, so that its clock does not count the time in which the others elect a successor and acknowledge three documents; on its return it answers a read before it hears of them. Or it is cut off while its clock stands still.

The simulated machines get clocks of their own for this.

--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -50,6 +50,7 @@
 std::optional<std::set<VmId>> foundersOf(const Settings &settings);
 
 using SubmitAnswer = std::function<void(SubmitReply reply)>;
+using ReadAnswer = std::function<void(const ReadStatus &status)>;
 using FollowAnswer = std::function<void(FollowReply reply)>;
 
 // Not thread-safe; all functions must be called on one thread.
@@ -94,7 +95,10 @@
     void onLeaveReply(const LeaveReply &reply);
 
     bool leads(TimePoint now) const;
-    // Whether this controller may answer a read of its state, and if not, why.
+    // Answers a reader of the replicated state: without an obstacle if the state of this controller, at the time of the answer, includes
+    // all that any controller had acknowledged before this call.
+    void confirmRead(const ReadAnswer &answer, TimePoint now);
+    // Role, leader and lease of this controller, and what keeps it from leading.
     ReadStatus readStatus(TimePoint now) const;
     // Nodes that have sent a follow request within the last 5 s, as of the last tick.
     const std::vector<VmId> &followers() const { return m_followers; }
--- a/src/include/hemlockhill/group_member.h
+++ b/src/include/hemlockhill/group_member.h
@@ -78,9 +78,9 @@
     void submit(const DeploymentDocument &document, SubmitDone done);
     // Reads the newest committed document. Only the leader returns one, and only if no newer one can have been acknowledged before this
     // call.
-    void readNewestDocument(const ReadDone &done) const;
+    void readNewestDocument(const ReadDone &done);
     bool leads() const;
-    // Whether this node may answer reads, and if not, why; and the known leader.
+    // Role and lease of this node, the known leader, and what keeps this node from leading.
     ReadStatus readStatus() const;
     // Known leader; empty if unknown.
     VmId leader() const;
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -769,6 +769,11 @@
     return m_consensus && m_leases && m_consensus->leaseHeld(now);
 }
 
+void Controller::confirmRead(const ReadAnswer &answer, TimePoint now)
+{
+    answer(readStatus(now));
+}
+
 ReadStatus Controller::readStatus(TimePoint now) const
 {
     ReadStatus status;
--- a/src/libhemlockhill/control/group_member.cpp
+++ b/src/libhemlockhill/control/group_member.cpp
@@ -120,13 +120,21 @@
         currentTime());
 }
 
-void GroupMember::readNewestDocument(const ReadDone &done) const
+void GroupMember::readNewestDocument(const ReadDone &done)
 {
-    DocumentRead read{readStatus(), std::nullopt};
-    if (read.status.obstacle == ReadObstacle::None) {
-        read.document = m_controller->state().deployment().current();
+    if (!m_controller) {
+        done({readStatus(), std::nullopt});
+        return;
     }
-    done(std::move(read));
+    m_controller->confirmRead(
+        [this, done](const ReadStatus &status) {
+            DocumentRead read{status, std::nullopt};
+            if (status.obstacle == ReadObstacle::None) {
+                read.document = m_controller->state().deployment().current();
+            }
+            done(std::move(read));
+        },
+        currentTime());
 }
 
 bool GroupMember::leads() const
--- a/src/libhemlockhill/control/simulated_region.h
+++ b/src/libhemlockhill/control/simulated_region.h
@@ -68,6 +68,12 @@
     return bytes;
 }
 
+// What a controller has answered to a read of the document version.
+struct ReadOutcome {
+    bool isAnswered = false;
+    std::optional<std::uint64_t> version;
+};
+
 struct Vm {
     std::unique_ptr<Controller> controller;
     Disk disk;
@@ -82,6 +88,12 @@
     std::optional<TimePoint> stopsAt;
     // Highest document version applied by this process.
     std::uint64_t inForce = 0;
+    // Since when the machine has been suspended, if it is.
+    std::optional<TimePoint> suspendedAt;
+    // Since when its clock stands still although it runs, if it does.
+    std::optional<TimePoint> clockStoppedAt;
+    // Time that the machine's clock has not counted.
+    Duration clockLag{0};
 };
 
 class SimulatedRegion
@@ -128,31 +140,31 @@
         ControllerHooks hooks;
         hooks.sendConsensus = [this, node](const VmId &to, const ConsensusBatch &batch) {
             if (!messageLimit || bytesOf(batch) <= *messageLimit) {
-                send(node, to, [this, batch](std::size_t at) { m_vms[at].controller->onConsensus(batch, now); });
+                send(node, to, [this, batch](std::size_t at) { m_vms[at].controller->onConsensus(batch, clockOf(at)); });
             }
         };
         hooks.requestIdentity = [this, node](const VmId &to) {
-            send(node, to, [this, node, requestedAt = now](std::size_t at) {
+            send(node, to, [this, node, requestedAt = clockOf(node)](std::size_t at) {
                 const IdentityReply reply = m_vms[at].controller->identity();
-                m_vms[at].controller->onIdentityRequested(vmAt(node), now);
+                m_vms[at].controller->onIdentityRequested(vmAt(node), clockOf(at));
                 answer(at, node, [this, at, reply, requestedAt](std::size_t back) {
                     if (!reply.leader.empty()) {
                         learn(back, nodeOf(reply.leader));
                     }
-                    m_vms[back].controller->onIdentity(vmAt(at), reply, requestedAt, now);
+                    m_vms[back].controller->onIdentity(vmAt(at), reply, requestedAt, clockOf(back));
                 });
             });
         };
         hooks.requestLeave = [this, node](const VmId &to, const LeaveRequest &request) {
             send(node, to, [this, node, request](std::size_t at) {
-                const LeaveReply reply = m_vms[at].controller->onLeaveRequested(request, now);
+                const LeaveReply reply = m_vms[at].controller->onLeaveRequested(request, clockOf(at));
                 answer(at, node, [this, reply](std::size_t back) { m_vms[back].controller->onLeaveReply(reply); });
             });
         };
         hooks.persist = [this, node](StorageOpening opening, const ConsensusActions &actions) {
             scheduleSync(node, [this, node, opening, actions] {
                 m_vms[node].disk.log.apply(actions);
-                m_vms[node].controller->onStorage(StorageSynced{opening, *actions.mark}, now);
+                m_vms[node].controller->onStorage(StorageSynced{opening, *actions.mark}, clockOf(node));
             });
         };
         hooks.saveInitialMembership = [this, node](StorageOpening, const VoterMembership &membership) {
@@ -184,6 +196,26 @@
         }
     }
 
+    // Suspends a machine: it does nothing, and its clock stands still. What is sent to it arrives when it resumes.
+    void suspend(std::size_t node) { m_vms[node].suspendedAt = now; }
+
+    void resume(std::size_t node)
+    {
+        Vm &vm = m_vms[node];
+        vm.clockLag += now - *vm.suspendedAt;
+        vm.suspendedAt.reset();
+    }
+
+    // Lets a machine run on while its clock stands still.
+    void stopClock(std::size_t node) { m_vms[node].clockStoppedAt = now; }
+
+    // What the machine's clock shows.
+    TimePoint clockOf(std::size_t node) const
+    {
+        const Vm &vm = m_vms[node];
+        return vm.suspendedAt.value_or(vm.clockStoppedAt.value_or(now)) - vm.clockLag;
+    }
+
     void loseDisk(std::size_t node)
     {
         kill(node);
@@ -196,7 +228,7 @@
         ++steps;
         std::deque<Delivery> due;
         std::erase_if(m_deliveries, [&](Delivery &delivery) {
-            if (delivery.at > now) {
+            if (delivery.at > now || m_vms[delivery.to].suspendedAt) {
                 return false;
             }
             due.push_back(std::move(delivery));
@@ -208,8 +240,8 @@
             }
         }
         for (std::size_t node = 0; node < m_vms.size(); ++node) {
-            if (m_vms[node].controller) {
-                m_vms[node].controller->tick(now);
+            if (m_vms[node].controller && !m_vms[node].suspendedAt) {
+                m_vms[node].controller->tick(clockOf(node));
                 endIfStopped(node);
             }
         }
@@ -222,14 +254,31 @@
         }
     }
 
+    // Running controller that may act as the leader, the one with the highest term if there are several.
     std::optional<std::size_t> leader() const
     {
-        for (std::size_t node = 0; node < m_vms.size(); ++node) {
-            if (m_vms[node].controller && m_vms[node].controller->leads(now)) {
-                return node;
+        std::optional<std::size_t> found;
+        for (const std::size_t node : leaders()) {
+            if (!found || termOf(node) > termOf(*found)) {
+                found = node;
             }
         }
-        return std::nullopt;
+        return found;
+    }
+
+    // Reads the document version of a controller's state. The outcome is set once the controller answers: empty if it refuses.
+    std::shared_ptr<ReadOutcome> read(std::size_t node)
+    {
+        const auto outcome = std::make_shared<ReadOutcome>();
+        m_vms[node].controller->confirmRead(
+            [this, node, outcome](const ReadStatus &status) {
+                outcome->isAnswered = true;
+                if (status.obstacle == ReadObstacle::None) {
+                    outcome->version = m_vms[node].controller->state().deployment().current().version.value;
+                }
+            },
+            clockOf(node));
+        return outcome;
     }
 
     // Submits a document with the next version to the leader, if there is one.
@@ -250,7 +299,7 @@
                     acknowledged = std::max(acknowledged, version);
                 }
             },
-            now);
+            clockOf(*at));
     }
 
     // The document version of a process never decreases.
@@ -282,7 +331,8 @@
     {
         std::set<std::size_t> found;
         for (std::size_t node = 0; node < m_vms.size(); ++node) {
-            if (m_vms[node].controller && m_vms[node].controller->leads(now)) {
+            const Vm &vm = m_vms[node];
+            if (vm.controller && !vm.suspendedAt && vm.controller->leads(clockOf(node))) {
                 found.insert(node);
             }
         }
@@ -293,7 +343,7 @@
     void checkInvariants()
     {
         for (std::size_t node = 0; node < m_vms.size(); ++node) {
-            if (m_vms[node].controller && m_vms[node].controller->leads(now)) {
+            if (m_vms[node].controller && m_vms[node].controller->leads(clockOf(node))) {
                 BOOST_REQUIRE_GE(m_vms[node].controller->state().deployment().current().version.value, acknowledged);
             }
         }
@@ -337,6 +387,8 @@
     std::vector<std::size_t> seeds{0, 1, 2};
 
 private:
+    Term termOf(std::size_t node) const { return m_vms[node].controller->consensus()->term(); }
+
     void open(std::size_t node)
     {
         Vm &vm = m_vms[node];
@@ -348,13 +400,13 @@
         }
         opened.initialMembership = vm.disk.initialMembership;
         opened.founders = vm.disk.founders;
-        vm.controller->onStorage(opened, now);
+        vm.controller->onStorage(opened, clockOf(node));
     }
 
     void endIfStopped(std::size_t node)
     {
         const Vm &vm = m_vms[node];
-        if (vm.stopsAt && (vm.controller->leave(now) || now >= *vm.stopsAt)) {
+        if (vm.stopsAt && (vm.controller->leave(clockOf(node)) || now >= *vm.stopsAt)) {
             kill(node);
         }
     }
