Reads of the config are confirmed by a quorum, not by a lease

What callers saw: a read of the config answered with a version older than one that had been acknowledged more than 2 s before.

Cause: a leader answered reads under its lease, whose end it computes on its own clock. A clock that does not count a suspension, stands still or steps back leaves the lease in force while the others elect a successor and acknowledge changes. The class of fault: a promise about other machines rests on the local clock alone.

Change: the leader answers a read when a quorum has answered requests of its term that were sent after the read began (read index). Voters that answer had not elected another leader by then, so every later leader's acknowledgements follow the read. One round at a time serves all waiting reads. A read that is not confirmed within half a second is refused as leadership_not_confirmed. A leader whose lease has expired now answers as soon as a quorum does.

--- a/src/include/hemlockhill/consensus.h
+++ b/src/include/hemlockhill/consensus.h
@@ -205,6 +205,12 @@
     bool operator==(const Proposal &) const = default;
 };
 
+// When a read of the leader's state began: the leader's term, and the time that its latest requests before the read bear.
+struct ReadMark {
+    Term term;
+    TimePoint sentAt;
+};
+
 enum class MembershipChangeKind { AddLearner, PromoteLearner, Remove };
 
 std::string_view toText(MembershipChangeKind kind);
@@ -264,6 +270,13 @@
     // false if this voter does not lead or no successor is available.
     bool transferLeadership(TimePoint now, const std::set<VoterId> &avoided = {});
 
+    // Begins a read of the committed state, for which requests are sent to all members with the next actions. Returns empty if this voter
+    // does not lead or no entry of its term is committed yet.
+    std::optional<ReadMark> beginRead(TimePoint now);
+    // True if this voter still leads and a quorum has answered requests that were sent after the read began. No other leader had been
+    // elected then, so the committed state includes all that was committed before the read. Does not rely on any clock.
+    bool isReadConfirmed(const ReadMark &read) const;
+
     // Replaces the log up to a committed index by a snapshot of the host's state at that index. Ignored if the last snapshot has this
     // index or a later one. Throws Error if the index has not been returned as committed.
     void compact(LogIndex upTo, std::string snapshotData);
--- a/src/include/hemlockhill/controller.h
+++ b/src/include/hemlockhill/controller.h
@@ -96,7 +96,7 @@
 
     bool leads(TimePoint now) const;
     // Answers a reader of the replicated state: without an obstacle if the state of this controller, at the time of the answer, includes
-    // all that any controller had acknowledged before this call.
+    // all that any controller had acknowledged before this call. A leader asks the other voters, for 500 ms at most; others answer at once.
     void confirmRead(const ReadAnswer &answer, TimePoint now);
     // Role, leader and lease of this controller, and what keeps it from leading.
     ReadStatus readStatus(TimePoint now) const;
@@ -115,6 +115,13 @@
         SubmitAnswer answer;
     };
 
+    // A read that waits until it is confirmed that this controller still leads. The mark is set once the read has begun.
+    struct PendingRead {
+        ReadAnswer answer;
+        TimePoint deadline;
+        std::optional<ReadMark> mark;
+    };
+
     // A committed operator command that is not yet in force on every node.
     struct AcceptedCommand {
         Revision revision;
@@ -151,6 +158,11 @@
     void updateLeadership(TimePoint now);
     void abandonProposals();
     void answerAcceptedCommands(TimePoint now);
+    // Answers the reads whose outcome is known, and begins those that wait unless others are in progress.
+    void serveReads(TimePoint now);
+    void answerReads(TimePoint now);
+    bool beginReads(TimePoint now);
+    std::optional<ReadObstacle> outcomeOf(const PendingRead &read, TimePoint now) const;
     void answerHeldFollows(TimePoint now, bool all);
     FollowReply followReply(const VmId &node, const FollowRequest &request, TimePoint receivedAt, TimePoint now);
     // Leases shards of quotas to a node that claims some.
@@ -229,6 +241,7 @@
     std::map<LogIndex, PendingProposal> m_pendingProposals;
     std::vector<AcceptedCommand> m_acceptedCommands;
     std::vector<HeldFollow> m_heldFollows;
+    std::vector<PendingRead> m_pendingReads;
 };
 
 } // namespace Hemlockhill
--- a/src/include/hemlockhill/read_status.h
+++ b/src/include/hemlockhill/read_status.h
@@ -28,6 +28,8 @@
     TransferringLeadership,
     // This controller leads, but no quorum has answered lately enough to rule out another leader.
     LeaseExpired,
+    // This controller led when the read began, and no quorum has confirmed in time that it still did.
+    LeadershipNotConfirmed,
 };
 
 std::string_view toText(ReadObstacle obstacle);
--- a/src/libhemlockhill/consensus/consensus.cpp
+++ b/src/libhemlockhill/consensus/consensus.cpp
@@ -40,6 +40,16 @@
     return m_core->transferLeadership(now, avoided);
 }
 
+std::optional<ReadMark> Consensus::beginRead(TimePoint now)
+{
+    return m_core->beginRead(now);
+}
+
+bool Consensus::isReadConfirmed(const ReadMark &read) const
+{
+    return m_core->isReadConfirmed(read);
+}
+
 void Consensus::compact(LogIndex upTo, std::string snapshotData)
 {
     m_core->compact(upTo, std::move(snapshotData));
--- a/src/libhemlockhill/consensus/consensus_random_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_random_test.cpp
@@ -20,6 +20,12 @@
 // Virtual time is in microseconds.
 constexpr std::int64_t Millisecond = 1'000;
 constexpr std::int64_t Second = 1'000 * Millisecond;
+// Schedules with clocks that run at any rate.
+constexpr std::uint64_t UnboundedScheduleCount = 60;
+constexpr double SlowestRate = 0.01;
+constexpr int IsolationPercent = 10;
+// Longer than it takes to elect a successor.
+constexpr std::int64_t SuccessionTime = 3 * Second;
 constexpr std::int64_t RecoveryTimeout = 60 * Second;
 
 std::uint64_t environmentNumber(const char *variable, std::uint64_t defaultValue)
@@ -28,12 +34,16 @@
     return text == nullptr ? defaultValue : std::strtoull(text, nullptr, 10);
 }
 
+// Whether clocks keep to the bound on which leases rely, or run at any rate and nearly stand still.
+enum class Clocks { Bounded, Unbounded };
+
 class FaultSchedule
 {
 public:
-    explicit FaultSchedule(std::uint64_t seed)
+    explicit FaultSchedule(std::uint64_t seed, Clocks clocks = Clocks::Bounded)
         : m_group(seed % 2 == 0 ? 3 : 5, seed)
     {
+        m_group.clocksAreBounded = clocks == Clocks::Bounded;
     }
 
     void run()
@@ -42,6 +52,9 @@
             const std::int64_t until = m_group.time() + m_group.random(2 * Second, 40 * Second);
             while (m_group.time() < until) {
                 injectFault();
+                if (!m_group.clocksAreBounded) {
+                    injectClockFault();
+                }
                 applyLoad(m_group.random(20 * Millisecond, 1500 * Millisecond));
             }
             healAndCommit();
@@ -51,6 +64,7 @@
     std::uint64_t steps() const { return m_group.steps(); }
     std::uint64_t committed() const { return m_group.committed(); }
     std::uint64_t disksLost() const { return m_disksLost; }
+    std::uint64_t confirmedReads() const { return m_group.confirmedReads(); }
 
 private:
     std::size_t randomNode() { return static_cast<std::size_t>(m_group.random(0, static_cast<std::int64_t>(m_group.size()) - 1)); }
@@ -73,6 +87,25 @@
         }
     }
 
+    // Reads at all nodes that consider themselves the leader.
+    void beginReads()
+    {
+        for (std::size_t node = 0; node < m_group.size(); ++node) {
+            if (m_group.core(node) && !m_group.voter(node).paused) {
+                m_group.beginRead(node);
+            }
+        }
+    }
+
+    // Cuts the leader off while its clock nearly stands still, so that it does not notice.
+    void isolateLeaderWithoutClock()
+    {
+        if (const auto leader = m_group.leader()) {
+            m_group.isolate(*leader);
+            m_group.setClockRate(*leader, SlowestRate);
+        }
+    }
+
     void injectFault()
     {
         const std::size_t node = randomNode();
@@ -120,14 +153,29 @@
             m_group.network.maxSync = m_group.chance(20) ? 600 * Millisecond : 5 * Millisecond;
             break;
         case 12:
-            // Within clockRateBoundPercent, 10%.
-            m_group.setClockRate(node, static_cast<double>(m_group.random(90, 110)) / 100);
+            setClockRate(node);
             break;
         default:
             transferOrExclude(node);
         }
     }
 
+    void injectClockFault()
+    {
+        if (m_group.chance(IsolationPercent)) {
+            isolateLeaderWithoutClock();
+            applyLoad(SuccessionTime);
+        }
+        beginReads();
+    }
+
+    void setClockRate(std::size_t node)
+    {
+        // Within clockRateBoundPercent, 10%.
+        const std::int64_t percent = m_group.clocksAreBounded ? m_group.random(90, 110) : m_group.random(1, 300);
+        m_group.setClockRate(node, static_cast<double>(percent) / 100);
+    }
+
     void transferOrExclude(std::size_t node)
     {
         if (m_group.core(node) && !m_group.voter(node).paused && m_group.chance(60)) {
@@ -169,6 +217,9 @@
     void healAndCommit()
     {
         m_group.heal();
+        for (std::size_t node = 0; !m_group.clocksAreBounded && node < m_group.size(); ++node) {
+            m_group.setClockRate(node, 1);
+        }
         const std::uint64_t before = m_group.committed();
         const std::int64_t until = m_group.time() + RecoveryTimeout;
         while (m_group.committed() == before || !m_group.hasConverged()) {
@@ -208,3 +259,22 @@
               << disksLost << " disks lost\n";
     BOOST_TEST((steps >= RequiredSteps || count < ScheduleCount));
 }
+
+// Guards against a read that relies on a clock: of a leader whose successor has been elected meanwhile.
+BOOST_AUTO_TEST_CASE(confirmed_reads_miss_no_committed_entry_whatever_the_clocks_show)
+{
+    const std::uint64_t first = environmentNumber("HEMLOCKHILL_SEED", FirstSeed);
+    const std::uint64_t count = environmentNumber("HEMLOCKHILL_SCHEDULES", UnboundedScheduleCount);
+    std::uint64_t reads = 0;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        FaultSchedule schedule(seed, Clocks::Unbounded);
+        try {
+            schedule.run();
+        } catch (const std::exception &error) {
+            BOOST_ERROR("seed " << seed << ": " << error.what());
+        }
+        reads += schedule.confirmedReads();
+    }
+    std::cout << "seeds " << first << " to " << first + count - 1 << ": " << reads << " reads confirmed\n";
+    BOOST_TEST(reads >= count);
+}
--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t Second = 1'000 * Millisecond;
 constexpr std::uint64_t Seed = 7;
 constexpr std::uint64_t ElectionSeeds = 100;
+// A clock at this rate does not advance in the course of a test.
+constexpr double StoppedRate = 1e-9;
 constexpr std::int64_t ElectionLimit = 120 * Second;
 
 std::size_t awaitLeader(SimulatedGroup &group)
@@ -737,6 +739,53 @@
     BOOST_TEST(group.hasConverged());
 }
 
+// Guards against a read that is confirmed by the answer to an earlier request, which a voter may have given before it elected another
+// leader. The clock stands still, so that times alone do not tell the requests apart.
+BOOST_AUTO_TEST_CASE(read_is_confirmed_by_a_request_that_was_sent_before_it)
+{
+    SimulatedGroup group(3, Seed);
+    const std::size_t leader = awaitLeader(group);
+    group.run(Second);
+    group.clocksAreBounded = false;
+    group.setClockRate(leader, StoppedRate);
+    group.beginRead(leader);
+    const auto before = group.core(leader)->beginRead(group.local(leader));
+    group.pump(leader);
+    for (std::size_t other = 0; other < group.size(); ++other) {
+        group.cut(leader, other);
+    }
+    const auto after = group.core(leader)->beginRead(group.local(leader));
+    group.pump(leader);
+    group.run(Second);
+    BOOST_REQUIRE(before);
+    BOOST_REQUIRE(after);
+    BOOST_TEST(group.core(leader)->isReadConfirmed(*before));
+    BOOST_TEST(!group.core(leader)->isReadConfirmed(*after));
+}
+
+BOOST_AUTO_TEST_CASE(single_voter_confirms_its_reads_alone)
+{
+    SimulatedGroup group(1, Seed);
+    commitOne(group);
+    const auto read = group.core(0)->beginRead(group.local(0));
+    BOOST_REQUIRE(read);
+    BOOST_TEST(group.core(0)->isReadConfirmed(*read));
+}
+
+// Guards against a read that waits for the disks of the other voters, when entries are on their way to them.
+BOOST_AUTO_TEST_CASE(read_waits_for_the_sync_of_entries_that_are_sent_with_it)
+{
+    SimulatedGroup group(3, Seed);
+    const std::size_t leader = awaitLeader(group);
+    group.network.minSync = 10 * Second;
+    group.network.maxSync = 10 * Second;
+    const auto read = group.core(leader)->beginRead(group.local(leader));
+    group.propose(leader, "entry");
+    group.run(20 * Millisecond);
+    BOOST_REQUIRE(read);
+    BOOST_TEST(group.core(leader)->isReadConfirmed(*read));
+}
+
 BOOST_AUTO_TEST_CASE(membership_encoding_round_trips)
 {
     const VoterMembership membership{{A, B}, {C}};
--- a/src/libhemlockhill/consensus/core.h
+++ b/src/libhemlockhill/consensus/core.h
@@ -59,6 +59,8 @@
     std::variant<Proposal, Refusal> propose(std::string payload, TimePoint now);
     std::variant<Proposal, Refusal> proposeMembership(const MembershipChange &change, TimePoint now);
     bool transferLeadership(TimePoint now, const std::set<VoterId> &avoided);
+    std::optional<ReadMark> beginRead(TimePoint now);
+    bool isReadConfirmed(const ReadMark &read) const;
     void compact(LogIndex upTo, std::string snapshotData);
     void persisted(PersistedMark mark);
     ConsensusActions takeActions(TimePoint now);
@@ -130,8 +132,8 @@
     void replicate(TimePoint now);
     void sendTo(const VoterId &member, MemberProgress &progress, TimePoint now, bool heartbeat);
     void sendChunk(const VoterId &member, MemberProgress &progress, TimePoint now);
-    void sendEntries(const VoterId &member, MemberProgress &progress, std::vector<LogEntry> entries, TimePoint now);
-    void sendHeartbeat(const VoterId &member, const MemberProgress &progress, TimePoint now);
+    void sendEntries(const VoterId &member, MemberProgress &progress, std::vector<LogEntry> entries);
+    void sendHeartbeat(const VoterId &member, const MemberProgress &progress);
     void applyLatestMembership();
     void continueTransfer();
     void checkQuorum();
@@ -183,6 +185,10 @@
     LogIndex m_termStartIndex;
     std::optional<LeadershipTransfer> m_transfer;
     bool m_commitUnannounced = false;
+    // A read has begun since requests were last sent.
+    bool m_readBegun = false;
+    // Time that the latest requests bear. Never decreases, and increases between two reads even while the clock stands still.
+    TimePoint m_lastSentAt = TimePoint::min();
 
     PersistedMark m_lastMark;
     PersistedMark m_persistedMark;
--- a/src/libhemlockhill/consensus/leading.cpp
+++ b/src/libhemlockhill/consensus/leading.cpp
@@ -234,10 +234,29 @@
     if (heartbeat) {
         m_heartbeatDeadline = m_now + m_settings.heartbeat;
     }
+    m_lastSentAt = std::max(now, m_readBegun ? m_lastSentAt + Duration(1) : m_lastSentAt);
     for (auto &[member, progress] : m_members) {
         sendTo(member, progress, now, heartbeat || m_commitUnannounced);
     }
     m_commitUnannounced = false;
+    m_readBegun = false;
+}
+
+std::optional<ReadMark> Consensus::Core::beginRead(TimePoint now)
+{
+    advanceTime(now);
+    if (role() != VoterRole::Leader || m_commitIndex < m_termStartIndex) {
+        return std::nullopt;
+    }
+    m_readBegun = true;
+    return ReadMark{term(), m_lastSentAt};
+}
+
+// A voter that answers has not voted in a later term before, and every later leader needs the vote of one of a quorum.
+bool Consensus::Core::isReadConfirmed(const ReadMark &read) const
+{
+    const bool leads = role() == VoterRole::Leader && term() == read.term;
+    return leads && quorumAnsweredAt(TimePoint::max(), TimePoint::min()) > read.sentAt;
 }
 
 void Consensus::Core::sendTo(const VoterId &member, MemberProgress &progress, TimePoint now, bool heartbeat)
@@ -252,18 +271,18 @@
         if (!progress.awaitingReply || now >= progress.chunkSentAt + m_settings.electionTimeout) {
             sendChunk(member, progress, now);
         }
-        if (heartbeat) {
-            sendHeartbeat(member, progress, now);
+        if (heartbeat || m_readBegun) {
+            sendHeartbeat(member, progress);
         }
         return;
     }
     if (progress.probing) {
         if (!progress.awaitingReply) {
             progress.awaitingReply = true;
-            sendEntries(member, progress, m_log.slice(progress.next, m_settings.maxBatchEntries, m_settings.maxBatchBytes), now);
-        } else if (heartbeat) {
+            sendEntries(member, progress, m_log.slice(progress.next, m_settings.maxBatchEntries, m_settings.maxBatchBytes));
+        } else if (heartbeat || m_readBegun) {
             // Answered without waiting for the entries to be synced. If they were lost, the reply causes them to be sent again.
-            sendHeartbeat(member, progress, now);
+            sendHeartbeat(member, progress);
         }
         return;
     }
@@ -271,29 +290,30 @@
     while (progress.next <= m_log.lastIndex() && progress.next.value - progress.match.value <= m_settings.maxInFlightEntries) {
         std::vector<LogEntry> entries = m_log.slice(progress.next, m_settings.maxBatchEntries, m_settings.maxBatchBytes);
         const LogIndex count{entries.size()};
-        sendEntries(member, progress, std::move(entries), now);
+        sendEntries(member, progress, std::move(entries));
         progress.next += count;
         sent = true;
     }
-    if (heartbeat && !sent) {
-        sendHeartbeat(member, progress, now);
+    // A read does not wait for the sync of entries.
+    if (m_readBegun || (heartbeat && !sent)) {
+        sendHeartbeat(member, progress);
     }
 }
 
-void Consensus::Core::sendEntries(const VoterId &member, MemberProgress &progress, std::vector<LogEntry> entries, TimePoint now)
+void Consensus::Core::sendEntries(const VoterId &member, MemberProgress &progress, std::vector<LogEntry> entries)
 {
     const LogIndex previous = progress.next - LogIndex{1};
-    sendNow(member, AppendRequest{term(), previous, m_log.termAt(previous).value(), m_commitIndex, std::move(entries), now});
+    sendNow(member, AppendRequest{term(), previous, m_log.termAt(previous).value(), m_commitIndex, std::move(entries), m_lastSentAt});
 }
 
-void Consensus::Core::sendHeartbeat(const VoterId &member, const MemberProgress &progress, TimePoint now)
+void Consensus::Core::sendHeartbeat(const VoterId &member, const MemberProgress &progress)
 {
     // Index 0 precedes every log, so that a member that is still receiving a snapshot accepts the heartbeat.
     LogIndex previous{};
     if (!progress.snapshot) {
         previous = progress.next - LogIndex{1};
     }
-    sendNow(member, AppendRequest{term(), previous, m_log.termAt(previous).value_or(Term{}), m_commitIndex, {}, now});
+    sendNow(member, AppendRequest{term(), previous, m_log.termAt(previous).value_or(Term{}), m_commitIndex, {}, m_lastSentAt});
 }
 
 void Consensus::Core::sendChunk(const VoterId &member, MemberProgress &progress, TimePoint now)
--- a/src/libhemlockhill/consensus/simulated_group.h
+++ b/src/libhemlockhill/consensus/simulated_group.h
@@ -54,6 +54,12 @@
     }
 };
 
+// A read that a voter has begun, and the number of entries committed before.
+struct SimulatedRead {
+    ReadMark mark;
+    std::uint64_t committedBefore = 0;
+};
+
 struct SimulatedVoter {
     VoterId id;
     std::unique_ptr<Consensus> core;
@@ -75,6 +81,7 @@
     std::size_t state = 0;
     std::uint64_t commit = 0;
     std::vector<Envelope> receivedWhilePaused;
+    std::vector<SimulatedRead> reads;
 };
 
 struct SimulatedNetwork {
@@ -116,6 +123,8 @@
     ConsensusSettings settings;
     SimulatedNetwork network;
     std::uint64_t compactEvery = 60;
+    // False if clocks may run at rates outside clockRateBoundPercent, which leases do not bear.
+    bool clocksAreBounded = true;
 
     std::int64_t random(std::int64_t from, std::int64_t to)
     {
@@ -128,6 +137,7 @@
     std::int64_t time() const { return m_time; }
     std::uint64_t steps() const { return m_steps; }
     std::uint64_t committed() const { return m_states.size() - 1; }
+    std::uint64_t confirmedReads() const { return m_confirmedReads; }
     TimePoint local(std::size_t node) const
     {
         const SimulatedVoter &at = m_voters[node];
@@ -184,6 +194,7 @@
         at.core.reset();
         at.paused = false;
         at.receivedWhilePaused.clear();
+        at.reads.clear();
     }
 
     // From now on the disk refuses writes. The voter fails at the first one and opens the disk again after ReopenDelay.
@@ -267,6 +278,16 @@
         return accepted;
     }
 
+    // Begins a read if the voter leads. When it is confirmed, the voter must know all entries that were committed before it.
+    void beginRead(std::size_t node)
+    {
+        const auto mark = core(node)->beginRead(local(node));
+        if (mark) {
+            m_voters[node].reads.push_back({*mark, committed()});
+        }
+        pump(node);
+    }
+
     // Proposes one random membership change that makes a current identity a voter or removes a lost one.
     void repairMembership(std::size_t node)
     {
@@ -543,7 +564,8 @@
         }
         const auto known = m_leaders.emplace(at.core->term().value, at.id).first;
         require(known->second == at.id, "two leaders in the same term", node);
-        if (!at.core->leaseHeld(local(node))) {
+        checkReads(node);
+        if (!clocksAreBounded || !at.core->leaseHeld(local(node))) {
             return;
         }
         require(at.commit == committed(), "a leader holds a lease without knowing the latest committed entry", node);
@@ -553,6 +575,16 @@
         }
     }
 
+    void checkReads(std::size_t node)
+    {
+        SimulatedVoter &at = m_voters[node];
+        m_confirmedReads += std::erase_if(at.reads, [&](const SimulatedRead &read) {
+            const bool isConfirmed = at.core->isReadConfirmed(read.mark);
+            require(!isConfirmed || at.commit >= read.committedBefore, "a confirmed read misses an entry committed before it", node);
+            return isConfirmed;
+        });
+    }
+
     void require(bool holds, const std::string &property, std::size_t node) const
     {
         if (!holds) {
@@ -569,6 +601,7 @@
     std::uint64_t m_order = 0;
     std::uint64_t m_steps = 0;
     std::uint64_t m_identities = 0;
+    std::uint64_t m_confirmedReads = 0;
     // Hash of the state after each committed entry.
     std::vector<std::size_t> m_states;
     std::map<std::uint64_t, VoterId> m_leaders;
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -35,6 +35,8 @@
 // A follow request of an up-to-date node is held for a fifth of the lease, so that a change is pushed to the node immediately.
 constexpr int FollowHoldLeaseDivisor = 5;
 constexpr std::chrono::seconds RetryAfterWithoutLeader(1);
+// How long a read waits until it is confirmed that this controller leads. Callers ask another controller after a second.
+constexpr Duration ReadConfirmationTimeout = std::chrono::milliseconds(500);
 // Age, as a ratio of the election timeout, up to which a controller's word that it belongs to no group is relied on. Less than 1, since
 // clocks may run at different rates.
 constexpr double BlankIdentityRatio = 0.8;
@@ -154,6 +156,7 @@
     m_snapshotBytes = 0;
     m_announcedDeployment = DeploymentVersion{};
     abandonProposals();
+    answerReads(now);
 }
 
 void Controller::startConsensus(const VoterMembership &membership, TimePoint now)
@@ -267,6 +270,7 @@
     } while (repairMembership(now));
     compactIfNeeded();
     answerAcceptedCommands(now);
+    serveReads(now);
 }
 
 void Controller::performActions(TimePoint now)
@@ -593,6 +597,7 @@
     updateFollowers(now);
     reviewFormerQuotaLeases(now);
     answerHeldFollows(now, false);
+    answerReads(now);
     reportGauges(now);
 }
 
@@ -771,7 +776,69 @@
 
 void Controller::confirmRead(const ReadAnswer &answer, TimePoint now)
 {
-    answer(readStatus(now));
+    m_pendingReads.push_back({answer, now + ReadConfirmationTimeout, std::nullopt});
+    serveReads(now);
+}
+
+void Controller::serveReads(TimePoint now)
+{
+    answerReads(now);
+    if (beginReads(now)) {
+        // The only voter of a group has no one to ask.
+        answerReads(now);
+    }
+}
+
+void Controller::answerReads(TimePoint now)
+{
+    std::vector<PendingRead> waiting;
+    for (PendingRead &read : std::exchange(m_pendingReads, {})) {
+        const std::optional<ReadObstacle> outcome = outcomeOf(read, now);
+        if (!outcome) {
+            waiting.push_back(std::move(read));
+            continue;
+        }
+        ReadStatus status = readStatus(now);
+        status.obstacle = *outcome;
+        read.answer(status);
+    }
+    // The callbacks may have requested further reads.
+    std::move(m_pendingReads.begin(), m_pendingReads.end(), std::back_inserter(waiting));
+    m_pendingReads = std::move(waiting);
+}
+
+// Empty while the outcome is not known yet. A read needs no lease: it is confirmed by the other voters.
+std::optional<ReadObstacle> Controller::outcomeOf(const PendingRead &read, TimePoint now) const
+{
+    const ReadObstacle obstacle = readStatus(now).obstacle;
+    const bool leads =
+        obstacle == ReadObstacle::None || obstacle == ReadObstacle::LeaseExpired || obstacle == ReadObstacle::TransferringLeadership;
+    if (!leads) {
+        return obstacle;
+    }
+    if (read.mark && m_consensus->isReadConfirmed(*read.mark)) {
+        return ReadObstacle::None;
+    }
+    const bool leadsSinceBegin = !read.mark || read.mark->term == m_consensus->term();
+    return leadsSinceBegin && now < read.deadline ? std::nullopt : std::optional(ReadObstacle::LeadershipNotConfirmed);
+}
+
+// One round of messages at a time serves all reads that wait, however many callers there are.
+bool Controller::beginReads(TimePoint now)
+{
+    const auto hasBegun = [](const PendingRead &read) { return read.mark.has_value(); };
+    if (!m_consensus || m_pendingReads.empty() || std::any_of(m_pendingReads.begin(), m_pendingReads.end(), hasBegun)) {
+        return false;
+    }
+    const std::optional<ReadMark> mark = m_consensus->beginRead(now);
+    if (!mark) {
+        return false;
+    }
+    for (PendingRead &read : m_pendingReads) {
+        read.mark = mark;
+    }
+    performActions(now);
+    return true;
 }
 
 ReadStatus Controller::readStatus(TimePoint now) const
--- a/src/libhemlockhill/control/read_status.cpp
+++ b/src/libhemlockhill/control/read_status.cpp
@@ -49,9 +49,11 @@
     case ReadObstacle::TransferringLeadership:
         return "transferring_leadership";
     case ReadObstacle::LeaseExpired:
+        return "lease_expired";
+    case ReadObstacle::LeadershipNotConfirmed:
         break;
     }
-    return "lease_expired";
+    return "leadership_not_confirmed";
 }
 
 ReadStatus readStatusOf(const Consensus &consensus, TimePoint now)
