Leases count the time for which a machine is suspended

A leader's lease, the leases of serving nodes and the directory were measured by CLOCK_MONOTONIC, which does not count a suspension; only quotas and keys used CLOCK_BOOTTIME. A machine that resumes held the rest of each lease, although others had waited it out: it sent orders and answered followers beside its successor.

Change: currentTime() reads CLOCK_BOOTTIME, so that all parts share one definition of a lease's time. No timer or condition variable takes these times as absolute ones.

Measured: current_time_test, red before (the time after a suspension of 1,000 s lies before that of its beginning), passes.

--- a/src/libhemlockhill/runtime/timer_service.cpp
+++ b/src/libhemlockhill/runtime/timer_service.cpp
@@ -16,9 +16,11 @@
     return BootTimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+// Counts suspensions, so that a lease that others have waited out does not go on when the machine resumes. Not comparable with
+// std::chrono::steady_clock::now().
 TimePoint currentTime()
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    return TimePoint(BootClock::now().time_since_epoch());
 }
 
 TimerService::TimerService()
