Bounds on what a node's own interface holds of requests and answers

Cause: `hemlockhill serve` had limits for each request only. Many large requests, arriving or in progress, and many answers that were collected or not read took up any amount of memory, and connections any number of descriptors.

Change: the callers' and the operators' server have the gateway's mechanism, a BufferBudget for requests and one for answers, and limits on connections that follow from the descriptors. The new settings machine.memory and machine.descriptors name what the process may use. Budgets are one pair for each event loop thread, since they are not thread-safe and a connection can be given up only on its own thread; operators' part is a quarter, which callers cannot use up. Answers count from their first byte on, also while they are collected (HttpResponder::holdAnswer): without length they were held by the request, up to the limit of one answer. Refusals are queue_full and too_many_connections, closed connections caller_too_slow, counted as elsewhere. A memory of less than 64 times the largest body is a fault of the settings, since parsing many small values takes some 30 times their size.

One request of the largest size is served in calm. settings_test, settings_random_test, node_limits_test, http_server_refusal_test, attempt_test and caller_thread_test pass.

--- a/src/include/hemlockhill/attempt.h
+++ b/src/include/hemlockhill/attempt.h
@@ -122,6 +122,8 @@
     Ran ran() const;
     // Number of tokens delivered to the caller.
     TokenCount delivered() const;
+    // Bytes held of an answer that is not streamed, or of an error.
+    Bytes collected() const;
     // The current exchange, or the last one when none is open.
     ExchangeId exchange() const;
     const EndpointId &endpoint() const;
--- a/src/include/hemlockhill/caller_thread.h
+++ b/src/include/hemlockhill/caller_thread.h
@@ -20,6 +20,7 @@
 {
 
 class ArrivalClock;
+class BufferBudget;
 class ModelRequests;
 class ServiceCalls;
 
@@ -58,6 +59,7 @@
     bool post(CallerThreadMessage message) { return m_mailbox.post(std::move(message)); }
 
 private:
+    HttpServerLimits serverLimits() const;
     void handle(CallerThreadMessage &&message);
     void onRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
     void answerReadiness(HttpResponder &responder) const;
@@ -77,6 +79,9 @@
     EventLoopThread m_thread;
     std::string m_requestPrefix;
     std::shared_ptr<ArrivalClock> m_arrivalClock;
+    // What callers hold of requests, and of answers that are collected or have not been read.
+    std::shared_ptr<BufferBudget> m_requestBudget;
+    std::shared_ptr<BufferBudget> m_answerBudget;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<ModelRequests> m_models;
     OncePort m_oncePort;
--- a/src/include/hemlockhill/control_thread.h
+++ b/src/include/hemlockhill/control_thread.h
@@ -81,6 +81,7 @@
     };
     using CallContext = std::variant<FollowCall, AttestCall, IdentityCall, SubmitCall, QueryCall>;
 
+    HttpServerLimits operatorLimits();
     void tick();
     void handle(PeerEvent &&event);
     void onIncoming(IncomingCall &&call);
--- a/src/include/hemlockhill/http_server.h
+++ b/src/include/hemlockhill/http_server.h
@@ -56,6 +56,9 @@
     virtual std::size_t pendingBytes() const = 0;
     // From this many pending bytes on the handler should write no more until onRoom is called.
     virtual std::size_t pendingLimit() const { return 65'536; }
+    // Counts that many bytes of the answer, which the handler holds until it calls answer() or begin(). If they exceed the bound on
+    // answers, a connection is closed for them.
+    virtual void holdAnswer(std::size_t /*bytes*/) { }
     // Sequence number of the connection, counted from 1 in the order of acceptance by this server.
     virtual std::uint64_t connection() const = 0;
     // IP address of the client; empty if it is no longer known.
--- a/src/include/hemlockhill/settings.h
+++ b/src/include/hemlockhill/settings.h
@@ -29,6 +29,14 @@
     std::uint32_t requestLimit = 4'000;
 };
 
+// What the node may use of its machine.
+struct MachineSettings {
+    // Empty if it is not named.
+    std::optional<Bytes> memory;
+    // Number of files and sockets that the process may have open; empty if it is not named.
+    std::optional<std::uint32_t> descriptors;
+};
+
 // Listener for operator statements.
 struct OperatorSettings {
     Address listen;
@@ -97,6 +105,7 @@
     PeersSettings peers;
     EndpointSettings endpoints;
     ControlSettings control;
+    MachineSettings machine;
     // Folder for durable state. Present on a VM that may be a controller.
     std::optional<std::filesystem::path> dataFolder;
 };
--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -193,6 +193,7 @@
     void onReadable();
     TimePoint arrivalTime();
     void answer(HttpResponse response);
+    void holdAnswer(std::size_t bytes);
     void begin(const HttpResponse &head);
     void write(std::string bytes);
     void end();
@@ -282,6 +283,13 @@
         }
     }
 
+    void holdAnswer(std::size_t bytes) override
+    {
+        if (m_session) {
+            m_session->holdAnswer(bytes);
+        }
+    }
+
     void begin(HttpResponse head) override
     {
         if (m_session) {
@@ -646,6 +654,18 @@
     });
 }
 
+void HttpServer::Listener::Session::holdAnswer(std::size_t bytes)
+{
+    if (m_phase != Phase::Answering) {
+        return;
+    }
+    // The endpoint is still sending; this caller holds nothing up.
+    m_answerShare.touch(currentTime());
+    if (!countAnswer(bytes)) {
+        boost::asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->onPeerClosed(); });
+    }
+}
+
 void HttpServer::Listener::Session::begin(const HttpResponse &head)
 {
     if (m_phase != Phase::Answering) {
--- a/src/libhemlockhill/net/http_server_refusal_test.cpp
+++ b/src/libhemlockhill/net/http_server_refusal_test.cpp
@@ -411,3 +411,28 @@
     fixture.responders[0]->answer(Ok);
     BOOST_CHECK(other.receiveUpTo("ok").starts_with("HTTP/1.1 200 OK\r\n"));
 }
+
+// Guards against answers that the handler collects exceeding the memory for answers before the first byte of them is sent.
+BOOST_AUTO_TEST_CASE(collected_answers_count_as_answers)
+{
+    HttpServerLimits limits;
+    limits.answerBudget = std::make_shared<BufferBudget>(Bytes{200'000});
+    Fixture fixture(limits);
+    Client first(fixture);
+    Client second(fixture);
+    first.send(Get);
+    BOOST_REQUIRE(fixture.awaitRequests(1));
+    second.send(Get);
+    BOOST_REQUIRE(fixture.awaitRequests(2));
+    bool isFirstClosed = false;
+    fixture.responders[0]->onDisconnected = [&isFirstClosed] { isFirstClosed = true; };
+    fixture.responders[0]->holdAnswer(150'000);
+    fixture.responders[1]->holdAnswer(100'000);
+    fixture.runFor(std::chrono::milliseconds(50));
+    BOOST_TEST(isFirstClosed);
+    BOOST_TEST(limits.answerBudget->used().value == 100'000U);
+    fixture.responders[1]->answer(Ok);
+    BOOST_CHECK(second.receiveUpTo("ok").starts_with("HTTP/1.1 200 OK\r\n"));
+    fixture.runFor(std::chrono::milliseconds(50));
+    BOOST_TEST(limits.answerBudget->used().value == 0U);
+}
--- a/src/libhemlockhill/node/caller_thread.cpp
+++ b/src/libhemlockhill/node/caller_thread.cpp
@@ -1,10 +1,12 @@
 // Request routing, readiness and shutdown of the callers' HTTP server.
 #include "hemlockhill/caller_thread.h"
 
+#include "hemlockhill/buffer_budget.h"
 #include "hemlockhill/log.h"
 #include "hemlockhill/refusal_answer.h"
 #include "model_requests.h"
 #include "net/arrival_clock.h"
+#include "node/node_limits.h"
 #include "service_calls.h"
 
 #include <boost/json/array.hpp>
@@ -26,17 +28,6 @@
 constexpr Duration StatisticsPeriod = std::chrono::seconds(1);
 constexpr std::chrono::seconds RetryAfterDraining(1);
 
-HttpServerLimits serverLimits(const CallerSettings &settings)
-{
-    HttpServerLimits limits;
-    limits.header = settings.headerLimit;
-    limits.body = settings.bodyLimit;
-    limits.request = settings.requestTimeout;
-    limits.idle = settings.idleTimeout;
-    limits.connections = settings.connectionLimit;
-    return limits;
-}
-
 Refusal makeRefusal(Reason reason, std::string detail, std::optional<std::chrono::seconds> retryAfter = {})
 {
     Refusal refusal;
@@ -84,6 +75,8 @@
     , m_thread("callers")
     , m_requestPrefix(requestPrefix(settings.vm))
     , m_arrivalClock(std::make_shared<ArrivalClock>(m_thread.context()))
+    , m_requestBudget(std::make_shared<BufferBudget>(nodeLimits(settings).callerRequests))
+    , m_answerBudget(std::make_shared<BufferBudget>(nodeLimits(settings).callerAnswers))
     , m_models(std::make_unique<ModelRequests>(settings, timers, metrics, m_thread.context()))
     , m_mailbox(m_thread.context(), MailboxCapacity, [this](CallerThreadMessage &&message) { handle(std::move(message)); })
 {
@@ -103,10 +96,12 @@
     if (m_statisticsListener) {
         m_timers.every(StatisticsPeriod, m_thread.context(), [this] { m_statisticsListener(m_models->figures()); });
     }
+    m_requestBudget->onExceeded = [this] { m_metrics.countEvent("request_buffers_full"); };
+    m_answerBudget->onExceeded = [this] { m_metrics.countEvent("answer_buffers_full"); };
     m_server = std::make_unique<HttpServer>(
         m_thread.context(),
         m_settings.callers.listen,
-        serverLimits(m_settings.callers),
+        serverLimits(),
         [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) { onRequest(std::move(request), responder); },
         [this](Reason reason) { m_metrics.countRefusal(reason); });
     m_server->setArrivalClock(m_arrivalClock);
@@ -114,6 +109,21 @@
     m_thread.start();
 }
 
+HttpServerLimits CallerThread::serverLimits() const
+{
+    const CallerSettings &settings = m_settings.callers;
+    HttpServerLimits limits;
+    limits.header = settings.headerLimit;
+    limits.body = settings.bodyLimit;
+    limits.request = settings.requestTimeout;
+    limits.idle = settings.idleTimeout;
+    limits.connections = nodeLimits(m_settings).callerConnections;
+    limits.copies = CallerRequestCopies;
+    limits.requestBudget = m_requestBudget;
+    limits.answerBudget = m_answerBudget;
+    return limits;
+}
+
 void CallerThread::stop()
 {
     m_thread.stop();
@@ -153,7 +163,10 @@
 void CallerThread::applySettings(const SettingsChanged &event)
 {
     m_settings = *event.settings;
-    m_server->setLimits(serverLimits(m_settings.callers));
+    const NodeLimits limits = nodeLimits(m_settings);
+    m_requestBudget->setLimit(limits.callerRequests);
+    m_answerBudget->setLimit(limits.callerAnswers);
+    m_server->setLimits(serverLimits());
     m_models->handle(event);
     m_services->onSettings(m_settings);
 }
--- a/src/libhemlockhill/node/control_thread.cpp
+++ b/src/libhemlockhill/node/control_thread.cpp
@@ -1,8 +1,10 @@
 // State replication, serving lease, command submission and operator queries of one node.
 #include "hemlockhill/control_thread.h"
 
+#include "hemlockhill/buffer_budget.h"
 #include "hemlockhill/log.h"
 #include "hemlockhill/refusal_answer.h"
+#include "node/node_limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -27,14 +29,6 @@
 constexpr Duration LeadershipTransferCheckPeriod = std::chrono::milliseconds(20);
 constexpr std::chrono::seconds RetryAfterNoLeader(1);
 
-HttpServerLimits operatorLimits()
-{
-    HttpServerLimits limits;
-    limits.body = Bytes{1'000'000};
-    limits.connections = 64;
-    return limits;
-}
-
 std::string_view toText(ServingMode mode)
 {
     switch (mode) {
@@ -105,6 +99,20 @@
     m_thread.start();
 }
 
+HttpServerLimits ControlThread::operatorLimits()
+{
+    const NodeLimits node = nodeLimits(m_settings);
+    HttpServerLimits limits;
+    limits.body = StatementLimit;
+    limits.copies = StatementCopies;
+    limits.connections = node.operatorConnections;
+    limits.requestBudget = std::make_shared<BufferBudget>(node.operatorRequests);
+    limits.requestBudget->onExceeded = [this] { m_metrics.countEvent("request_buffers_full"); };
+    limits.answerBudget = std::make_shared<BufferBudget>(node.operatorAnswers);
+    limits.answerBudget->onExceeded = [this] { m_metrics.countEvent("answer_buffers_full"); };
+    return limits;
+}
+
 void ControlThread::stop()
 {
     if (m_controller) {
--- a/src/libhemlockhill/node/relay.cpp
+++ b/src/libhemlockhill/node/relay.cpp
@@ -199,6 +199,7 @@
 {
     m_unreleasedBytes += event.bytes.size();
     perform(m_attempt.onBody(event.exchange, event.bytes));
+    m_responder->holdAnswer(m_attempt.collected().value);
     if (m_openExchange == event.exchange) {
         release(event.bytes.size());
     }
--- a/src/libhemlockhill/node/service_calls.cpp
+++ b/src/libhemlockhill/node/service_calls.cpp
@@ -77,6 +77,7 @@
             return;
         }
         m_answer.body += bytes;
+        m_responder->holdAnswer(m_answer.body.size());
         m_calls.m_hooks.send(ReleaseBytes{m_exchange, bytes.size()});
     }
 
--- a/src/libhemlockhill/request/attempt.cpp
+++ b/src/libhemlockhill/request/attempt.cpp
@@ -586,6 +586,11 @@
     return m_machine->context().nextToken;
 }
 
+Bytes Attempt::collected() const
+{
+    return Bytes{m_machine->context().body.size()};
+}
+
 ExchangeId Attempt::exchange() const
 {
     return m_machine->context().exchange;
--- a/src/libhemlockhill/settings/object_reader.cpp
+++ b/src/libhemlockhill/settings/object_reader.cpp
@@ -98,7 +98,12 @@
 
 Bytes ObjectReader::bytes(std::string_view key, Bytes fallback)
 {
-    return parsedText(key, fallback, parseBytes, "must be a size with its unit, such as \"16KB\"");
+    return optionalBytes(key).value_or(fallback);
+}
+
+std::optional<Bytes> ObjectReader::optionalBytes(std::string_view key)
+{
+    return parsedText(key, std::optional<Bytes>(), parseBytes, "must be a size with its unit, such as \"16KB\"");
 }
 
 Duration ObjectReader::duration(std::string_view key, Duration fallback)
@@ -124,6 +129,12 @@
     return static_cast<std::uint32_t>(value->get_int64());
 }
 
+std::optional<std::uint32_t> ObjectReader::optionalPositiveInteger(std::string_view key)
+{
+    const std::uint32_t value = positiveInteger(key, 0);
+    return value > 0 ? std::optional(value) : std::nullopt;
+}
+
 double ObjectReader::positiveNumber(std::string_view key, double fallback)
 {
     const boost::json::value *value = find(key);
--- a/src/libhemlockhill/settings/object_reader.h
+++ b/src/libhemlockhill/settings/object_reader.h
@@ -31,8 +31,10 @@
     std::optional<std::string> optionalText(std::string_view key);
     Address requiredAddress(std::string_view key);
     Bytes bytes(std::string_view key, Bytes fallback);
+    std::optional<Bytes> optionalBytes(std::string_view key);
     Duration duration(std::string_view key, Duration fallback);
     std::uint32_t positiveInteger(std::string_view key, std::uint32_t fallback);
+    std::optional<std::uint32_t> optionalPositiveInteger(std::string_view key);
     double positiveNumber(std::string_view key, double fallback);
     bool boolean(std::string_view key, bool fallback);
 
--- a/src/libhemlockhill/settings/settings.cpp
+++ b/src/libhemlockhill/settings/settings.cpp
@@ -76,6 +76,12 @@
     }
 }
 
+void readMachine(ObjectReader &reader, MachineSettings &machine)
+{
+    machine.memory = reader.optionalBytes("memory");
+    machine.descriptors = reader.optionalPositiveInteger("descriptors");
+}
+
 } // namespace
 
 Settings parseSettings(std::string_view text)
@@ -96,6 +102,7 @@
     reader.object("peers", true, [&](ObjectReader &member) { readPeers(member, settings.peers); });
     reader.object("endpoints", false, [&](ObjectReader &member) { readEndpoints(member, settings.endpoints); });
     reader.object("control", false, [&](ObjectReader &member) { readControl(member, settings.control); });
+    reader.object("machine", false, [&](ObjectReader &member) { readMachine(member, settings.machine); });
     if (const auto folder = reader.optionalText("data_folder")) {
         settings.dataFolder = *folder;
     }
--- a/src/libhemlockhill/settings/settings_changes.cpp
+++ b/src/libhemlockhill/settings/settings_changes.cpp
@@ -71,6 +71,8 @@
         descriptor("control.loads_per_second", AtRunTime, &Settings::control, &ControlSettings::loadsPerSecond),
         descriptor("control.concurrent_loads", AtRunTime, &Settings::control, &ControlSettings::concurrentLoads),
         descriptor("control.concurrent_adapter_loads", AtRunTime, &Settings::control, &ControlSettings::concurrentAdapterLoads),
+        descriptor("machine.memory", NeedsRestart, &Settings::machine, &MachineSettings::memory),
+        descriptor("machine.descriptors", NeedsRestart, &Settings::machine, &MachineSettings::descriptors),
         descriptor("data_folder", NeedsRestart, &Settings::dataFolder),
     };
     return table;
--- a/src/libhemlockhill/settings/settings_checks.cpp
+++ b/src/libhemlockhill/settings/settings_checks.cpp
@@ -14,6 +14,12 @@
 {
 
 constexpr std::ptrdiff_t MaxControllers = 7;
+// With less, the program and one request of the largest size do not fit beside each other.
+constexpr Bytes MinMemory{64'000'000};
+// Parsing a body of many small values takes some 30 times its size for a moment, and half of the memory is left for that.
+constexpr std::uint64_t MinBodiesInMemory = 64;
+// With fewer, none are left for callers beside files, links between nodes and operators.
+constexpr std::uint32_t MinDescriptors = 256;
 
 bool isUnspecified(const Address &address)
 {
@@ -47,6 +53,7 @@
         checkListeners();
         checkPeers();
         checkControllers();
+        checkMachine();
     }
 
 private:
@@ -112,6 +119,19 @@
         }
     }
 
+    void checkMachine()
+    {
+        const MachineSettings &machine = m_settings.machine;
+        if (machine.memory && *machine.memory < MinMemory) {
+            fault("$.machine.memory", "must be at least " + formatBytes(MinMemory));
+        } else if (machine.memory && machine.memory->value / MinBodiesInMemory < m_settings.callers.bodyLimit.value) {
+            fault("$.machine.memory", "must be at least " + std::to_string(MinBodiesInMemory) + " times callers.body_limit");
+        }
+        if (machine.descriptors && *machine.descriptors < MinDescriptors) {
+            fault("$.machine.descriptors", "must be at least " + std::to_string(MinDescriptors));
+        }
+    }
+
     const Settings &m_settings;
     std::vector<SettingsFault> &m_faults;
     std::vector<NamedAddress> m_listeners;
--- a/src/libhemlockhill/settings/settings_test.cpp
+++ b/src/libhemlockhill/settings/settings_test.cpp
@@ -33,6 +33,8 @@
     BOOST_TEST(settings.callers.listen.port == 1001);
     BOOST_TEST(settings.callers.bodyLimit.value == 4'000'000U);
     BOOST_TEST(!settings.dataFolder.has_value());
+    BOOST_TEST(!settings.machine.memory.has_value());
+    BOOST_TEST(!settings.machine.descriptors.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(all_faults_are_reported_together)
@@ -83,6 +85,37 @@
     BOOST_TEST(paths == expected, boost::test_tools::per_element());
 }
 
+namespace
+{
+
+std::string withMachine(std::string_view machine, std::string_view bodyLimit)
+{
+    return R"({"cluster": "c", "vm": "a", "data_centre": "d", "operators": {"listen": "127.0.0.1:1002"},
+        "peers": {"listen": "127.0.0.1:1003"}, "callers": {"listen": "127.0.0.1:1001", "body_limit": ")"
+           + std::string(bodyLimit) + R"("}, "machine": )" + std::string(machine) + "}";
+}
+
+} // namespace
+
+// Guards against a machine whose memory cannot hold the program and one request within the limits.
+BOOST_AUTO_TEST_CASE(memory_and_descriptors_of_the_machine_have_minimums)
+{
+    const Settings settings = parseSettings(withMachine(R"({"memory": "256MB", "descriptors": 256})", "4MB"));
+    BOOST_TEST(settings.machine.memory->value == 256'000'000U);
+    BOOST_TEST(*settings.machine.descriptors == 256U);
+    const std::vector<std::pair<std::string, std::string>> faulty{{R"({"memory": "63MB"})", "$.machine.memory"},
+                                                                  {R"({"memory": "255MB"})", "$.machine.memory"},
+                                                                  {R"({"memory": 5})", "$.machine.memory"},
+                                                                  {R"({"descriptors": 255})", "$.machine.descriptors"},
+                                                                  {R"({"descriptors": 0})", "$.machine.descriptors"}};
+    for (const auto &[machine, path] : faulty) {
+        const auto faults = faultsOf(withMachine(machine, "4MB"));
+        BOOST_REQUIRE_EQUAL(faults.size(), 1U);
+        BOOST_TEST(faults.front().path == path);
+    }
+    BOOST_TEST(faultsOf(withMachine(R"({"memory": "64MB"})", "1MB")).empty());
+}
+
 BOOST_AUTO_TEST_CASE(changes_are_classified_by_whether_they_need_a_restart)
 {
     const Settings before = parseSettings(Minimal);
@@ -91,10 +124,12 @@
     after.callers.requestLimit = 7;
     after.peers.listen.port = 1004;
     after.control.moveWeight = 5;
+    after.machine.memory = Bytes{64'000'000};
     after.dataFolder = "/data";
     const std::vector<SettingChange> expected{{"$.callers.request_limit", ChangeEffect::AtRunTime},
                                               {"$.peers.listen", ChangeEffect::NeedsRestart},
                                               {"$.control.move_weight", ChangeEffect::AtRunTime},
+                                              {"$.machine.memory", ChangeEffect::NeedsRestart},
                                               {"$.data_folder", ChangeEffect::NeedsRestart}};
     BOOST_CHECK(compareSettings(before, after) == expected);
     const Settings merged = withRunTimeChanges(before, after);
--- a/testsuite/crowds-callers-port/run.py
+++ b/testsuite/crowds-callers-port/run.py
@@ -2,11 +2,10 @@
 leave unfinished or do not read."""
 
 import json
-import subprocess
 
 from crowd_callers import BODY_LIMIT, CALLERS, MACHINE, MEMBERS, check_crowd, crowds_of_requests, head, with_body
 from request_callers import declare, send_request, set_mode
-from session import PROGRAM, Session, http_call
+from session import Session, http_call
 
 CHAT = "/v1/chat/completions"
 # Bodies that the service keeps and returns as one long answer, which is within the limit on bodies.
@@ -18,20 +17,12 @@
     return json.dumps({"model": "scribe", **members, "messages": [{"role": "user", "content": prompt}]}).encode()
 
 
-def knows_machine_settings(settings, folder):
-    """Returns whether the program knows the section `machine`, which earlier versions refuse."""
-    file = folder / "check.json"
-    file.write_text(json.dumps(settings | {"machine": MACHINE}))
-    return subprocess.run([PROGRAM, "check", file], capture_output=True, check=False).returncode == 0
-
-
 with Session() as session:
     runner = session.engine("runner-1", "--preload", "scribe:v1:12GB", "--batch", "200", "--between-tokens", "1ms")
     service = session.service("store-1")
     settings = session.settings("vm-a", "ktm-1", data_folder=True)
     settings["callers"].update(CALLERS)
-    if knows_machine_settings(settings, session.folder):
-        settings["machine"] = MACHINE
+    settings["machine"] = MACHINE
     node = session.start_node(settings)
     declare(session, node, [runner])
     session.script(
--- a/testsuite/crowds-operators-port/run.py
+++ b/testsuite/crowds-operators-port/run.py
@@ -1,11 +1,8 @@
 """Guards against clients of the operators' port that make a node exceed its memory or its descriptors, or end, by what they send at once,
 leave unfinished or do not read."""
 
-import json
-import subprocess
-
 from crowd_callers import BODY_LIMIT, CALLERS, MACHINE, MEMBERS, check_crowd, crowds_of_requests, head, with_body
-from session import PROGRAM, Session, http_call, wait_until
+from session import Session, http_call, wait_until
 
 STATEMENT = "/operator/v1/statement"
 # Declared services with long names, so that showing them is a long answer.
@@ -13,18 +10,10 @@
 NAME_PADDING = "x" * 40
 
 
-def knows_machine_settings(settings, folder):
-    """Returns whether the program knows the section `machine`, which earlier versions refuse."""
-    file = folder / "check.json"
-    file.write_text(json.dumps(settings | {"machine": MACHINE}))
-    return subprocess.run([PROGRAM, "check", file], capture_output=True, check=False).returncode == 0
-
-
 with Session() as session:
     settings = session.settings("vm-a", "ktm-1", data_folder=True)
     settings["callers"].update(CALLERS)
-    if knows_machine_settings(settings, session.folder):
-        settings["machine"] = MACHINE
+    settings["machine"] = MACHINE
     node = session.start_node(settings)
     session.script(node, [f"declare service {NAME_PADDING}-{number}" for number in range(SERVICES)])
     wait_until(node.ready, "the node to be ready")
