Memory that settings do not name is what the system grants

Cause: without a named memory, bounds followed from 512 MB on every machine: on one with less they exceeded it, on one with more they refused what it holds.

Change: availableMemory() returns the smallest of MemTotal and memory.max of the process's control group (cgroup v2) and of those that contain it. The gateway and the own interface use it; 512 MB remain if nothing can be read.

--- a/src/libhemlockhill/node/node_limits.cpp
+++ b/src/libhemlockhill/node/node_limits.cpp
@@ -1,6 +1,8 @@
 // Shares of memory and descriptors.
 #include "node/node_limits.h"
 
+#include "hemlockhill/machine_memory.h"
+
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -11,7 +13,7 @@
 namespace
 {
 
-// Taken for the machine's memory if the settings do not name it.
+// Taken for the memory if neither the settings nor the system name it.
 constexpr Bytes DefaultMemory{512'000'000};
 // Half of the memory is left for the program, for buffers that are being enlarged and exist twice, and for one request that is being
 // parsed.
@@ -44,7 +46,8 @@
 
 NodeLimits nodeLimits(const Settings &settings)
 {
-    const std::uint64_t memory = settings.machine.memory.value_or(DefaultMemory).value;
+    static const Bytes Available = availableMemory().value_or(DefaultMemory);
+    const std::uint64_t memory = settings.machine.memory.value_or(Available).value;
     const double descriptors = std::max(settings.machine.descriptors.value_or(openDescriptorLimit()), 2 * ReservedDescriptors);
     const std::uint64_t requests = memory / RequestMemoryDivisor;
     const std::uint64_t answers = memory / AnswerMemoryDivisor;
--- a/src/libhemlockhill/node/node_limits_test.cpp
+++ b/src/libhemlockhill/node/node_limits_test.cpp
@@ -1,6 +1,8 @@
 // Tests of the limits that follow from the memory and the descriptors of the machine.
 #include "node/node_limits.h"
 
+#include "hemlockhill/machine_memory.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace Hemlockhill;
@@ -52,3 +54,16 @@
     settings.callers.connectionLimit = 5;
     BOOST_TEST(nodeLimits(settings).callerConnections == 5U);
 }
+
+// Guards against bounds for a fixed size on machines that have less.
+BOOST_AUTO_TEST_CASE(memory_that_is_not_named_is_what_the_system_grants)
+{
+    const auto available = availableMemory();
+    BOOST_REQUIRE(available.has_value());
+    const NodeLimits limits = nodeLimits(Settings{});
+    const NodeLimits expected = nodeLimits(named(available->value, 10'000));
+    BOOST_TEST(limits.callerRequests.value == expected.callerRequests.value);
+    BOOST_TEST(limits.callerAnswers.value == expected.callerAnswers.value);
+    BOOST_TEST(limits.operatorRequests.value == expected.operatorRequests.value);
+    BOOST_TEST(limits.operatorAnswers.value == expected.operatorAnswers.value);
+}
