--- a/src/libhemlockhill/node/gateway_testing.h
+++ b/src/libhemlockhill/node/gateway_testing.h
@@ -145,6 +145,7 @@
     // Whether the gateway and all others have started for the first time.
     bool isFirstStart = true;
     KeyLimits keys = {};
+    std::shared_ptr<BufferBudget> answerBudget = {};
 };
 
 class GatewayFixture
@@ -309,6 +310,7 @@
         settings.listen = listen;
         settings.isFirstStart = scenario.isFirstStart;
         settings.keys = scenario.keys;
+        settings.answerBudget = scenario.answerBudget;
         return settings;
     }
 
