The collected part of an answer counts as an answer

Cause: answers that may still be sent with their length, up to 256 KiB each, were held by the gateway's requests and counted by no budget: endpoints that begin many answers and pause, or many callers of such, could use any memory.

Change: the gateway reports what it collects with HttpResponder::holdAnswer().

--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -307,6 +307,7 @@
     m_strays = 0;
     m_headers.clear();
     m_body.clear();
+    m_responder->holdAnswer(0);
     m_answerBytes = 0;
     m_progressSince.reset();
     m_events.dropPartial();
--- a/src/libhemlockhill/node/gateway_response.cpp
+++ b/src/libhemlockhill/node/gateway_response.cpp
@@ -125,7 +125,9 @@
         beginStream();
         m_responder->write(std::exchange(m_body, {}));
         applyBackpressure();
+        return;
     }
+    m_responder->holdAnswer(m_body.size());
 }
 
 void Gateway::Request::forwardEvents(std::string bytes)
