A refusal of an earlier term's request is no answer to the present leader

What callers saw: nothing yet; found by the review of the older reads.

Cause: a voter refused a request of an earlier term with its own term and the send time of that request. The leader checked the term alone and took the time for the answer to a request of this term. If the leader's machine had been restarted meanwhile, so that its clock began anew, that time lies ahead by as much as the two clocks differ: reads were confirmed, the lease held and the leader never stepped down, cut off or not.

Change: a voter refuses without a send time. A leader counts no refusal with index 0, which voters of earlier builds send, and no time after that of its latest request.

--- a/src/include/hemlockhill/consensus.h
+++ b/src/include/hemlockhill/consensus.h
@@ -112,7 +112,8 @@
     TimePoint sentAt;
 };
 
-// If accepted, index is the last entry known to match the leader's log; otherwise the leader should retry from the entry after index.
+// If accepted, index is the last entry known to match the leader's log; otherwise the leader should retry from the entry after index. The
+// refusal of a request of an earlier term has no send time and index 0.
 struct AppendReply {
     Term term;
     bool accepted = false;
--- a/src/libhemlockhill/consensus/consensus_test.cpp
+++ b/src/libhemlockhill/consensus/consensus_test.cpp
@@ -763,6 +763,44 @@
     BOOST_TEST(!group.core(leader)->isReadConfirmed(*after));
 }
 
+// Guards against a voter's refusal of a request of an earlier term, from before the leader's clock began anew, that counts as an answer to
+// the present leader for as long as the two clocks differ.
+BOOST_AUTO_TEST_CASE(refusal_of_an_earlier_terms_request_keeps_a_leader_that_is_cut_off)
+{
+    SimulatedGroup group(3, Seed);
+    const std::size_t leader = awaitLeader(group);
+    group.run(Second);
+    for (std::size_t other = 0; other < group.size(); ++other) {
+        const TimePoint formerClock = group.local(leader) + std::chrono::hours(1);
+        const AppendReply refusal{group.core(leader)->term(), false, LogIndex{1}, LogIndex{}, formerClock};
+        group.core(leader)->receive(Envelope{group.voter(other).id, group.voter(leader).id, refusal}, group.local(leader));
+    }
+    group.isolate(leader);
+    group.run(10 * Millisecond);
+    const auto read = group.core(leader)->beginRead(group.local(leader));
+    BOOST_REQUIRE(read);
+    BOOST_TEST(!group.core(leader)->isReadConfirmed(*read));
+    group.run(2 * Second);
+    BOOST_TEST((group.core(leader)->role() != VoterRole::Leader));
+}
+
+// Guards against a follower that returns the send time of a request that it refuses for its term.
+BOOST_AUTO_TEST_CASE(follower_returns_the_send_time_of_an_earlier_term)
+{
+    SimulatedGroup group(3, Seed);
+    const std::size_t follower = (awaitLeader(group) + 1) % group.size();
+    const VoterId sender = group.voter((follower + 1) % group.size()).id;
+    const TimePoint sentAt = group.local(follower) + std::chrono::hours(1);
+    const AppendRequest request{Term{}, LogIndex{}, Term{}, LogIndex{}, {}, sentAt};
+    group.core(follower)->receive(Envelope{sender, group.voter(follower).id, request}, group.local(follower));
+    const ConsensusActions actions = group.core(follower)->takeActions(group.local(follower));
+    for (const Envelope &envelope : actions.messages) {
+        const auto *reply = std::get_if<AppendReply>(&envelope.message);
+        BOOST_TEST((reply == nullptr || reply->sentAt != sentAt));
+    }
+    BOOST_TEST(!actions.messages.empty());
+}
+
 BOOST_AUTO_TEST_CASE(single_voter_confirms_its_reads_alone)
 {
     SimulatedGroup group(1, Seed);
--- a/src/libhemlockhill/consensus/following.cpp
+++ b/src/libhemlockhill/consensus/following.cpp
@@ -25,7 +25,8 @@
 void Consensus::Core::handle(const VoterId &from, const AppendRequest &request)
 {
     if (!acceptLeader(from, request.term)) {
-        sendAfterSync(from, AppendReply{term(), false, request.previousIndex, LogIndex{}, request.sentAt});
+        // Without the send time, which is of an earlier term and must not count as an answer to a request of this term.
+        sendAfterSync(from, AppendReply{term(), false, request.previousIndex, LogIndex{}, TimePoint{}});
         return;
     }
     AppendReply reply = appendEntries(request);
--- a/src/libhemlockhill/consensus/leading.cpp
+++ b/src/libhemlockhill/consensus/leading.cpp
@@ -184,7 +184,12 @@
         return;
     }
     MemberProgress &progress = found->second;
-    progress.answeredSentAt = std::max(progress.answeredSentAt.value_or(reply.sentAt), reply.sentAt);
+    // Voters of earlier builds return the send time of a request of an earlier term, too, with index 0. This process may have sent it
+    // before its clock began anew.
+    const bool answersThisTerm = reply.accepted || reply.index > LogIndex{};
+    if (answersThisTerm && reply.sentAt <= m_lastSentAt) {
+        progress.answeredSentAt = std::max(progress.answeredSentAt.value_or(reply.sentAt), reply.sentAt);
+    }
     if (reply.accepted) {
         progress.awaitingReply = progress.awaitingReply && progress.snapshot != nullptr;
         progress.match = std::max(progress.match, reply.index);
@@ -252,7 +257,8 @@
     return ReadMark{term(), m_lastSentAt};
 }
 
-// A voter that answers has not voted in a later term before, and every later leader needs the vote of one of a quorum.
+// A voter that answers has not voted in a later term before, and every later leader needs the vote of one of a quorum, also while a change
+// of the membership is not committed.
 bool Consensus::Core::isReadConfirmed(const ReadMark &read) const
 {
     const bool leads = role() == VoterRole::Leader && term() == read.term;
