Idle connections to endpoints give way to new ones at a limit for the node

Cause: idle connections were bounded for each endpoint only, so their number followed from the number of endpoints and exceeded the descriptors.

Change: the pool counts its connections to all endpoints, in use and idle. At the limit, the idle one that would stop being reusable first is closed for a new one. Connections in use are not closed.

--- a/src/include/hemlockhill/endpoint_thread.h
+++ b/src/include/hemlockhill/endpoint_thread.h
@@ -30,6 +30,9 @@
     EndpointThread(const EndpointThread &) = delete;
     EndpointThread &operator=(const EndpointThread &) = delete;
 
+    // Limits the connections to all endpoints together; see ConnectionPool::setOpenLimit(). Call before start().
+    void limitConnections(std::size_t limit);
+
     void start();
     void stop();
     // Thread-safe. Returns false if the queue is full; nothing has been sent to an endpoint then.
--- a/src/include/hemlockhill/gateway.h
+++ b/src/include/hemlockhill/gateway.h
@@ -48,6 +48,8 @@
     DataCentreId dataCentre;
     // Idle connections kept open to each endpoint.
     std::size_t idleConnections = 24;
+    // Number of connections to all endpoints together from which on idle ones are closed for new ones.
+    std::uint32_t endpointConnectionLimit = 10'000;
     // Maximum number of open connections from callers.
     std::uint32_t connectionLimit = 3000;
     // Maximum number of open connections from other nodes.
--- a/src/include/hemlockhill/http_exchange.h
+++ b/src/include/hemlockhill/http_exchange.h
@@ -151,6 +151,8 @@
     void dropIdle(const Address &address);
     std::size_t idleConnections(const Address &address) const;
     void setIdleLimit(std::size_t idleLimit);
+    // Limits the connections to all addresses together: at the limit, idle ones are closed for new ones. Unlimited by default.
+    void setOpenLimit(std::size_t openLimit);
 
 private:
     class Exchange;
--- a/src/libhemlockhill/net/http_exchange.cpp
+++ b/src/libhemlockhill/net/http_exchange.cpp
@@ -189,7 +189,7 @@
 
 void ConnectionPool::Exchange::connectAndSend()
 {
-    m_connection = std::make_shared<Connection>(m_idle->loop());
+    m_connection = m_idle->open();
     connect([self = shared_from_this()](error_code error) {
         if (error) {
             self->fail(error);
@@ -502,7 +502,7 @@
 void ConnectionPool::Exchange::confirmClose()
 {
     m_connection->stream.close();
-    m_connection = std::make_shared<Connection>(m_idle->loop());
+    m_connection = m_idle->open();
     connect([self = shared_from_this()](error_code error) {
         if (error) {
             self->failWith(Reason::IncompleteAnswer);
@@ -625,6 +625,11 @@
     m_idle->setLimit(idleLimit);
 }
 
+void ConnectionPool::setOpenLimit(std::size_t openLimit)
+{
+    m_idle->setOpenLimit(openLimit);
+}
+
 std::size_t ConnectionPool::idleConnections(const Address &address) const
 {
     return m_idle->count(address);
--- a/src/libhemlockhill/net/http_exchange_test.cpp
+++ b/src/libhemlockhill/net/http_exchange_test.cpp
@@ -147,3 +147,32 @@
     BOOST_CHECK_EQUAL(body, "ok");
     BOOST_CHECK_EQUAL(pool.idleConnections(Server), 1);
 }
+
+// Guards against idle connections to many addresses, each within the limit for one, that take up the descriptors of the process, and
+// against closing one that was used later than another.
+BOOST_AUTO_TEST_CASE(idle_connections_are_closed_for_new_ones_at_the_limit)
+{
+    boost::asio::io_context loop(1);
+    const std::vector<Address> servers{{"127.0.0.1", 9'397}, {"127.0.0.2", 9'397}, {"127.0.0.3", 9'397}};
+    std::vector<std::unique_ptr<RawEndpoint>> endpoints;
+    ConnectionPool pool(loop, 1);
+    pool.setOpenLimit(2);
+    for (const Address &server : servers) {
+        endpoints.push_back(std::make_unique<RawEndpoint>(loop, server, [](const RawEndpoint::Request &) {
+            return RawAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ConnectionEnd::KeepOpen, {}};
+        }));
+        bool complete = false;
+        bool done = false;
+        ExchangeHooks hooks;
+        hooks.onEnd = [&] { done = complete = true; };
+        hooks.onFailed = [&done](const ExchangeFailure &) { done = true; };
+        pool.start(server, {"GET", "/", {}, {}}, ExchangeLimits{}, ConnectionChoice::PreferIdle, hooks);
+        while (!done) {
+            loop.run_one();
+        }
+        BOOST_TEST(complete);
+    }
+    BOOST_TEST(pool.idleConnections(servers[0]) == 0U);
+    BOOST_TEST(pool.idleConnections(servers[1]) == 1U);
+    BOOST_TEST(pool.idleConnections(servers[2]) == 1U);
+}
--- a/src/libhemlockhill/net/idle_connections.cpp
+++ b/src/libhemlockhill/net/idle_connections.cpp
@@ -46,6 +46,30 @@
 {
 }
 
+std::shared_ptr<Connection> IdleConnections::open()
+{
+    const auto openCount = [this] { return static_cast<std::size_t>(m_counted.use_count()) - 1; };
+    while (openCount() >= m_openLimit && dropOldest()) { }
+    auto connection = std::make_shared<Connection>(m_loop);
+    connection->counted = m_counted;
+    return connection;
+}
+
+bool IdleConnections::dropOldest()
+{
+    std::deque<std::shared_ptr<Connection>> *oldest = nullptr;
+    for (auto &[address, idle] : m_connections) {
+        if (!idle.empty() && (oldest == nullptr || idle.front()->reusableUntil < oldest->front()->reusableUntil)) {
+            oldest = &idle;
+        }
+    }
+    if (oldest == nullptr) {
+        return false;
+    }
+    oldest->pop_front();
+    return true;
+}
+
 std::shared_ptr<Connection> IdleConnections::acquire(const Address &address, const RequestId &request)
 {
     auto &idle = m_connections[address];
--- a/src/libhemlockhill/net/idle_connections.h
+++ b/src/libhemlockhill/net/idle_connections.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,6 +41,8 @@
     // Number of responses read completely.
     std::uint32_t responses = 0;
     CarriedRequests carried;
+    // Its use count is the number of connections that exist.
+    std::shared_ptr<const bool> counted;
     // After this time the endpoint may close the idle connection; a request sent then could be lost.
     TimePoint reusableUntil;
     Duration idleTimeout = DefaultIdleTimeout;
@@ -56,6 +59,8 @@
     // Keeps at most `limit` connections to each address.
     IdleConnections(boost::asio::io_context &loop, std::size_t limit);
 
+    // Returns a new connection. At the limit on open connections, the idle one that would stop being reusable first is closed for it.
+    std::shared_ptr<Connection> open();
     // Returns the most recently used connection to the address that can still be reused and has not carried the request, or nullptr.
     std::shared_ptr<Connection> acquire(const Address &address, const RequestId &request);
     // Keeps a connection whose exchange has ended, unless it has carried as many requests as it may.
@@ -63,15 +68,20 @@
     // Closes all connections to the address.
     void drop(const Address &address);
     void setLimit(std::size_t limit) { m_limit = limit; }
+    // Limits the connections of all addresses together, in use or idle. Connections in use are never closed for it.
+    void setOpenLimit(std::size_t limit) { m_openLimit = limit; }
     std::size_t count(const Address &address) const;
     boost::asio::io_context &loop() const { return m_loop; }
 
 private:
+    bool dropOldest();
     // An idle connection becomes readable when the endpoint closes it or sends bytes that belong to no request.
     void closeWhenReadable(const Address &address, const std::shared_ptr<Connection> &connection);
 
     boost::asio::io_context &m_loop;
     std::size_t m_limit;
+    std::size_t m_openLimit = std::numeric_limits<std::size_t>::max();
+    std::shared_ptr<const bool> m_counted = std::make_shared<const bool>(true);
     std::map<Address, std::deque<std::shared_ptr<Connection>>> m_connections;
 };
 
--- a/src/libhemlockhill/node/endpoint_thread.cpp
+++ b/src/libhemlockhill/node/endpoint_thread.cpp
@@ -35,6 +35,11 @@
 {
 }
 
+void EndpointThread::limitConnections(std::size_t limit)
+{
+    m_pool.setOpenLimit(limit);
+}
+
 EndpointThread::~EndpointThread()
 {
     stop();
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -155,6 +155,7 @@
     , m_quota(loop, timers, metrics, VmId{m_settings.listen.host}, randomProcess())
     , m_randomEngine(randomSeed(m_settings.listen))
 {
+    m_pool.setOpenLimit(m_settings.endpointConnectionLimit);
     m_chooser.hearsAll = [this](const ServiceId &service) { return m_loadOwners.isOwner(service, currentTime()); };
     if (m_settings.isFirstStart) {
         m_versions.onFirstStart();
--- a/src/libhemlockhill/node/node.cpp
+++ b/src/libhemlockhill/node/node.cpp
@@ -10,6 +10,7 @@
 #include "hemlockhill/replicated_state.h"
 #include "hemlockhill/serving_gate.h"
 #include "hemlockhill/timer_service.h"
+#include "node/node_limits.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -78,6 +79,7 @@
 {
     connectRegisters();
     m_callers.setStatisticsListener([this](const ModelTotalsByModel &figures) { m_control.postStatistics(figures); });
+    m_endpoints.limitConnections(nodeLimits(*m_settings).endpointConnections);
     m_endpoints.start();
     m_peers.start();
     m_control.start(controlListeners(), [this](PeerThreadMessage message) { return m_peers.post(std::move(message)); });
--- a/src/libhemlockhill/node/node_limits.cpp
+++ b/src/libhemlockhill/node/node_limits.cpp
@@ -57,8 +57,8 @@
     limits.callerRequests = Bytes{std::max(requests - requests / OperatorDivisor, CallerRequestCopies * body + Overhead)};
     limits.operatorAnswers = Bytes{std::max(answers / OperatorDivisor, Overhead)};
     limits.callerAnswers = Bytes{std::max(answers - answers / OperatorDivisor, std::max(LargestAnswer, body) + Overhead)};
-    limits.callerConnections =
-        std::min(settings.callers.connectionLimit, static_cast<std::uint32_t>(CallerRatio * (descriptors - ReservedDescriptors)));
+    limits.endpointConnections = static_cast<std::uint32_t>(CallerRatio * (descriptors - ReservedDescriptors));
+    limits.callerConnections = std::min(settings.callers.connectionLimit, limits.endpointConnections);
     limits.operatorConnections = OperatorConnectionLimit;
     return limits;
 }
--- a/src/libhemlockhill/node/node_limits.h
+++ b/src/libhemlockhill/node/node_limits.h
@@ -19,6 +19,8 @@
     Bytes operatorAnswers;
     std::uint32_t callerConnections = 0;
     std::uint32_t operatorConnections = 0;
+    // Connections to endpoints, from which on idle ones are closed for new ones.
+    std::uint32_t endpointConnections = 0;
 };
 
 // Number of copies of a model request while it is in progress: its body, its prompt, and what is sent to the endpoint.
--- a/src/libhemlockhill/node/node_limits_test.cpp
+++ b/src/libhemlockhill/node/node_limits_test.cpp
@@ -47,7 +47,7 @@
     for (const std::uint32_t descriptors : {256U, 300U, 1024U, 10'000U}) {
         const NodeLimits limits = nodeLimits(named(512'000'000, descriptors));
         BOOST_TEST(limits.callerConnections > 0U);
-        BOOST_TEST(2 * limits.callerConnections + limits.operatorConnections < descriptors);
+        BOOST_TEST(limits.callerConnections + limits.endpointConnections + limits.operatorConnections < descriptors);
     }
     Settings settings = named(512'000'000, 100'000);
     BOOST_TEST(nodeLimits(settings).callerConnections == settings.callers.connectionLimit);
