--- a/src/libhemlockhill/node/node_limits.cpp
+++ b/src/libhemlockhill/node/node_limits.cpp
@@ -46,8 +46,8 @@
 
 NodeLimits nodeLimits(const Settings &settings)
 {
-    static const Bytes Available = availableMemory().value_or(DefaultMemory);
-    const std::uint64_t memory = settings.machine.memory.value_or(Available).value;
+    static const Bytes available = availableMemory().value_or(DefaultMemory);
+    const std::uint64_t memory = settings.machine.memory.value_or(available).value;
     const double descriptors = std::max(settings.machine.descriptors.value_or(openDescriptorLimit()), 2 * ReservedDescriptors);
     const std::uint64_t requests = memory / RequestMemoryDivisor;
     const std::uint64_t answers = memory / AnswerMemoryDivisor;
@@ -57,8 +57,8 @@
     limits.callerRequests = Bytes{std::max(requests - requests / OperatorDivisor, CallerRequestCopies * body + Overhead)};
     limits.operatorAnswers = Bytes{std::max(answers / OperatorDivisor, Overhead)};
     limits.callerAnswers = Bytes{std::max(answers - answers / OperatorDivisor, std::max(LargestAnswer, body) + Overhead)};
-    limits.callerConnections =
-        std::min(settings.callers.connectionLimit, static_cast<std::uint32_t>(CallerRatio * (descriptors - ReservedDescriptors)));
+    limits.endpointConnections = static_cast<std::uint32_t>(CallerRatio * (descriptors - ReservedDescriptors));
+    limits.callerConnections = std::min(settings.callers.connectionLimit, limits.endpointConnections);
     limits.operatorConnections = OperatorConnectionLimit;
     return limits;
 }
