Peers' port: bounds on connections, strangers' bytes, arriving messages and unread replies

Cause: the thread for calls between nodes accepted any number of connections, read messages of up to 64 MB from each, also before a hello, and read on while its replies were not read.

Change: IncomingConnections serves them. Before the hello a connection may carry 8 KiB.

--- a/src/include/hemlockhill/settings.h
+++ b/src/include/hemlockhill/settings.h
@@ -52,6 +52,9 @@
     // True when VMs that are not listed may join. The listed controllers are then the seed nodes through which a node finds the consensus
     // group.
     bool openMembership = false;
+    // Connections that other nodes may hold open to this one, and bytes of their messages that may arrive at one time.
+    std::uint32_t connectionLimit = 1024;
+    Bytes arrivingLimit{134'217'728};
 };
 
 // Timeouts and connection pool for engine endpoints.
--- a/src/libhemlockhill/peers/peer_thread.cpp
+++ b/src/libhemlockhill/peers/peer_thread.cpp
@@ -2,11 +2,11 @@
 #include "hemlockhill/peer_thread.h"
 
 #include "hemlockhill/log.h"
+#include "incoming_connections.h"
 #include "net/socket_options.h"
 #include "peer_codec.h"
 #include "peer_link.h"
 
-#include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
 #include <array>
@@ -151,10 +151,12 @@
 class GateServer final : public Wire::PeerGate::Server
 {
 public:
-    GateServer(const Settings &settings, Metrics &metrics, IncomingCalls &calls)
+    // Calls `admit` when a hello has been accepted.
+    GateServer(const Settings &settings, Metrics &metrics, IncomingCalls &calls, std::function<void()> admit)
         : m_settings(settings)
         , m_metrics(metrics)
         , m_calls(calls)
+        , m_admit(std::move(admit))
     {
     }
 
@@ -168,6 +170,7 @@
             logEvent(Severity::Warning, "peer refused", {{"vm", vm.value}, {"cluster", cluster.value}, {"problem", problem}});
             return KJ_EXCEPTION(FAILED, "peer refused", problem);
         }
+        m_admit();
         context.getResults().setPeer(kj::heap<PeerServer>(m_calls, vm));
         return kj::READY_NOW;
     }
@@ -195,6 +198,7 @@
     const Settings &m_settings;
     Metrics &m_metrics;
     IncomingCalls &m_calls;
+    std::function<void()> m_admit;
 };
 
 } // namespace
@@ -207,7 +211,12 @@
         : m_owner(owner)
         , m_io(kj::setupAsyncIo())
         , m_incoming(owner.m_eventSink)
-        , m_server(kj::heap<GateServer>(owner.m_settings, owner.m_metrics, m_incoming))
+        , m_connections(owner.m_settings.peers,
+                        m_io.provider->getTimer(),
+                        owner.m_metrics,
+                        [this](std::function<void()> admit) {
+                            return kj::heap<GateServer>(m_owner.m_settings, m_owner.m_metrics, m_incoming, std::move(admit));
+                        })
         , m_wake(m_io.lowLevelProvider->wrapInputFd(owner.m_wakeFile))
     {
         for (const PeerSettings &peer : owner.m_settings.peers.others) {
@@ -246,7 +255,7 @@
                     KJ_IF_MAYBE (descriptor, stream->getFd()) {
                         enableDeadPeerDetection(*descriptor);
                     }
-                    m_server.accept(kj::mv(stream));
+                    m_connections.accept(kj::mv(stream));
                     return accept();
                 },
                 [this](kj::Exception &&problem) {
@@ -282,7 +291,7 @@
     PeerThread &m_owner;
     kj::AsyncIoContext m_io;
     IncomingCalls m_incoming;
-    capnp::TwoPartyServer m_server;
+    IncomingConnections m_connections;
     kj::Own<kj::ConnectionReceiver> m_listener;
     // Whether the last accept failed.
     bool m_acceptFails = false;
--- a/src/libhemlockhill/peers/peer_thread_test.cpp
+++ b/src/libhemlockhill/peers/peer_thread_test.cpp
@@ -9,8 +9,10 @@
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <tuple>
 #include <unistd.h>
 
 using namespace Hemlockhill;
@@ -26,6 +28,8 @@
 constexpr std::chrono::seconds AnswerTimeout(5);
 // Descriptors left to the process before the test uses them up.
 constexpr rlim_t DescriptorLimit = 128;
+// Connections that a peer accepts.
+constexpr std::uint32_t ConnectionLimit = 8;
 
 Settings settingsOf(const VmId &vm)
 {
@@ -34,6 +38,7 @@
     settings.vm = vm;
     settings.peers.listen = Address{vm.value, Port};
     settings.peers.openMembership = true;
+    settings.peers.connectionLimit = ConnectionLimit;
     return settings;
 }
 
@@ -143,6 +148,43 @@
     return value;
 }
 
+// A connection to a peer that sends nothing.
+class Stranger
+{
+public:
+    explicit Stranger(const VmId &vm)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(Port);
+        ::inet_pton(AF_INET, vm.value.c_str(), &address.sin_addr);
+        BOOST_REQUIRE_EQUAL(::connect(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+    }
+    ~Stranger() { ::close(m_socket); }
+    Stranger(const Stranger &) = delete;
+    Stranger &operator=(const Stranger &) = delete;
+
+    void send(const std::string &bytes) const { std::ignore = ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
+
+    // Returns whether the peer closes the connection in time.
+    bool isClosed() const
+    {
+        pollfd file{m_socket, POLLIN, 0};
+        char byte = 0;
+        const int timeoutMs = static_cast<int>(std::chrono::milliseconds(AnswerTimeout).count());
+        while (::poll(&file, 1, timeoutMs) > 0) {
+            if (::recv(m_socket, &byte, 1, 0) <= 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+private:
+    int m_socket;
+};
+
 } // namespace
 
 // A machine that loses power closes none of its connections.
@@ -179,3 +221,31 @@
     ::close(socket);
     BOOST_CHECK(caller.reaches(Callee));
 }
+
+// Guards against connections without a hello that keep nodes out, or take up descriptors without bound.
+BOOST_AUTO_TEST_CASE(strangers_make_room_for_nodes)
+{
+    TestPeer callee(Callee);
+    TestPeer earlier(Caller);
+    earlier.know(Callee);
+    BOOST_REQUIRE(earlier.reaches(Callee));
+    std::vector<std::unique_ptr<Stranger>> strangers;
+    for (std::uint32_t number = 0; number < 3 * ConnectionLimit; ++number) {
+        strangers.push_back(std::make_unique<Stranger>(Callee));
+    }
+    BOOST_CHECK(strangers.front()->isClosed());
+    TestPeer later(VmId{"127.0.0.3"});
+    later.know(Callee);
+    BOOST_CHECK(later.reaches(Callee));
+    BOOST_CHECK(earlier.reaches(Callee));
+}
+
+// Guards against a message that makes the node hold more than a hello takes.
+BOOST_AUTO_TEST_CASE(stranger_that_announces_a_long_message_is_disconnected)
+{
+    TestPeer callee(Callee);
+    const Stranger stranger(Callee);
+    // One segment of 4,096 words.
+    stranger.send(std::string("\0\0\0\0\0\x10\0\0", 8));
+    BOOST_CHECK(stranger.isClosed());
+}
