Forwarding: a refused connection is proof that the request has not run

Cause: a node at its limit on connections may refuse one before the request is written. Such a response names no request and precedes it, so the request counted as possibly run: 48 of 100 callers of a node without endpoints got 502 too_many_connections.

Change: the first response on a connection to another node that says too_many_connections and that nothing was sent is taken as the answer. The other node reads nothing of a connection that it refuses. It gets no more requests for the moment, as if it were full.

Measured: gateway_forwarded_stray_test passes, 18 cases; its new one was not run without the change.

--- a/src/libhemlockhill/node/gateway_answer.cpp
+++ b/src/libhemlockhill/node/gateway_answer.cpp
@@ -31,11 +31,23 @@
            || reason == Reason::HeaderTooLarge || reason == Reason::BodyTooLarge;
 }
 
+// Whether another node has refused the connection. It reads none of it then, so the response concerns whatever is sent over it, although
+// it may arrive before the request is written.
+bool refusesConnection(const ResponseHead &head)
+{
+    const auto failure = readForwardingFailure(head.headers);
+    return failure && failure->reason == Reason::TooManyConnections && !failure->mayHaveReached && head.position.earlierResponses == 0;
+}
+
 } // namespace
 
 ResponseMatch Gateway::Request::match(const ResponseHead &head)
 {
     m_match = matchAnswer(m_head.id, readAnswerHead(head), head.position);
+    if (m_peer && m_match == AnswerMatch::Unnamed && refusesConnection(head)) {
+        m_match = AnswerMatch::OnlyOnConnection;
+        return ResponseMatch::OwnUnnamed;
+    }
     if (m_peer && m_match == AnswerMatch::Unnamed && readForwardingFailure(head.headers)) {
         // Nodes of earlier builds do not name the request. They answer each once, so no other answer will follow.
         return ResponseMatch::OwnUnnamed;
@@ -249,6 +261,7 @@
         onNothingSent(failure.reason, *proof, EndpointLoss::Unlikely);
         return;
     case Reason::QueueFull:
+    case Reason::TooManyConnections:
         m_gateway.m_paths->onPeerFull(*m_peer);
         onNothingSent(failure.reason, *proof, EndpointLoss::Unlikely);
         return;
--- a/src/libhemlockhill/node/gateway_forwarded_stray_test.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_stray_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 using namespace Hemlockhill;
 using namespace Hemlockhill::Testing;
 
@@ -33,8 +35,14 @@
 {
 public:
     explicit NodeBesideRawPeer(RawEndpoint::Handler handler)
-        : m_peer(m_loop, {Peer.value, static_cast<std::uint16_t>(FirstPort + ForwardingPort)}, std::move(handler))
-        , m_gateway(m_loop, settings(), m_timers, m_metrics, plainDialect())
+        : NodeBesideRawPeer()
+    {
+        m_peer.emplace(m_loop, peerAddress(), std::move(handler));
+    }
+
+    // Without the other node, which may be started elsewhere.
+    NodeBesideRawPeer()
+        : m_gateway(m_loop, settings(), m_timers, m_metrics, plainDialect())
         , m_pool(m_loop, 1)
     {
         m_gateway.onForwardingQuery = [this](const ForwardingMessage &) {
@@ -51,7 +59,10 @@
         m_gateway.onLeaderDirectory({{endpoint.id, endpoint}}, currentTime());
     }
 
-    unsigned exchange(const std::string &id)
+    static Address peerAddress() { return {Peer.value, static_cast<std::uint16_t>(FirstPort + ForwardingPort)}; }
+
+    // The event loop is held up for the given time in each of its turns.
+    unsigned exchange(const std::string &id, std::chrono::milliseconds delay = {})
     {
         HttpRequest request;
         request.method = "POST";
@@ -61,6 +72,7 @@
         std::optional<bool> complete;
         m_pool.start(settings().listen, request, ExchangeLimits{}, ConnectionChoice::FreshOnly, collectAnswer(answer, complete));
         while (!complete) {
+            std::this_thread::sleep_for(delay);
             m_loop.run_one();
         }
         return answer->status;
@@ -84,7 +96,7 @@
     }
 
     double counted(const std::string &event) const { return countedEvents(m_metrics, event); }
-    std::size_t connectionsToPeer() const { return m_peer.acceptedConnections(); }
+    std::size_t connectionsToPeer() const { return m_peer->acceptedConnections(); }
 
 private:
     static inline const VmId Self{"127.0.28.1"};
@@ -101,11 +113,48 @@
     boost::asio::io_context m_loop{1};
     TimerService m_timers;
     Metrics m_metrics;
-    RawEndpoint m_peer;
+    std::optional<RawEndpoint> m_peer;
     Gateway m_gateway;
     ConnectionPool m_pool;
 };
 
+// A node at its limit on connections. It runs on a thread of its own, so that its refusal can arrive before the request is written.
+class RefusingNode
+{
+public:
+    explicit RefusingNode(const Address &address)
+        : m_acceptor(m_loop, {boost::asio::ip::make_address(address.host), address.port})
+    {
+        accept();
+        m_thread = std::thread([this] { m_loop.run(); });
+    }
+    ~RefusingNode()
+    {
+        m_loop.stop();
+        m_thread.join();
+    }
+    RefusingNode(const RefusingNode &) = delete;
+    RefusingNode &operator=(const RefusingNode &) = delete;
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            boost::asio::write(socket, boost::asio::buffer(forwardingFailure("", "too_many_connections")), error);
+            m_connections.push_back(std::move(socket));
+            accept();
+        });
+    }
+
+    boost::asio::io_context m_loop{1};
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::vector<boost::asio::ip::tcp::socket> m_connections;
+    std::thread m_thread;
+};
+
 } // namespace
 
 // Guards against a request that is refused, or sent to another endpoint, while it runs.
@@ -413,3 +462,13 @@
     }
     BOOST_CHECK_EQUAL(number, 12);
 }
+
+// Guards against a request that counts as having run because the other node had no room for the connection.
+BOOST_AUTO_TEST_CASE(connection_refused_by_a_node_before_the_request_is_written_is_no_proof)
+{
+    NodeBesideRawPeer node;
+    const RefusingNode peer(NodeBesideRawPeer::peerAddress());
+    BOOST_CHECK_EQUAL(node.exchange("request-1", std::chrono::milliseconds(20)), 503);
+    BOOST_CHECK_EQUAL(node.counted("forwarding_failure_unnamed"), 0);
+    BOOST_CHECK_EQUAL(node.counted("forwarding_peer_failed"), 0);
+}
