Forwarding: nodes without requests of their own notice the end of their isolation

Cause: a node probes endpoints that it does not reach for 2 s after its last own request.

Change: while it is isolated, a query of another node makes it probe up to eight endpoints, as its own requests do.

--- a/src/libhemlockhill/node/endpoint_paths.cpp
+++ b/src/libhemlockhill/node/endpoint_paths.cpp
@@ -16,6 +16,8 @@
 
 // Cost of forwarding, in requests per slot: endpoints that the node reaches itself are preferred as long as they have free slots.
 constexpr double ForwardingCost = 1.0;
+// Endpoints that an isolated node probes because others ask: one that answers ends its isolation.
+constexpr std::size_t ProbedForOthers = 8;
 // An endpoint that this node and this many others have not reached within this time is lost. Another node may be cut off itself.
 constexpr std::size_t PeersThatConfirmLoss = 2;
 constexpr Duration LossConfirmationPeriod = std::chrono::seconds(2);
@@ -164,6 +166,18 @@
     return m_reachability->isIsolated(currentTime());
 }
 
+void EndpointPaths::onQueried()
+{
+    const TimePoint now = currentTime();
+    std::size_t wanted = 0;
+    for (const EndpointId &id : m_unreachable) {
+        if (++wanted > ProbedForOthers) {
+            return;
+        }
+        m_reachability->onWanted(id, now);
+    }
+}
+
 void EndpointPaths::review(const EndpointsById &endpoints)
 {
     const TimePoint now = currentTime();
--- a/src/libhemlockhill/node/endpoint_paths.h
+++ b/src/libhemlockhill/node/endpoint_paths.h
@@ -77,6 +77,8 @@
     bool lacksPeers() const;
     // Whether this node reaches no endpoint itself.
     bool isIsolated() const;
+    // Another node looks for one that forwards: some endpoints that this node does not reach are probed, as for its own requests.
+    void onQueried();
     // Whether the last review found endpoints that this node does not reach.
     bool hasUnreachable() const { return !m_unreachable.empty(); }
     // Closes the idle connections to endpoints that have become silent, and looks for peers while any endpoint is unreachable.
--- a/src/libhemlockhill/node/gateway.cpp
+++ b/src/libhemlockhill/node/gateway.cpp
@@ -301,6 +301,10 @@
         m_paths->onOffer(node, message);
         return std::nullopt;
     }
+    if (m_paths->isIsolated()) {
+        // A node without requests of its own would not notice that it reaches endpoints again.
+        m_paths->onQueried();
+    }
     const auto inProgress = static_cast<std::uint32_t>(m_forwardedRequests.size());
     const bool takesRequests = m_forwardingServer && m_deployment && hasEndpoints() && !m_isDraining && !m_paths->isIsolated()
                                && m_directory.mayDispatch(currentTime());
--- a/src/libhemlockhill/node/gateway_forwarding_test.cpp
+++ b/src/libhemlockhill/node/gateway_forwarding_test.cpp
@@ -271,3 +271,21 @@
         }
     }
 }
+
+// Guards against a node that forwards nothing after its cut because it has no requests of its own with which it would notice the end.
+BOOST_AUTO_TEST_CASE(idle_node_stays_isolated_after_its_cut)
+{
+    ForwardingFleet fleet({true, true}, RouteKind::Safe, serve);
+    BOOST_CHECK_EQUAL(fleet.exchange(0, "/x/1").value().status, 503);
+    BOOST_CHECK_EQUAL(fleet.exchange(1, "/x/1").value().status, 503);
+    // Longer than a node probes after its last request.
+    fleet.run(std::chrono::seconds(3));
+    fleet.heal(1);
+    unsigned status = 0;
+    for (int request = 0; request < 10 && status != 201; ++request) {
+        fleet.renewList(0);
+        status = fleet.exchange(0, "/x/1").value().status;
+        fleet.run(std::chrono::milliseconds(100));
+    }
+    BOOST_CHECK_EQUAL(status, 201);
+}
--- a/src/libhemlockhill/node/gateway_forwarding_testing.h
+++ b/src/libhemlockhill/node/gateway_forwarding_testing.h
@@ -82,6 +82,8 @@
 
     // The node reaches the endpoints again.
     void heal(std::size_t node) { publish(*m_nodes.at(node), false); }
+    // The node reads the list of endpoints again and is still cut off.
+    void renewList(std::size_t node) { publish(*m_nodes.at(node), true); }
 
     // Sends a request and leaves once the endpoint has received it.
     void sendAndLeave(std::size_t node, const std::string &path)
