Peers' port: bound on the calls that a node leaves open

Cause: the RPC library keeps some KB for each call until its caller releases it, without bound.

Change: the messages of a connection are read through BoundedMessages, which counts calls and releases; beyond 512 open calls the connection is closed (peer_calls_open). Nodes release each call with its reply.

--- a/src/libhemlockhill/peers/incoming_connections.cpp
+++ b/src/libhemlockhill/peers/incoming_connections.cpp
@@ -4,6 +4,8 @@
 #include "hemlockhill/timer_service.h"
 
 #include <capnp/rpc-twoparty.h>
+#include <capnp/rpc.capnp.h>
+#include <capnp/serialize-async.h>
 
 #include <sys/socket.h>
 
@@ -26,6 +28,9 @@
 constexpr std::size_t UnreadReplies = 64;
 // The kernel's buffer would otherwise take thousands more, whose calls the RPC system remembers until they are finished.
 constexpr int SendBufferBytes = 131'072;
+// Calls whose outcome the caller has not released. Each takes some KB until then. Nodes have some hundred batches and calls in progress and
+// release each with its reply.
+constexpr std::size_t OpenCalls = 512;
 constexpr kj::Duration UnreadPollInterval = 10 * kj::MILLISECONDS;
 // Above the time after which nodes give up short calls.
 constexpr kj::Duration UnreadTimeout = 5 * kj::SECONDS;
@@ -82,6 +87,14 @@
     void abortRead() override { m_socket->abortRead(); }
     void getsockopt(int level, int option, void *value, kj::uint *length) override { m_socket->getsockopt(level, option, value, length); }
 
+    // Closes the connection, since the RPC system would wait until the other side has read what is queued for it.
+    kj::Exception fail(const char *event)
+    {
+        m_metrics.countEvent(event);
+        m_close();
+        return KJ_EXCEPTION(DISCONNECTED, "connection exceeds a bound", event);
+    }
+
 private:
     kj::Promise<std::size_t> readOfStranger(void *buffer, std::size_t minBytes, std::size_t maxBytes)
     {
@@ -123,14 +136,6 @@
         return m_share.resize(Bytes{bytes}, now);
     }
 
-    // Closes the connection, since the RPC system would wait until the other side has read what is queued for it.
-    kj::Exception fail(const char *event)
-    {
-        m_metrics.countEvent(event);
-        m_close();
-        return KJ_EXCEPTION(DISCONNECTED, "connection exceeds a bound", event);
-    }
-
     kj::Own<kj::AsyncIoStream> m_socket;
     kj::Timer &m_timer;
     Metrics &m_metrics;
@@ -142,6 +147,59 @@
     std::size_t m_strangerBytes = StrangerBytes;
 };
 
+// The messages of one connection. Ends it if it leaves too many calls open.
+// It is no object of its base's type. NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor)
+class BoundedMessages final : public capnp::MessageStream
+{
+public:
+    explicit BoundedMessages(BoundedStream &stream)
+        : m_stream(stream)
+        , m_messages(stream)
+    {
+    }
+
+    kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>>
+    tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> fdSpace, capnp::ReaderOptions options, kj::ArrayPtr<capnp::word> scratchSpace) override
+    {
+        return m_messages.tryReadMessage(fdSpace, options, scratchSpace).then([this](kj::Maybe<capnp::MessageReaderAndFds> &&message) {
+            KJ_IF_MAYBE (received, message) {
+                count(*received->reader);
+            }
+            return kj::mv(message);
+        });
+    }
+
+    kj::Promise<void> writeMessage(kj::ArrayPtr<const int> fds, kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override
+    {
+        return m_messages.writeMessage(fds, segments);
+    }
+    kj::Promise<void> writeMessages(kj::ArrayPtr<kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>>> messages) override
+    {
+        return m_messages.writeMessages(messages);
+    }
+    kj::Maybe<int> getSendBufferSize() override { return m_messages.getSendBufferSize(); }
+    kj::Promise<void> end() override { return m_messages.end(); }
+
+private:
+    void count(capnp::MessageReader &message)
+    {
+        const auto kind = message.getRoot<capnp::rpc::Message>().which();
+        if (kind == capnp::rpc::Message::FINISH && m_open > 0) {
+            --m_open;
+        }
+        if (kind != capnp::rpc::Message::CALL && kind != capnp::rpc::Message::BOOTSTRAP) {
+            return;
+        }
+        if (++m_open > OpenCalls) {
+            kj::throwFatalException(m_stream.fail("peer_calls_open"));
+        }
+    }
+
+    BoundedStream &m_stream;
+    capnp::AsyncIoMessageStream m_messages;
+    std::size_t m_open = 0;
+};
+
 } // namespace
 
 struct IncomingConnections::Connection {
@@ -151,7 +209,8 @@
         , closing(kj::newPromiseAndFulfiller<void>())
         , stream(
               kj::mv(socket), connections.m_arriving, connections.m_timer, connections.m_metrics, [this] { closing.fulfiller->fulfill(); })
-        , network(stream, capnp::rpc::twoparty::Side::SERVER)
+        , messages(stream)
+        , network(messages, capnp::rpc::twoparty::Side::SERVER)
         , rpc(capnp::makeRpcServer(network, connections.m_bootstrap([this] { stream.admit(); })))
     {
         stream.setNetwork(network);
@@ -166,6 +225,7 @@
     std::uint64_t number;
     kj::PromiseFulfillerPair<void> closing;
     BoundedStream stream;
+    BoundedMessages messages;
     capnp::TwoPartyVatNetwork network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
 };
