Test copies of refusals that come by other ways

Other ways that a copy can take had no test.

Change: tests for a request that returns by another node (five orders of nodes), for a copy behind a complete answer (whole and in two parts, divided inside the status line, inside a header and before the body, at once and late), for probes, reports, pages of one reading and orders, and for the own interface. RawEndpoint can send parts of an answer late.

--- a/src/libhemlockhill/net/raw_endpoint_testing.h
+++ b/src/libhemlockhill/net/raw_endpoint_testing.h
@@ -5,16 +5,19 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Hemlockhill::Testing
 {
@@ -35,10 +38,15 @@
     RepeatTail
 };
 
+// Pause before each late part of an answer.
+inline constexpr std::chrono::milliseconds LatePause(20);
+
 struct RawAnswer {
     std::string bytes;
     ConnectionEnd end = ConnectionEnd::Close;
     std::string tail;
+    // Sent one after the other on a connection that is kept open, whatever is in progress on it then.
+    std::vector<std::string> lateParts = {};
 };
 
 // All members must be called on the loop.
@@ -133,6 +141,7 @@
     {
         switch (connection->answer.end) {
         case ConnectionEnd::KeepOpen:
+            sendLater(connection, connection->answer.lateParts);
             readRequest(connection);
             return;
         case ConnectionEnd::RepeatTail:
@@ -153,6 +162,23 @@
         close(connection);
     }
 
+    void sendLater(const ConnectionPtr &connection, std::vector<std::string> parts)
+    {
+        if (parts.empty()) {
+            return;
+        }
+        const auto timer = std::make_shared<boost::asio::steady_timer>(connection->socket.get_executor(), LatePause);
+        timer->async_wait([this, connection, timer, parts = std::move(parts)](boost::system::error_code) mutable {
+            if (!connection->socket.is_open()) {
+                return;
+            }
+            boost::system::error_code ignored;
+            boost::asio::write(connection->socket, boost::asio::buffer(parts.front()), ignored);
+            parts.erase(parts.begin());
+            sendLater(connection, std::move(parts));
+        });
+    }
+
     void repeatTail(const ConnectionPtr &connection)
     {
         boost::asio::async_write(connection->socket,
--- a/src/libhemlockhill/node/gateway_forwarded_stray_test.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_stray_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 using namespace Hemlockhill;
 using namespace Hemlockhill::Testing;
 
@@ -12,6 +14,8 @@
 
 constexpr std::uint16_t FirstPort = 9'410;
 constexpr int RequestCount = 6;
+// Longer than an endpoint that has rejected a few requests gets no others.
+constexpr std::chrono::milliseconds RejectionPause(600);
 const std::string UnnamedRefusal = "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const std::string OtherRefusal = "HTTP/1.1 503 Busy\r\nId: request-0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -168,6 +172,84 @@
     endpoints.clear();
 }
 
+// Guards against a copy of a refusal that passes for the answer when its request returns by another way: from the caller of the node that
+// holds the connection, through one node that forwards, or through two.
+BOOST_AUTO_TEST_CASE(repeated_refusal_is_taken_for_the_answer_to_a_request_that_returns_by_another_node)
+{
+    // The nodes that the caller sends its request to. The second one reaches the endpoints, the others have it forward for them.
+    for (const std::vector<std::size_t> &nodes : std::vector<std::vector<std::size_t>>{{1, 0}, {0, 1}, {0, 2}, {1, 1}, {1, 0, 2}}) {
+        int runs = 0;
+        int copies = 0;
+        std::size_t refusals = nodes.size() - 1;
+        std::vector<std::shared_ptr<RawEndpoint>> endpoints;
+        const auto start = [&](boost::asio::io_context &loop, const Address &address) {
+            const std::size_t number = endpoints.size();
+            endpoints.push_back(std::make_shared<RawEndpoint>(
+                loop, address, [&, number, carried = std::set<std::string>()](const RawEndpoint::Request &request) mutable {
+                    const std::string id(request["Id"]);
+                    const std::string refusal =
+                        "HTTP/1.1 503 Busy\r\nId: " + id + "\r\nNot-Run: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
+                    if (endpoints[number]->earlierRequests() == 0) {
+                        carried.clear();
+                    }
+                    const bool isCopied = !carried.insert(id).second;
+                    copies += isCopied ? 1 : 0;
+                    runs += refusals == 0 ? 1 : 0;
+                    return RawAnswer{
+                        (isCopied ? refusal : "") + (refusals > 0 ? refusal : ownAnswer(request)), ConnectionEnd::KeepOpen, {}};
+                }));
+            return endpoints.back();
+        };
+        ForwardingFleet fleet({{true, false, true}, RouteKind::Unsafe, false, FirstPort}, start);
+        for (const std::size_t node : nodes) {
+            const auto answer = fleet.exchange(node, "/x/1");
+            BOOST_REQUIRE(answer);
+            BOOST_CHECK_EQUAL(answer->status, refusals > 0 ? 503 : 200);
+            refusals -= refusals > 0 ? 1 : 0;
+            // Endpoints that reject several requests in a row get none for a while.
+            fleet.run(RejectionPause);
+        }
+        BOOST_CHECK_EQUAL(runs, 1);
+        BOOST_CHECK_EQUAL(copies, 0);
+        endpoints.clear();
+    }
+}
+
+// Guards against the answer to a probe, sent once more, that passes for the answer to the next request on the connection that is kept
+// after the probe.
+BOOST_AUTO_TEST_CASE(copy_of_the_answer_to_a_probe_is_taken_for_that_to_a_request)
+{
+    const std::string probed = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    int probes = 0;
+    int behindProbe = 0;
+    std::vector<std::shared_ptr<RawEndpoint>> endpoints;
+    ForwardingFleet fleet({{true}, RouteKind::Unsafe, false, FirstPort}, [&](boost::asio::io_context &loop, const Address &address) {
+        const std::size_t number = endpoints.size();
+        endpoints.push_back(std::make_shared<RawEndpoint>(loop, address, [&, number](const RawEndpoint::Request &request) {
+            if (request.target() == "/probe") {
+                ++probes;
+                return RawAnswer{probed, ConnectionEnd::KeepOpen, {}};
+            }
+            const bool isKept = endpoints[number]->earlierRequests() > 0;
+            behindProbe += isKept ? 1 : 0;
+            return RawAnswer{(isKept ? probed : "") + ownAnswer(request), ConnectionEnd::KeepOpen, {}};
+        }));
+        return endpoints.back();
+    });
+    BOOST_CHECK_EQUAL(fleet.exchange(0, "/x/1").value().status, 503);
+    fleet.heal(0);
+    fleet.runUntil([&probes] { return probes >= 1; });
+    fleet.run(std::chrono::milliseconds(20));
+    BOOST_REQUIRE_GE(probes, 1);
+    for (int request = 2; request <= RequestCount; ++request) {
+        const auto answer = fleet.exchange(0, "/x/" + std::to_string(request));
+        BOOST_REQUIRE(answer);
+        BOOST_CHECK_EQUAL(answer->status, 200);
+    }
+    BOOST_CHECK_GE(behindProbe, 1);
+    endpoints.clear();
+}
+
 // Guards against distrust of a refusal that the forwarding node could tell, on a kept connection between the nodes, and against a name that
 // reaches the caller though only nodes may see it.
 BOOST_AUTO_TEST_CASE(unnamed_answer_on_a_fresh_connection_is_not_known_through_another_node)
--- a/src/libhemlockhill/node/gateway_stray_answer_test.cpp
+++ b/src/libhemlockhill/node/gateway_stray_answer_test.cpp
@@ -173,6 +173,39 @@
     }
 }
 
+// Guards against a request that is refused, or loses its answer, because a copy of the refusal of another one arrives behind a complete
+// answer, or before the next request is written: whole or in two parts, the second of which may come after that.
+BOOST_AUTO_TEST_CASE(copy_of_a_refusal_behind_an_answer_is_taken_for_the_next_answer)
+{
+    const std::string copy = "HTTP/1.1 503 Busy\r\nId: request-1\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nbusy";
+    // Whole, and divided inside the status line, inside a header, and between head and body.
+    for (const std::size_t cut : {copy.size(), std::string_view("HTTP/1.1 5").size(), copy.find("quest-1"), copy.find("busy")}) {
+        const std::string first = copy.substr(0, cut);
+        const std::string second = copy.substr(cut);
+        for (const bool isLate : {false, true}) {
+            for (const Duration pause : {Duration(0), Duration(LatePause * 3 / 2), Duration(LatePause * 4)}) {
+                StrayFixture fixture(RouteKind::Unsafe, [&](const RawEndpoint::Request &request, int) {
+                    RawAnswer answer{ownAnswer(request) + (isLate ? "" : first), ConnectionEnd::KeepOpen, {}};
+                    answer.lateParts = isLate ? std::vector{first, second} : std::vector{second};
+                    return answer;
+                });
+                for (int request = 0; request < RequestCount; ++request) {
+                    const auto answer = fixture.exchangeNext();
+                    BOOST_REQUIRE(answer);
+                    BOOST_CHECK_EQUAL(answer->status, 200);
+                    BOOST_CHECK_EQUAL(answer->body, "served");
+                    fixture.runFor(pause);
+                }
+                BOOST_CHECK_EQUAL(fixture.received(), RequestCount);
+                // Where bytes were there before the next request, that went over another connection.
+                if (!isLate || pause > LatePause) {
+                    BOOST_CHECK_EQUAL(fixture.acceptedConnections(), RequestCount);
+                }
+            }
+        }
+    }
+}
+
 // Guards against distrust of an endpoint that refuses without naming the request, where nothing else can have been meant.
 BOOST_AUTO_TEST_CASE(unnamed_refusal_on_a_fresh_connection_is_not_retried)
 {
--- a/src/libhemlockhill/node/stray_answer_test.cpp
+++ b/src/libhemlockhill/node/stray_answer_test.cpp
@@ -43,12 +43,24 @@
 // Says of no request in particular that it was not run.
 const std::string StrayRefusal = responseText("503 Busy", {}, R"({"error":"busy","ran":"no"})");
 
-// An endpoint that precedes each response but the first on a connection by a stray refusal.
+// What an endpoint sends beside its responses.
+enum class Extra {
+    // A refusal of no request, before each response but the first on a connection.
+    Unnamed,
+    // A copy of the refusal of the exchange before on the same connection, under the name of that exchange, before each response.
+    CopyBefore,
+    // The same behind each response, whole, and in two parts.
+    CopyBehind,
+    CopyBehindInParts
+};
+
+// An endpoint that sends refusals that no request awaits.
 class StrayEndpoint
 {
 public:
-    StrayEndpoint(boost::asio::io_context &loop, const Address &address, Echo echo)
+    StrayEndpoint(boost::asio::io_context &loop, const Address &address, Echo echo, Extra extra)
         : m_echo(echo)
+        , m_extra(extra)
         , m_endpoint(loop, address, [this](const RawEndpoint::Request &request) { return answer(request); })
     {
     }
@@ -61,7 +73,27 @@
     RawAnswer answer(const RawEndpoint::Request &request)
     {
         const bool isKept = m_endpoint.earlierRequests() > 0;
-        return {(isKept ? StrayRefusal : std::string()) + own(request, isKept), ConnectionEnd::KeepOpen, {}};
+        const std::string name(request[ExchangeNameHeader]);
+        const std::string copied = m_extra == Extra::CopyBefore ? std::exchange(m_lastName, name) : name;
+        const std::string header = std::string(ExchangeNameHeader) + ": " + copied + "\r\n";
+        const std::string copy = responseText("503 Busy", m_echo == Echo::Always ? header : "", R"({"error":"busy","ran":"no"})");
+        RawAnswer answer{own(request, isKept), ConnectionEnd::KeepOpen, {}};
+        switch (m_extra) {
+        case Extra::Unnamed:
+            answer.bytes = (isKept ? StrayRefusal : std::string()) + answer.bytes;
+            break;
+        case Extra::CopyBefore:
+            answer.bytes = (isKept ? copy : std::string()) + answer.bytes;
+            break;
+        case Extra::CopyBehind:
+            answer.bytes += copy;
+            break;
+        case Extra::CopyBehindInParts:
+            answer.bytes += copy.substr(0, copy.find("Busy"));
+            answer.lateParts = {copy.substr(copy.find("Busy"))};
+            break;
+        }
+        return answer;
     }
 
     std::string own(const RawEndpoint::Request &request, bool isKept)
@@ -82,6 +114,8 @@
     }
 
     Echo m_echo;
+    Extra m_extra;
+    std::string m_lastName;
     std::atomic<std::uint32_t> m_runs = 0;
     std::atomic<std::uint32_t> m_runsOnKeptConnections = 0;
     RawEndpoint m_endpoint;
@@ -131,9 +165,9 @@
 class Fixture
 {
 public:
-    explicit Fixture(Echo echo)
-        : m_engines{StrayEndpoint(m_loop, Engines[0], echo), StrayEndpoint(m_loop, Engines[1], echo)}
-        , m_register(m_loop, Register, echo)
+    explicit Fixture(Echo echo, Extra extra = Extra::Unnamed)
+        : m_engines{StrayEndpoint(m_loop, Engines[0], echo, extra), StrayEndpoint(m_loop, Engines[1], echo, extra)}
+        , m_register(m_loop, Register, echo, extra)
         , m_callers(makeSettings(), m_timers, m_metrics, m_gate)
         , m_endpoints(makeSettings().endpoints, m_timers, m_metrics, [this](const CallerThreadMessage &message) {
             m_hasReports = m_hasReports || std::holds_alternative<ReportsChanged>(message);
@@ -269,3 +303,25 @@
         BOOST_CHECK_EQUAL(fixture.engineRunsOnKeptConnections() > 0, echo == Echo::Always);
     }
 }
+
+// Guards against a copy of the refusal of an earlier exchange, before or behind a response, that passes for the answer to a call or sends a
+// request that may run once to the next engine; also where the caller returns with the same call.
+BOOST_AUTO_TEST_CASE(copy_of_an_earlier_refusal_is_taken_for_the_answer)
+{
+    constexpr std::uint32_t Requests = 4;
+    for (const Extra extra : {Extra::CopyBefore, Extra::CopyBehind, Extra::CopyBehindInParts}) {
+        for (const Echo echo : {Echo::Never, Echo::Always}) {
+            Fixture fixture(echo, extra);
+            for (std::uint32_t count = 0; count < Requests; ++count) {
+                checkOwnAnswer(Fixture::call(http::verb::post, "/v1/completions", {}, ModelCall), "/v1/completions");
+                checkOwnAnswer(Fixture::call(http::verb::get, "/services/dues/list"), "/list");
+                checkOwnAnswer(Fixture::call(http::verb::post, "/services/dues/pay", "key-1"), "/pay");
+            }
+            BOOST_CHECK_EQUAL(fixture.engineRuns(), Requests);
+            BOOST_CHECK_EQUAL(fixture.service().runs(), Requests + 1);
+            if (extra == Extra::CopyBefore && echo == Echo::Always) {
+                BOOST_CHECK_GE(fixture.engineRunsOnKeptConnections(), 1);
+            }
+        }
+    }
+}
