Requests to endpoints that answer without a name get connections of their own

Cause: a refusal that names no request, on a kept connection, may belong to an earlier request, so the exchange drops it and waits for another answer that never comes: until the deadline of a request that may run once, and always at a node that forwards, which does not know whether a request may run again.

What counts as proof is unchanged. A stray beside an answer that names its request is not counted, as a connection for each request would be the price of every answer too many.

--- a/src/libhemlockhill/node/endpoint_paths.cpp
+++ b/src/libhemlockhill/node/endpoint_paths.cpp
@@ -88,6 +88,10 @@
                                                          ConnectionChoice connection,
                                                          ExchangeHooks hooks)
 {
+    if (connection == ConnectionChoice::PreferIdle && m_unnamedAnswers.isExpected(endpoint.id, currentTime())) {
+        m_metrics.countEvent("connection_for_unnamed_answer");
+        connection = ConnectionChoice::FreshOnly;
+    }
     return startDirectExchange(m_pool, m_reachability, endpoint.id, endpoint.address, request, limits, connection, std::move(hooks));
 }
 
@@ -105,6 +109,11 @@
     return m_peerPool.start(address, request, limits, connection, std::move(hooks));
 }
 
+void EndpointPaths::onUnnamedAnswer(const EndpointId &endpoint)
+{
+    m_unnamedAnswers.onUnnamed(endpoint, currentTime());
+}
+
 void EndpointPaths::onPeerFailed(const VmId &peer)
 {
     m_metrics.countEvent("forwarding_peer_failed");
@@ -120,6 +129,7 @@
 void EndpointPaths::onDirectory(const EndpointsById &endpoints)
 {
     m_reachability->onDirectory(endpoints);
+    m_unnamedAnswers.onDirectory(endpoints);
     std::erase_if(m_lostAtPeers, [&](const auto &entry) { return !endpoints.contains(entry.first); });
 }
 
--- a/src/libhemlockhill/node/endpoint_paths.h
+++ b/src/libhemlockhill/node/endpoint_paths.h
@@ -6,6 +6,7 @@
 #include "hemlockhill/http_exchange.h"
 #include "hemlockhill/metrics.h"
 #include "hemlockhill/request_dialect.h"
+#include "hemlockhill/unnamed_answers.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -48,6 +49,8 @@
                                               const ExchangeLimits &limits,
                                               ConnectionChoice connection,
                                               ExchangeHooks hooks);
+    // The endpoint has answered a request of startDirect() without naming it, or has sent nothing but responses that name none.
+    void onUnnamedAnswer(const EndpointId &endpoint);
     // The caller must call onPeerDone() at the end.
     std::shared_ptr<HttpExchange> startThroughPeer(const VmId &peer,
                                                    HttpRequest request,
@@ -98,6 +101,7 @@
     ConnectionPool m_peerPool;
     std::shared_ptr<EndpointReachability> m_reachability;
     ForwardingPeers m_peers;
+    UnnamedAnswers m_unnamedAnswers;
     // Endpoints that were unreachable at the last review.
     std::set<EndpointId> m_unreachable;
     // When each peer has last said that it does not reach an endpoint.
--- a/src/libhemlockhill/node/gateway_answer.cpp
+++ b/src/libhemlockhill/node/gateway_answer.cpp
@@ -53,6 +53,14 @@
     return toResponseMatch(m_match);
 }
 
+// The last response may have been the answer: nothing tells it from one to an earlier request on the connection.
+void Gateway::Request::reportUnnamedAnswer()
+{
+    if (!m_peer && m_status == 0 && m_strays > 0 && m_match == AnswerMatch::Unnamed) {
+        m_gateway.m_paths->onUnnamedAnswer(m_endpoint);
+    }
+}
+
 EndpointAnswerHead Gateway::Request::readAnswerHead(const ResponseHead &head) const
 {
     EndpointAnswerHead answer = m_gateway.m_dialect.readAnswer(head.status, head.headers);
@@ -79,6 +87,9 @@
     const EndpointAnswerHead answer = readAnswerHead(head);
     m_answerTrace = traceOf(head, answer);
     m_gateway.onDeclaredCapacity(m_endpoint, m_endpointIncarnation, answer.capacity, m_sentAt);
+    if (!m_peer && m_match == AnswerMatch::OnlyOnConnection) {
+        m_gateway.m_paths->onUnnamedAnswer(m_endpoint);
+    }
     if (const auto proof = NotRunProof::fromAnswer(status, answer, m_match)) {
         onRefusedByEndpoint(status, *proof);
         return;
@@ -175,6 +186,7 @@
 void Gateway::Request::onExchangeFailed(const ExchangeFailure &failure)
 {
     m_connectionResponses = failure.responses;
+    reportUnnamedAnswer();
     const bool keepsReason = m_status == 0 || failure.reason == Reason::OversizedAnswer;
     const Reason reason = keepsReason ? failure.reason : Reason::IncompleteAnswer;
     if (m_peer && m_status == 0) {
--- a/src/libhemlockhill/node/gateway_forwarded_request.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_request.cpp
@@ -165,6 +165,7 @@
     m_answer.headers = endToEndHeaders(head.headers);
     removeForwardingHeaders(m_answer.headers);
     if (m_match == AnswerMatch::OnlyOnConnection) {
+        m_gateway.m_paths->onUnnamedAnswer(m_endpoint);
         // The other node sees only the connection between the two.
         nameAnsweredRequest(m_answer.headers, m_head.id);
     }
@@ -221,8 +222,17 @@
     finish("answered");
 }
 
+// The last response may have been the answer: nothing tells it from one to an earlier request on the connection.
+void Gateway::ForwardedRequest::reportUnnamedAnswer()
+{
+    if (!m_answerTrace && m_strays > 0 && m_match == AnswerMatch::Unnamed) {
+        m_gateway.m_paths->onUnnamedAnswer(m_endpoint);
+    }
+}
+
 void Gateway::ForwardedRequest::onExchangeFailed(const ExchangeFailure &failure)
 {
+    reportUnnamedAnswer();
     const bool wasBrokenOff = !failure.inStray && (failure.reason == Reason::EndpointLost || failure.reason == Reason::IncompleteAnswer);
     if (wasBrokenOff && failure.mayHaveReached) {
         m_gateway.m_metrics.countEvent("request_broken_off");
@@ -236,6 +246,8 @@
 void Gateway::ForwardedRequest::onDisconnected()
 {
     if (m_exchange && !m_done) {
+        // The node of the caller leaves when the time of the request ends.
+        reportUnnamedAnswer();
         m_exchange->cancel();
         m_gateway.m_crashGuard.onCallerLeft(m_head, lossIdOf(m_endpoint, m_incarnation), currentTime());
     }
--- a/src/libhemlockhill/node/gateway_forwarded_request.h
+++ b/src/libhemlockhill/node/gateway_forwarded_request.h
@@ -33,6 +33,8 @@
     void onBody(std::string bytes);
     void onEnd();
     void onExchangeFailed(const ExchangeFailure &failure);
+    // Reports an endpoint that has sent nothing but responses that name no request.
+    void reportUnnamedAnswer();
     void beginResponse();
     void applyBackpressure();
     void onDisconnected();
--- a/src/libhemlockhill/node/gateway_forwarded_stray_test.cpp
+++ b/src/libhemlockhill/node/gateway_forwarded_stray_test.cpp
@@ -275,6 +275,26 @@
     endpoints.clear();
 }
 
+// Guards against a request that waits until its deadline at the forwarding node, behind its own refusal that does not name it.
+BOOST_AUTO_TEST_CASE(forwarded_request_waits_for_an_answer_that_an_endpoint_has_given_without_a_name)
+{
+    std::vector<std::shared_ptr<RawEndpoint>> endpoints;
+    ForwardingFleet fleet({{true, false}, RouteKind::Unsafe, false, FirstPort}, [&](boost::asio::io_context &loop, const Address &address) {
+        endpoints.push_back(std::make_shared<RawEndpoint>(loop, address, [number = 0](const RawEndpoint::Request &request) mutable {
+            return RawAnswer{++number % 2 == 1 ? UnnamedRefusal : ownAnswer(request), ConnectionEnd::KeepOpen, {}};
+        }));
+        return endpoints.back();
+    });
+    for (int request = 0; request < RequestCount; ++request) {
+        const auto answer = fleet.exchange(0, "/x/" + std::to_string(request));
+        BOOST_REQUIRE(answer);
+        BOOST_CHECK_EQUAL(answer->status, 200);
+    }
+    BOOST_CHECK_EQUAL(fleet.counted(1, "stray_answer_unnamed"), 0);
+    BOOST_CHECK_GE(fleet.counted(1, "connection_for_unnamed_answer"), 1);
+    endpoints.clear();
+}
+
 // Guards against a promise that the endpoint has not made, through another node.
 BOOST_AUTO_TEST_CASE(signed_status_through_another_node_promises_that_the_request_has_not_run)
 {
--- a/src/libhemlockhill/node/gateway_request.cpp
+++ b/src/libhemlockhill/node/gateway_request.cpp
@@ -455,6 +455,7 @@
 
 void Gateway::Request::abandonExchange()
 {
+    reportUnnamedAnswer();
     m_exchange->cancel();
     m_history.onEnded(std::nullopt);
     releaseEndpoint();
--- a/src/libhemlockhill/node/gateway_request.h
+++ b/src/libhemlockhill/node/gateway_request.h
@@ -123,6 +123,8 @@
     double expectedEvents() const;
     // What the endpoint learns of the workspace; empty if the deployment has none.
     std::optional<WorkspaceIdentity> workspaceIdentity() const;
+    // Reports an endpoint that has sent nothing in the current exchange but responses that name no request.
+    void reportUnnamedAnswer();
     // Ends the request before anything is sent if its caller has left or has no time left.
     void onSending();
     // Tells whether a response of the current exchange is the answer to this request.
--- a/src/libhemlockhill/node/gateway_stray_answer_test.cpp
+++ b/src/libhemlockhill/node/gateway_stray_answer_test.cpp
@@ -216,6 +216,52 @@
     BOOST_CHECK_EQUAL(fixture.received(), 3);
 }
 
+// Guards against a request that waits until its deadline behind its own refusal, on a kept connection to an endpoint that refuses without
+// naming the request.
+BOOST_AUTO_TEST_CASE(request_waits_for_an_answer_that_an_endpoint_has_given_without_a_name)
+{
+    for (const RouteKind kind : {RouteKind::Unsafe, RouteKind::Safe}) {
+        StrayFixture fixture(kind, [](const RawEndpoint::Request &request, int number) {
+            return RawAnswer{number % 2 == 1 ? UnnamedRefusal : ownAnswer(request), ConnectionEnd::KeepOpen, {}};
+        });
+        for (int request = 0; request < RequestCount; ++request) {
+            const TimePoint start = currentTime();
+            BOOST_CHECK_EQUAL(fixture.exchangeNext().value().status, 200);
+            BOOST_CHECK_LT(std::chrono::duration_cast<std::chrono::milliseconds>(currentTime() - start).count(), 150);
+        }
+        BOOST_CHECK_EQUAL(fixture.counted("stray_answer_unnamed"), 0);
+    }
+}
+
+// Guards against an endpoint of which nothing is learned when a request has waited in vain: one request alone pays for it.
+BOOST_AUTO_TEST_CASE(each_request_waits_for_an_answer_that_an_endpoint_has_given_without_a_name)
+{
+    StrayFixture fixture(RouteKind::Unsafe, [](const RawEndpoint::Request &request, int number) {
+        return RawAnswer{number % 2 == 0 ? UnnamedRefusal : ownAnswer(request), ConnectionEnd::KeepOpen, {}};
+    });
+    int lost = 0;
+    for (int request = 0; request < 4 * RequestCount; ++request) {
+        const unsigned status = fixture.exchangeNext().value().status;
+        // Refused where both endpoints have refused it.
+        BOOST_CHECK(status == 200 || status == 503 || status == 504);
+        lost += status == 504 ? 1 : 0;
+    }
+    // One for each of the two endpoints.
+    BOOST_CHECK_LE(lost, 2);
+    BOOST_CHECK_GE(fixture.counted("connection_for_unnamed_answer"), 1);
+}
+
+// Guards against connections that are no longer reused because answers too many have come beside the requests' own.
+BOOST_AUTO_TEST_CASE(stray_beside_answers_that_name_their_requests_costs_a_connection_each)
+{
+    StrayFixture fixture(RouteKind::Unsafe, behindStray(UnnamedRefusal));
+    for (int request = 0; request < RequestCount; ++request) {
+        BOOST_CHECK_EQUAL(fixture.exchangeNext().value().status, 200);
+    }
+    BOOST_CHECK_GE(fixture.counted("stray_answer_unnamed"), 1);
+    BOOST_CHECK_EQUAL(fixture.counted("connection_for_unnamed_answer"), 0);
+}
+
 // Guards against an endpoint that names no request and is kept waiting for an answer that it has given.
 BOOST_AUTO_TEST_CASE(answers_that_name_no_request_are_lost_on_kept_connections)
 {
