HTTP server: a connection closed for others while its write completes ends no process

Cause: if a connection was closed to make room for answers after its last write had completed and before that was reported, finishAnswer() cancelled operations on a closed socket, which throws, and the process ended.

Change: finishAnswer() returns if the socket is closed.

There is no deterministic test yet.

--- a/src/libhemlockhill/net/http_server.cpp
+++ b/src/libhemlockhill/net/http_server.cpp
@@ -839,6 +839,10 @@
 
 void HttpServer::Listener::Session::finishAnswer()
 {
+    // The connection may have been closed for others after the last write completed and before it was reported.
+    if (!m_stream.socket().is_open()) {
+        return;
+    }
     if (!m_keepAlive) {
         error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
