--- a/src/libhemlockhill/node/node_limits.cpp
+++ b/src/libhemlockhill/node/node_limits.cpp
@@ -56,7 +56,7 @@
     limits.operatorRequests = Bytes{std::max(requests / OperatorDivisor, StatementCopies * StatementLimit.value + Overhead)};
     limits.callerRequests = Bytes{std::max(requests - requests / OperatorDivisor, CallerRequestCopies * body + Overhead)};
     limits.operatorAnswers = Bytes{std::max(answers / OperatorDivisor, Overhead)};
-    limits.callerAnswers = Bytes{std::max(answers - answers / OperatorDivisor, std::max(LargestAnswer, body) + Overhead)};
+    limits.callerAnswers = Bytes{std::max(answers - answers / OperatorDivisor, std::max(LargestAnswer, 2 * body) + Overhead)};
     limits.endpointConnections = static_cast<std::uint32_t>(CallerRatio * (descriptors - ReservedDescriptors));
     limits.callerConnections = std::min(settings.callers.connectionLimit, limits.endpointConnections);
     limits.operatorConnections = OperatorConnectionLimit;
--- a/src/libhemlockhill/node/service_calls.cpp
+++ b/src/libhemlockhill/node/service_calls.cpp
@@ -77,7 +77,8 @@
             return;
         }
         m_answer.body += bytes;
-        m_responder->holdAnswer(m_answer.body.size());
+        // Up to twice the size, since it grows by doubling.
+        m_responder->holdAnswer(m_answer.body.capacity());
         m_calls.m_hooks.send(ReleaseBytes{m_exchange, bytes.size()});
     }
 
