Reads: name of a local variable, and what the send time is for

The review of the read confirmation found that 'leads' in outcomeOf() means something else than Controller::leads(), and that a newcomer does not see why the send time must increase. No change of behaviour.

--- a/src/libhemlockhill/consensus/leading.cpp
+++ b/src/libhemlockhill/consensus/leading.cpp
@@ -239,6 +239,7 @@
     if (heartbeat) {
         m_heartbeatDeadline = m_now + m_settings.heartbeat;
     }
+    // Tells requests that follow a read from earlier ones, besides being the time from which leases count.
     m_lastSentAt = std::max(now, m_readBegun ? m_lastSentAt + Duration(1) : m_lastSentAt);
     for (auto &[member, progress] : m_members) {
         sendTo(member, progress, now, heartbeat || m_commitUnannounced);
--- a/src/libhemlockhill/control/controller.cpp
+++ b/src/libhemlockhill/control/controller.cpp
@@ -811,9 +811,9 @@
 std::optional<ReadObstacle> Controller::outcomeOf(const PendingRead &read, TimePoint now) const
 {
     const ReadObstacle obstacle = readStatus(now).obstacle;
-    const bool leads =
+    const bool leadsCommittedTerm =
         obstacle == ReadObstacle::None || obstacle == ReadObstacle::LeaseExpired || obstacle == ReadObstacle::TransferringLeadership;
-    if (!leads) {
+    if (!leadsCommittedTerm) {
         return obstacle;
     }
     if (read.mark && m_consensus->isReadConfirmed(*read.mark)) {
