--- a/src/libhemlockhill/control/simulated_region.h
+++ b/src/libhemlockhill/control/simulated_region.h
@@ -269,7 +269,7 @@
     // Reads the document version of a controller's state. The outcome is set once the controller answers: empty if it refuses.
     std::shared_ptr<ReadOutcome> read(std::size_t node)
     {
-        const auto outcome = std::make_shared<ReadOutcome>();
+        auto outcome = std::make_shared<ReadOutcome>();
         m_vms[node].controller->confirmRead(
             [this, node, outcome](const ReadStatus &status) {
                 outcome->isAnswered = true;
