Test of unbounded answers: endpoints do not outlive their event loop

Cause: the test kept its endpoints until after the fixture, so that their sockets were destroyed after the event loop. On valgrind counts 27 invalid reads in the same test, which passed.

Change: the fixture owns the endpoints, and the test refers to them. Checks are unchanged.

Measured: passes, and valgrind counts 0 invalid reads.

--- a/src/libhemlockhill/node/gateway_unbounded_answer_test.cpp
+++ b/src/libhemlockhill/node/gateway_unbounded_answer_test.cpp
@@ -19,10 +19,11 @@
 public:
     UnboundedAnswers(RouteKind kind, bool resumable, const std::string &bytes, const std::string &tail)
         : m_fixture({kind, resumable, Duration(0), FirstPort}, [&, this](boost::asio::io_context &loop, const Address &address) {
-            m_endpoints.push_back(std::make_shared<RawEndpoint>(loop, address, [=](const RawEndpoint::Request &) {
+            auto endpoint = std::make_shared<RawEndpoint>(loop, address, [=](const RawEndpoint::Request &) {
                 return RawAnswer{bytes, ConnectionEnd::RepeatTail, tail};
-            }));
-            return m_endpoints.back();
+            });
+            m_endpoints.push_back(endpoint);
+            return endpoint;
         })
     {
     }
@@ -34,11 +35,12 @@
     bool closesConnections()
     {
         m_fixture.runFor(CloseTimeout);
-        return m_endpoints[0]->openConnections() + m_endpoints[1]->openConnections() == 0;
+        return m_endpoints.at(0).lock()->openConnections() + m_endpoints.at(1).lock()->openConnections() == 0;
     }
 
 private:
-    std::vector<std::shared_ptr<RawEndpoint>> m_endpoints;
+    // The fixture owns them, since they must not outlive its event loop.
+    std::vector<std::weak_ptr<RawEndpoint>> m_endpoints;
     GatewayFixture m_fixture;
 };
 
